--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/RequestIdentifier.kt
@@ -0,0 +1,12 @@
+package plantainturn.request
+
+import kotlinx.serialization.Serializable
+
+/** Names one request of a caller through all its attempts, in logs, headers and answers. */
+@Serializable
+@JvmInline
+public value class RequestIdentifier(
+    public val value: String,
+) {
+    override fun toString(): String = value
+}
