--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/claim/HeldKey.kt
@@ -0,0 +1,11 @@
+package plantainturn.request.claim
+
+import kotlinx.serialization.Serializable
+import plantainturn.connection.log.RecordIdentifier
+
+/** A key that [claim] holds for a request whose content has [fingerprint]. */
+@Serializable
+public data class HeldKey(
+    val claim: RecordIdentifier,
+    val fingerprint: String,
+)
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/claim/LogClaimService.kt
@@ -0,0 +1,117 @@
+package plantainturn.request.claim
+
+import com.google.common.hash.Hashing
+import plantainturn.connection.log.LogService
+import plantainturn.connection.log.LoopThread
+import plantainturn.connection.log.Pause
+import plantainturn.connection.log.SnapshotSettings
+import plantainturn.connection.log.SnapshotWriter
+import plantainturn.connection.log.StreamName
+import plantainturn.connection.log.TimerPause
+import plantainturn.process.time.TimerService
+import plantainturn.process.time.TimerSubscription
+import plantainturn.request.claim.internal.ClaimShard
+import java.util.concurrent.CompletableFuture
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * A [ClaimService] whose keys are granted by the order of records on the platform's log.
+ *
+ * A claim is granted only when it was read back as the first for its key, so a node dispatches nothing that another
+ * node may have dispatched. A claim that is not read back in time is given up for good: it is never dispatched, and
+ * released as soon as the log takes the entry.
+ *
+ * @param incarnation names this run of the node, unlike any other run of any node
+ * @param rank this node's place among the nodes that it believes to live, from 0, for snapshots
+ */
+public class LogClaimService(
+    log: LogService,
+    incarnation: String,
+    private val timer: TimerService,
+    private val pause: Pause = TimerPause(timer),
+    private val settings: ClaimSettings = ClaimSettings(),
+    snapshots: SnapshotSettings = SnapshotSettings(),
+    rank: () -> Int = { 0 },
+) : ClaimService,
+    AutoCloseable {
+    private val shards: List<ClaimShard> =
+        List(settings.shards) { ClaimShard(log, streamOf(it), "$incarnation/$it", timer, pause, settings) }
+    private val writers =
+        shards.map { SnapshotWriter(it.follower, ClaimFold.rule, it.recordAppender, timer, snapshots, rank) }
+    private val threads = mutableListOf<LoopThread>()
+    private var sweep: TimerSubscription? = null
+
+    /** The number of outcomes and releases that do not stand on the log yet. A planned stop waits for none. */
+    public val owedEntries: Int
+        get() = shards.sumOf { it.owedEntries }
+
+    /** Starts the threads that follow and write the streams. May be called once. */
+    @Synchronized
+    public fun start() {
+        shards.forEachIndexed { index, shard ->
+            threads += shard.loop.thread("claims-follow-$index").start()
+            threads += shard.appender.thread("claims-append-$index").start()
+            threads += writers[index].thread("claims-snapshot-$index", pause).start()
+        }
+        sweep = timer.subscribe(SWEEP_PERIOD) { shards.forEach { it.abandonOld() } }
+    }
+
+    /** Ends the threads. Claims that wait are given up at their deadlines. */
+    @Synchronized
+    override fun close() {
+        sweep?.cancel()
+        threads.forEach { it.close() }
+    }
+
+    override fun claim(
+        key: ClaimKey,
+        fingerprint: String,
+    ): ClaimResult = claimLater(key, fingerprint).join()
+
+    /** Claims [key] as [claim] does, without blocking. */
+    public fun claimLater(
+        key: ClaimKey,
+        fingerprint: String,
+    ): CompletableFuture<ClaimResult> = shardOf(key).claim(key, fingerprint)
+
+    override fun settle(
+        claim: Claim,
+        outcome: ClaimOutcome,
+    ) {
+        shardOf(claim.key).settle(claim, kept(outcome))
+    }
+
+    override fun release(claim: Claim) {
+        shardOf(claim.key).release(claim)
+    }
+
+    /** Reads and writes once in every shard, in the calling thread. For tests, which start no threads. */
+    internal fun step() {
+        shards.forEach { shard ->
+            shard.appender.step()
+            shard.loop.step(Duration.ZERO)
+            shard.abandonOld()
+        }
+    }
+
+    private fun kept(outcome: ClaimOutcome): ClaimOutcome {
+        if (outcome !is ClaimOutcome.Answered) return outcome
+        if (outcome.bodyBase64.length <= settings.bodyBytes * BASE64_CHARACTERS / BASE64_BYTES) return outcome
+        return outcome.copy(bodyBase64 = "", bodyTruncated = true)
+    }
+
+    private fun shardOf(key: ClaimKey): ClaimShard {
+        val text = listOf(key.team.value, key.service.value, key.key).joinToString("\n")
+        val hash = Hashing.murmur3_32_fixed().hashString(text, Charsets.UTF_8).asInt()
+        return shards[Math.floorMod(hash, shards.size)]
+    }
+
+    private fun streamOf(index: Int): StreamName = StreamName.claims("$index-of-${settings.shards}")
+
+    private companion object {
+        const val BASE64_CHARACTERS = 4
+        const val BASE64_BYTES = 3
+        val SWEEP_PERIOD = 5.seconds
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/claim/TeamWindow.kt
@@ -0,0 +1,118 @@
+package plantainturn.request.claim
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+
+/**
+ * The keys of one team that a shard remembers.
+ *
+ * A held key is never forgotten. Settled keys are forgotten beyond [SETTLED_KEPT]: keys without a time in the order of
+ * their settlement, keys with a time the earliest first, with the time of the latest forgotten one kept as
+ * [forgottenUntil].
+ *
+ * @property held the keys whose run has not ended
+ * @property settled the settled keys without a time, the first settled first
+ * @property settledTimed the settled keys that carry a time
+ * @property withBody the settled keys whose outcome still has its body, the first settled first
+ * @property forgottenUntil the latest time of a forgotten key, in milliseconds, or -1
+ */
+public data class TeamWindow(
+    val held: PersistentMap<ServiceKey, HeldKey> = persistentMapOf(),
+    val settled: PersistentMap<ServiceKey, SettledKey> = persistentMapOf(),
+    val settledTimed: PersistentMap<ServiceKey, SettledKey> = persistentMapOf(),
+    val withBody: PersistentSet<ServiceKey> = persistentSetOf(),
+    val forgottenUntil: Long = NOTHING_FORGOTTEN,
+) {
+    /** Returns the settled key, or null if it is not settled or was forgotten. */
+    public fun settledOf(key: ServiceKey): SettledKey? = settled[key] ?: settledTimed[key]
+
+    /** Returns this window with [key] held. */
+    internal fun hold(
+        key: ServiceKey,
+        value: HeldKey,
+    ): TeamWindow = copy(held = held.put(key, value))
+
+    /** Returns this window without [key]. */
+    internal fun free(key: ServiceKey): TeamWindow =
+        copy(
+            held = held.remove(key),
+            settled = settled.remove(key),
+            settledTimed = settledTimed.remove(key),
+            withBody = withBody.remove(key),
+        )
+
+    /** Returns this window with [key] settled as [value]. */
+    internal fun settle(
+        key: ServiceKey,
+        value: SettledKey,
+    ): TeamWindow {
+        val timed = KeyTime.millisecondsOf(key.key) != null
+        val added =
+            copy(
+                held = held.remove(key),
+                settled = if (timed) settled else settled.put(key, value),
+                settledTimed = if (timed) settledTimed.put(key, value) else settledTimed,
+                withBody = if (hasBody(value.outcome)) withBody.add(key) else withBody,
+            )
+        return added.dropBody().forgetUntimed().forgetTimed()
+    }
+
+    private fun dropBody(): TeamWindow {
+        if (withBody.size <= BODIES_KEPT) return this
+        val oldest = withBody.first()
+        return copy(
+            settled = trimmed(settled, oldest),
+            settledTimed = trimmed(settledTimed, oldest),
+            withBody = withBody.remove(oldest),
+        )
+    }
+
+    private fun forgetUntimed(): TeamWindow {
+        if (settled.size <= SETTLED_KEPT) return this
+        val oldest = settled.keys.first()
+        return copy(settled = settled.remove(oldest), withBody = withBody.remove(oldest))
+    }
+
+    private fun forgetTimed(): TeamWindow {
+        if (settledTimed.size <= SETTLED_KEPT + SLACK) return this
+        val byTime = settledTimed.keys.sortedBy { KeyTime.millisecondsOf(it.key) }
+        val forgotten = byTime.take(settledTimed.size - SETTLED_KEPT)
+        val latest = forgotten.maxOf { KeyTime.millisecondsOf(it.key) ?: NOTHING_FORGOTTEN }
+        val kept = settledTimed.builder().apply { keys.removeAll(forgotten.toSet()) }.build()
+        return copy(
+            settledTimed = kept,
+            withBody = withBody.removeAll(forgotten),
+            forgottenUntil = maxOf(forgottenUntil, latest),
+        )
+    }
+
+    private fun trimmed(
+        keys: PersistentMap<ServiceKey, SettledKey>,
+        key: ServiceKey,
+    ): PersistentMap<ServiceKey, SettledKey> {
+        val value = keys[key] ?: return keys
+        val outcome = value.outcome as? ClaimOutcome.Answered ?: return keys
+        return keys.put(key, value.copy(outcome = outcome.copy(bodyBase64 = "", bodyTruncated = true)))
+    }
+
+    private fun hasBody(outcome: ClaimOutcome): Boolean =
+        outcome is ClaimOutcome.Answered && outcome.bodyBase64.isNotEmpty()
+
+    public companion object {
+        /** The number of settled keys of each kind, with a time and without, that are remembered. */
+        public const val SETTLED_KEPT: Int = 16_384
+
+        /** The number of settled keys whose answers' bodies are remembered. */
+        public const val BODIES_KEPT: Int = 1_024
+
+        /** The number of keys that a team may hold at once in a shard. */
+        public const val HELD_LIMIT: Int = 8_192
+
+        /** The value of [forgottenUntil] while no key that carries a time was forgotten. */
+        public const val NOTHING_FORGOTTEN: Long = -1
+
+        private const val SLACK = SETTLED_KEPT / 8
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/claim/internal/ClaimShard.kt
@@ -0,0 +1,198 @@
+package plantainturn.request.claim.internal
+
+import kotlinx.serialization.json.Json
+import plantainturn.connection.log.AppendFate
+import plantainturn.connection.log.AppendSettings
+import plantainturn.connection.log.FollowLoop
+import plantainturn.connection.log.GroupedAppender
+import plantainturn.connection.log.LogOffset
+import plantainturn.connection.log.LogRecordSource
+import plantainturn.connection.log.LogService
+import plantainturn.connection.log.Pause
+import plantainturn.connection.log.RecordAppender
+import plantainturn.connection.log.RecordIdentifier
+import plantainturn.connection.log.RecordIdentifiers
+import plantainturn.connection.log.StreamFollower
+import plantainturn.connection.log.StreamName
+import plantainturn.connection.log.StreamPosition
+import plantainturn.process.time.Moment
+import plantainturn.process.time.TimerService
+import plantainturn.request.claim.Claim
+import plantainturn.request.claim.ClaimDecision
+import plantainturn.request.claim.ClaimEntry
+import plantainturn.request.claim.ClaimFold
+import plantainturn.request.claim.ClaimKey
+import plantainturn.request.claim.ClaimOutcome
+import plantainturn.request.claim.ClaimResult
+import plantainturn.request.claim.ClaimSettings
+import plantainturn.request.claim.ClaimState
+import plantainturn.request.claim.ClaimVerdict
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+
+/** The claims on one stream, as one node makes and follows them. */
+internal class ClaimShard(
+    log: LogService,
+    stream: StreamName,
+    incarnation: String,
+    private val timer: TimerService,
+    pause: Pause,
+    private val settings: ClaimSettings,
+) {
+    private val claims = RecordIdentifiers("$incarnation/claim")
+    private val pending = PendingClaims()
+    private val outcomes = ConcurrentHashMap<RecordIdentifier, ClaimOutcome>()
+    private val heldSince = HashMap<RecordIdentifier, Moment>()
+
+    val recordAppender: RecordAppender =
+        RecordAppender(
+            log,
+            stream,
+            RecordIdentifiers(incarnation),
+            timer,
+            pause,
+            AppendSettings(deadline = settings.deadline),
+        )
+    val follower: StreamFollower<ClaimState, ClaimVerdict> =
+        StreamFollower(stream, ClaimFold, null) { position, verdicts, _ -> onFolded(position, verdicts) }
+    val loop: FollowLoop = FollowLoop(follower, LogRecordSource(log, stream), pause)
+    val appender: GroupedAppender =
+        GroupedAppender(recordAppender, ClaimFold.rule, { follower.position?.next ?: LogOffset.FIRST })
+    private val owed = OwedEntries(appender, timer, settings.retryPause)
+
+    /** The number of outcomes and releases that do not stand on the log yet. */
+    val owedEntries: Int
+        get() = owed.size
+
+    /** Claims [key], without blocking. */
+    fun claim(
+        key: ClaimKey,
+        fingerprint: String,
+    ): CompletableFuture<ClaimResult> {
+        val request = ClaimEntry.Request(claims.next(), key, fingerprint)
+        val known = known(request) ?: return ask(request)
+        return CompletableFuture.completedFuture(known)
+    }
+
+    /** Records the outcome of [claim]. */
+    fun settle(
+        claim: Claim,
+        outcome: ClaimOutcome,
+    ) {
+        outcomes[claim.record] = outcome
+        owed.add(ClaimEntry.Settle(claim.record, claim.key, outcome))
+    }
+
+    /** Gives the key of [claim] free. */
+    fun release(claim: Claim) {
+        owed.add(ClaimEntry.Release(claim.record, claim.key))
+    }
+
+    /** Stops waiting for claimants whose claims this node has seen held for too long. */
+    @Synchronized
+    fun abandonOld() {
+        if (!loop.logAvailable) return
+        val held = heldClaims()
+        heldSince.keys.retainAll(held.keys)
+        outcomes.keys.retainAll(held.keys)
+        val now = timer.now()
+        for ((claim, key) in held) {
+            val since = heldSince.getOrPut(claim) { now }
+            if (now - since < settings.abandonAfter) continue
+            heldSince[claim] = now
+            owed.add(ClaimEntry.Abandon(claim, key))
+        }
+    }
+
+    private fun heldClaims(): Map<RecordIdentifier, ClaimKey> {
+        val state = follower.position?.state ?: return emptyMap()
+        val held = HashMap<RecordIdentifier, ClaimKey>()
+        for ((team, window) in state.teams) {
+            for ((key, value) in window.held) held[value.claim] = ClaimKey(team, key.service, key.key)
+        }
+        return held
+    }
+
+    /** Returns the result that follows from what was read so far, or null if the log must be asked. */
+    private fun known(request: ClaimEntry.Request): ClaimResult? {
+        val state = follower.position?.state ?: return ClaimResult.Unavailable("the claims are not read yet")
+        val decision = ClaimFold.decide(state, request)
+        if (decision == ClaimDecision.InProgress) return ownOutcome(state, request.key) ?: ClaimResult.InProgress
+        if (decision != ClaimDecision.Granted) return resultOf(request.claim, request.key, decision)
+        return if (loop.logAvailable) null else ClaimResult.Unavailable("the log does not answer")
+    }
+
+    private fun ownOutcome(
+        state: ClaimState,
+        key: ClaimKey,
+    ): ClaimResult? {
+        val holder = state.holder(key) ?: return null
+        return outcomes[holder.claim]?.let { ClaimResult.Settled(it) }
+    }
+
+    private fun ask(request: ClaimEntry.Request): CompletableFuture<ClaimResult> {
+        val result = pending.add(request)
+        val element = Json.encodeToJsonElement(ClaimEntry.serializer(), request)
+        appender.submit(element).thenAccept { fate -> onFate(request, fate) }
+        val limit = timer.schedule(settings.deadline) { giveUp(request, "the claim was not read back in time") }
+        result.whenComplete { _, _ -> limit.cancel() }
+        return result
+    }
+
+    private fun onFate(
+        request: ClaimEntry.Request,
+        fate: AppendFate,
+    ) {
+        when (fate) {
+            is AppendFate.Stands -> Unit
+            is AppendFate.Unknown -> giveUp(request, fate.reason)
+            is AppendFate.Refused -> pending.decide(request.claim, ClaimResult.Unavailable(fate.reason))
+        }
+    }
+
+    /** Gives up a claim that may yet come to be granted: it is not dispatched, and released on the log. */
+    private fun giveUp(
+        request: ClaimEntry.Request,
+        reason: String,
+    ) {
+        if (pending.giveUp(request.claim, reason)) owed.add(ClaimEntry.Release(request.claim, request.key))
+    }
+
+    private fun onFolded(
+        position: StreamPosition<ClaimState>,
+        verdicts: List<ClaimVerdict>,
+    ) {
+        verdicts.forEach(::onVerdict)
+        if (verdicts.isEmpty()) pending.requests.forEach { decideByState(position.state, it) }
+    }
+
+    private fun onVerdict(verdict: ClaimVerdict) {
+        val decided = pending.decide(verdict.claim, resultOf(verdict.claim, verdict.key, verdict.decision))
+        if (decided || verdict.decision != ClaimDecision.Granted) return
+        if (pending.wasGivenUp(verdict.claim)) owed.add(ClaimEntry.Release(verdict.claim, verdict.key))
+    }
+
+    /** Decides a claim whose record a snapshot covers. */
+    private fun decideByState(
+        state: ClaimState,
+        request: ClaimEntry.Request,
+    ) {
+        if (state.holder(request.key)?.claim != request.claim) return
+        pending.decide(request.claim, resultOf(request.claim, request.key, ClaimDecision.Granted))
+    }
+
+    private fun resultOf(
+        claim: RecordIdentifier,
+        key: ClaimKey,
+        decision: ClaimDecision,
+    ): ClaimResult =
+        when (decision) {
+            ClaimDecision.Granted -> ClaimResult.Granted(Claim(key, claim))
+            ClaimDecision.InProgress -> ClaimResult.InProgress
+            is ClaimDecision.Settled -> ClaimResult.Settled(decision.outcome)
+            ClaimDecision.Reused -> ClaimResult.Reused
+            ClaimDecision.Expired -> ClaimResult.Expired
+            ClaimDecision.Full -> ClaimResult.Unavailable("the team holds as many keys as it may")
+            ClaimDecision.Void -> ClaimResult.Unavailable("the claim was given up")
+        }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/claim/internal/OwedEntries.kt
@@ -0,0 +1,44 @@
+package plantainturn.request.claim.internal
+
+import kotlinx.serialization.json.Json
+import plantainturn.connection.log.AppendFate
+import plantainturn.connection.log.GroupedAppender
+import plantainturn.process.time.TimerService
+import plantainturn.request.claim.ClaimEntry
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+
+/** Writes entries that must come to stand, and tries again until they do. */
+internal class OwedEntries(
+    private val appender: GroupedAppender,
+    private val timer: TimerService,
+    private val retryPause: Duration,
+) {
+    private val open = AtomicInteger()
+
+    /** The number of entries that do not stand yet. */
+    val size: Int
+        get() = open.get()
+
+    /** Writes [entry], for as long as it takes. */
+    fun add(entry: ClaimEntry) {
+        open.incrementAndGet()
+        write(entry)
+    }
+
+    private fun write(entry: ClaimEntry) {
+        val element = Json.encodeToJsonElement(ClaimEntry.serializer(), entry)
+        appender.submit(element).thenAccept { fate -> onFate(entry, fate) }
+    }
+
+    private fun onFate(
+        entry: ClaimEntry,
+        fate: AppendFate,
+    ) {
+        if (fate is AppendFate.Stands) {
+            open.decrementAndGet()
+        } else {
+            timer.schedule(retryPause) { write(entry) }
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/kotlin/plantainturn/request/claim/ClaimNode.kt
@@ -0,0 +1,45 @@
+package plantainturn.request.claim
+
+import plantainturn.connection.log.AdvancingPause
+import plantainturn.connection.log.LogService
+import plantainturn.process.time.VirtualTimerService
+import plantainturn.version.configuration.ServiceName
+import plantainturn.version.configuration.TeamName
+import java.util.concurrent.CompletableFuture
+
+/** The claims' part of one node, stepped by a test. */
+class ClaimNode(
+    log: LogService,
+    incarnation: String,
+    val timer: VirtualTimerService = VirtualTimerService(),
+    settings: ClaimSettings = ClaimSettings(),
+) {
+    val pause = AdvancingPause(timer)
+    val service = LogClaimService(log, incarnation, timer, pause, settings).apply { step() }
+
+    /** Claims and steps until the claim is decided. */
+    fun claim(
+        key: ClaimKey,
+        fingerprint: String = "content",
+    ): ClaimResult = decided(service.claimLater(key, fingerprint))
+
+    /** Steps until [result] is there. */
+    fun decided(result: CompletableFuture<ClaimResult>): ClaimResult {
+        while (!result.isDone) {
+            service.step()
+            timer.advance(STEP)
+        }
+        return result.join()
+    }
+
+    private companion object {
+        val STEP = ClaimSettings().retryPause
+    }
+}
+
+/** Returns a key of the one team and service that the tests use. */
+fun claimKey(key: String): ClaimKey = ClaimKey(TeamName("refunds"), ServiceName("ledger"), key)
+
+/** An outcome with a body. */
+fun answered(body: String = "b2s="): ClaimOutcome.Answered =
+    ClaimOutcome.Answered(200, kotlinx.collections.immutable.persistentListOf(), body)
