--- a/daemon/src/main/kotlin/plantainturn/daemon/Main.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/Main.kt
@@ -1,6 +1,10 @@
 package plantainturn.daemon
 
-/** Runs the command line. */
+import picocli.CommandLine
+import plantainturn.daemon.command.PlantainturnCommand
+import kotlin.system.exitProcess
+
+/** Runs the command line and exits with its status. */
 public fun main(arguments: Array<String>) {
-    println(arguments.joinToString(" "))
+    exitProcess(CommandLine(PlantainturnCommand()).execute(*arguments))
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/ServiceStandInCommand.kt
@@ -0,0 +1,16 @@
+package plantainturn.daemon.command
+
+import picocli.CommandLine.Command
+import picocli.CommandLine.Mixin
+import plantainturn.standins.ServiceStandIn
+import plantainturn.standins.ServiceStandInSettings
+import java.util.concurrent.Callable
+
+/** Runs the stand-in of a plain service. */
+@Command(name = "service", description = ["Runs a stand-in of a plain service."], mixinStandardHelpOptions = true)
+internal class ServiceStandInCommand : Callable<Int> {
+    @Mixin
+    private lateinit var runner: StandInRunner
+
+    override fun call(): Int = runner.run(ServiceStandInSettings.serializer()) { settings -> ServiceStandIn(settings).start() }
+}
