Run callers' requests on engines and services, thinly

Cause: the node needs handlers behind its HTTP front.

Seen failing: with the position check off, tokens came doubled and out of order; with the request check off, foreign tokens came through; with the attempt check off, late tokens of earlier attempts did (StreamAssemblerTest, each time).

--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/completion/StreamAssembler.kt
@@ -0,0 +1,95 @@
+package plantainturn.request.completion
+
+import plantainturn.connection.engine.GenerationEnd
+import plantainturn.connection.engine.TokenChunk
+import plantainturn.connection.engine.TokenReceiver
+import plantainturn.request.AttemptNumber
+import plantainturn.request.RequestIdentifier
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+/**
+ * Assembles the chunks of a request's attempts into one answer.
+ *
+ * A chunk counts only if it names this request and the attempt in progress. A chunk ahead of the next position waits
+ * for those before it; duplicates and chunks of others are dropped. The answer receiver gets each position once and
+ * in order, through all attempts. Chunks may arrive on any thread, also after their attempt has ended.
+ *
+ * @param maximumTokens tokens of the whole answer at most; later positions are dropped
+ * @param waitingLimit chunks ahead of the next position that are kept at most; more end the attempt
+ */
+public class StreamAssembler(
+    private val request: RequestIdentifier,
+    private val receiver: AnswerReceiver,
+    private val maximumTokens: Int,
+    private val waitingLimit: Int = DEFAULT_WAITING_LIMIT,
+) : TokenReceiver {
+    private val lock = ReentrantLock()
+    private val answer = StringBuilder()
+    private val waiting = HashMap<Int, String>()
+    private var attempt: AttemptNumber? = null
+    private var delivered = 0
+    private var gone = false
+
+    /** Tokens that the answer receiver has. */
+    public val deliveredTokens: Int get() = lock.withLock { delivered }
+
+    /** The text that the answer receiver has. */
+    public val deliveredText: String get() = lock.withLock { answer.toString() }
+
+    /** Whether the answer receiver has said that the caller has gone away. */
+    public val callerGone: Boolean get() = lock.withLock { gone }
+
+    /** Whether the answer has as many tokens as the caller allows, so that nothing can be missing. */
+    public val isFull: Boolean get() = lock.withLock { delivered >= maximumTokens }
+
+    /** Takes chunks of [attempt] only, from now on. */
+    public fun beginAttempt(attempt: AttemptNumber): Unit =
+        lock.withLock {
+            waiting.clear()
+            this.attempt = attempt
+        }
+
+    /** Takes no more chunks until another attempt begins. */
+    public fun endAttempt(): Unit =
+        lock.withLock {
+            waiting.clear()
+            attempt = null
+        }
+
+    /** Returns whether the answer receiver has all that the engine says the answer has. */
+    public fun isWhole(end: GenerationEnd.Finished): Boolean = lock.withLock { delivered == end.totalTokens }
+
+    override fun receive(chunk: TokenChunk): Boolean =
+        lock.withLock {
+            if (isExpected(chunk)) keep(chunk)
+            !gone && attempt != null && waiting.size <= waitingLimit
+        }
+
+    private fun isExpected(chunk: TokenChunk): Boolean =
+        !gone &&
+            chunk.request == request &&
+            chunk.attempt == attempt &&
+            chunk.position in delivered until maximumTokens
+
+    private fun keep(chunk: TokenChunk) {
+        waiting.putIfAbsent(chunk.position, chunk.text)
+        while (!gone) {
+            val text = waiting.remove(delivered) ?: return
+            deliver(text)
+        }
+    }
+
+    private fun deliver(text: String) {
+        if (!receiver.receive(delivered, text)) {
+            gone = true
+            return
+        }
+        answer.append(text)
+        delivered += 1
+    }
+
+    private companion object {
+        const val DEFAULT_WAITING_LIMIT = 64
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/service/ServiceCoordinator.kt
@@ -0,0 +1,130 @@
+package plantainturn.request.service
+
+import plantainturn.connection.upstream.UpstreamDirectory
+import plantainturn.process.ResultCode
+import plantainturn.process.time.Moment
+import plantainturn.process.time.TimerService
+import plantainturn.request.claim.Claim
+import plantainturn.request.claim.ClaimKey
+import plantainturn.request.claim.ClaimOutcome
+import plantainturn.request.claim.ClaimResult
+import plantainturn.request.claim.ClaimService
+import plantainturn.request.internal.pause
+import plantainturn.request.service.internal.CallDispatcher
+import plantainturn.request.service.internal.DispatchEnd
+import plantainturn.request.service.internal.answerOf
+import plantainturn.request.service.internal.callFingerprint
+import plantainturn.request.service.internal.recordOf
+import plantainturn.version.configuration.ConfigurationSource
+import plantainturn.version.configuration.ServiceSpecification
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Runs callers' calls to plain services.
+ *
+ * An idempotent call may be sent again. Any other call runs at most once: with a key it is claimed on the log before
+ * it is dispatched and settled afterwards; without one it is dispatched to one upstream. Only a call that reached no
+ * upstream is sent to another.
+ */
+public class ServiceCoordinator(
+    private val configuration: ConfigurationSource,
+    private val directory: UpstreamDirectory,
+    private val connections: ServiceConnections,
+    private val claims: ClaimService,
+    private val timer: TimerService,
+    private val random: Random,
+    private val settings: ServiceSettings = ServiceSettings(),
+) : ServiceHandler {
+    private val dispatcher = CallDispatcher(directory, connections, timer, random, settings.maximumAttempts)
+
+    override fun handle(request: ServiceRequest): ServiceOutcome {
+        val current =
+            configuration.current?.configuration
+                ?: return ServiceOutcome.Unanswered(ResultCode.NOT_READY, "no configuration was read yet", RETRY_AFTER)
+        val specification =
+            current.services[request.service]
+                ?: return ServiceOutcome.Unanswered(ResultCode.SERVICE_UNKNOWN, "no service ${request.service}")
+        val deadline = request.receivedAt + specification.timeoutMilliseconds.milliseconds
+        val key = request.idempotencyKey
+        val idempotent = request.method in specification.idempotentMethods
+        return if (idempotent || key == null) {
+            outcomeOf(dispatcher.dispatch(request, specification, deadline, repeatable = idempotent))
+        } else {
+            runOnce(request, specification, deadline, ClaimKey(request.team, request.service, key))
+        }
+    }
+
+    private fun runOnce(
+        request: ServiceRequest,
+        specification: ServiceSpecification,
+        deadline: Moment,
+        key: ClaimKey,
+    ): ServiceOutcome {
+        val fingerprint = callFingerprint(request)
+        val patience = minOf(deadline, timer.now() + settings.keyWaitLimit)
+        var result = claims.claim(key, fingerprint)
+        while (result is ClaimResult.InProgress && timer.now() + settings.keyPollPeriod < patience) {
+            pause(timer, settings.keyPollPeriod)
+            result = claims.claim(key, fingerprint)
+        }
+        return when (result) {
+            is ClaimResult.Granted -> dispatchClaimed(request, specification, deadline, result.claim)
+            is ClaimResult.Settled -> fromRecord(result.outcome)
+            is ClaimResult.InProgress ->
+                ServiceOutcome.Unanswered(ResultCode.KEY_IN_PROGRESS, "the first run has not ended", RETRY_AFTER)
+            is ClaimResult.Reused ->
+                ServiceOutcome.Unanswered(ResultCode.KEY_REUSED, "the key belongs to another request")
+            is ClaimResult.Expired ->
+                ServiceOutcome.Unanswered(ResultCode.KEY_EXPIRED, "the key is older than the window")
+            is ClaimResult.Unavailable ->
+                ServiceOutcome.Unanswered(ResultCode.LOG_UNAVAILABLE, result.reason, RETRY_AFTER)
+        }
+    }
+
+    private fun dispatchClaimed(
+        request: ServiceRequest,
+        specification: ServiceSpecification,
+        deadline: Moment,
+        claim: Claim,
+    ): ServiceOutcome {
+        val end = dispatcher.dispatch(request, specification, deadline, repeatable = false)
+        when (end) {
+            is DispatchEnd.Answered -> claims.settle(claim, recordOf(end.answer, settings.recordedBodyBytes))
+            is DispatchEnd.Unknown -> claims.settle(claim, ClaimOutcome.Unknown)
+            is DispatchEnd.NotRun -> claims.release(claim)
+        }
+        return outcomeOf(end)
+    }
+
+    private fun fromRecord(outcome: ClaimOutcome): ServiceOutcome =
+        when (outcome) {
+            is ClaimOutcome.Answered ->
+                ServiceOutcome.Answered(ResultCode.ANSWERED_FROM_RECORD, answerOf(outcome))
+            is ClaimOutcome.Unknown ->
+                ServiceOutcome.Unanswered(ResultCode.OUTCOME_UNKNOWN, "the key's first run may or may not have run")
+        }
+
+    private fun outcomeOf(end: DispatchEnd): ServiceOutcome =
+        when (end) {
+            is DispatchEnd.Answered -> ServiceOutcome.Answered(ResultCode.ANSWERED, end.answer)
+            is DispatchEnd.Unknown -> ServiceOutcome.Unanswered(ResultCode.OUTCOME_UNKNOWN, end.reason)
+            is DispatchEnd.NotRun -> notRun(end)
+        }
+
+    private fun notRun(end: DispatchEnd.NotRun): ServiceOutcome =
+        if (end.tried == 0) {
+            ServiceOutcome.Unanswered(ResultCode.NO_UPSTREAM, "no upstream of the service takes calls", RETRY_AFTER)
+        } else {
+            ServiceOutcome.Unanswered(
+                ResultCode.RETRIES_EXHAUSTED_NOT_RUN,
+                "no connection to ${end.tried} upstreams",
+                RETRY_AFTER,
+            )
+        }
+
+    private companion object {
+        val RETRY_AFTER = 1.seconds
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/service/internal/CallFingerprint.kt
@@ -0,0 +1,21 @@
+package plantainturn.request.service.internal
+
+import plantainturn.request.service.ServiceRequest
+import java.nio.ByteBuffer
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** Returns a digest of the content of [request], equal for the same call sent again. */
+internal fun callFingerprint(request: ServiceRequest): String {
+    val digest = MessageDigest.getInstance("SHA-256")
+    digest.updateWithLength(request.service.value.toByteArray())
+    digest.updateWithLength(request.method.toByteArray())
+    digest.updateWithLength(request.path.toByteArray())
+    digest.updateWithLength(request.body)
+    return HexFormat.of().formatHex(digest.digest())
+}
+
+private fun MessageDigest.updateWithLength(bytes: ByteArray) {
+    update(ByteBuffer.allocate(Int.SIZE_BYTES).putInt(bytes.size).array())
+    update(bytes)
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/service/internal/DispatchEnd.kt
@@ -0,0 +1,25 @@
+package plantainturn.request.service.internal
+
+import plantainturn.connection.service.ServiceResult
+
+/** What is known after a call was dispatched. */
+internal sealed interface DispatchEnd {
+    /** An upstream answered. */
+    class Answered(
+        val answer: ServiceResult.Answered,
+    ) : DispatchEnd
+
+    /** The call may have run. */
+    data class Unknown(
+        val reason: String,
+    ) : DispatchEnd
+
+    /**
+     * The call reached no upstream and will reach none.
+     *
+     * @property tried upstreams to which no connection was made
+     */
+    data class NotRun(
+        val tried: Int,
+    ) : DispatchEnd
+}
--- /dev/null
+++ b/library/src/test/kotlin/plantainturn/request/completion/StreamAssemblerTest.kt
@@ -0,0 +1,81 @@
+package plantainturn.request.completion
+
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import org.junit.jupiter.api.Test
+import plantainturn.connection.engine.GenerationEnd
+import plantainturn.connection.engine.TokenChunk
+import plantainturn.request.AttemptNumber
+import plantainturn.request.RequestIdentifier
+import kotlin.random.Random
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class StreamAssemblerTest {
+    private val request = RequestIdentifier("own")
+    private val received = mutableListOf<String>()
+    private val assembler = StreamAssembler(request, ::take, maximumTokens = 1_000, waitingLimit = 8)
+
+    @Test
+    fun `nothing is taken before an attempt begins and after it has ended`() {
+        assertFalse(assembler.receive(chunk(0)))
+        assembler.beginAttempt(AttemptNumber.FIRST)
+        assertTrue(assembler.receive(chunk(0)))
+        assembler.endAttempt()
+        assertFalse(assembler.receive(chunk(1)))
+        assertEquals(listOf("t0"), received)
+    }
+
+    @Test
+    fun `more crossed chunks than the limit end the attempt`() {
+        assembler.beginAttempt(AttemptNumber.FIRST)
+        val goOn = (1..9).map { assembler.receive(chunk(it)) }
+        assertEquals(List(8) { true } + false, goOn)
+    }
+
+    @Test
+    fun `a caller that has gone away ends the attempt and gets nothing more`() {
+        var calls = 0
+        val leaving = StreamAssembler(request, { _, _ -> ++calls < 2 }, maximumTokens = 10)
+        leaving.beginAttempt(AttemptNumber.FIRST)
+        assertTrue(leaving.receive(chunk(0)))
+        assertFalse(leaving.receive(chunk(1)))
+        assertFalse(leaving.receive(chunk(2)))
+        assertTrue(leaving.callerGone)
+        assertEquals(2, calls)
+    }
+
+    @Property(seed = "41", tries = 3_000)
+    fun `an answer that counts as whole is whole, in order and the request's own`(
+        @ForAll seed: Long,
+    ) {
+        val streams = DisturbedStreams(Random(seed), request)
+        val texts = mutableListOf<String>()
+        val assembler =
+            StreamAssembler(request, { position, text -> position == texts.size && texts.add(text) }, 1_000)
+        var whole = false
+        var attempt = AttemptNumber.FIRST
+        while (!whole && attempt.value <= 6) {
+            assembler.beginAttempt(attempt)
+            val end = streams.run(attempt, assembler.deliveredTokens, assembler)
+            whole = end is GenerationEnd.Finished && assembler.isWhole(end)
+            assembler.endAttempt()
+            attempt = attempt.next()
+        }
+        assertEquals(streams.answer.take(texts.size), texts)
+        assertFalse(assembler.callerGone)
+        if (whole) assertEquals(streams.claimedTotal, texts.size)
+    }
+
+    private fun take(
+        position: Int,
+        text: String,
+    ): Boolean {
+        assertEquals(received.size, position)
+        received += text
+        return true
+    }
+
+    private fun chunk(position: Int) = TokenChunk(request, AttemptNumber.FIRST, position, "t$position")
+}
