--- a/library/src/main/kotlin/plantainturn/connection/log/FollowLoop.kt
+++ b/library/src/main/kotlin/plantainturn/connection/log/FollowLoop.kt
@@ -21,7 +21,7 @@
 ) {
     private val logger = LogManager.getLogger(FollowLoop::class.java)
 
-    /** Whether the log answered the last time. */
+    /** Whether the log could be followed the last time. */
     @Volatile
     public var logAvailable: Boolean = false
         private set
@@ -29,8 +29,8 @@
     /** Follows the log by one long poll, or peers if the log does not help. Pauses after a failure. */
     public fun step(wait: Duration = LONG_POLL) {
         val result = follower.step(log, wait)
-        logAvailable = result !is FollowResult.Unavailable
-        if (progresses(result)) return
+        logAvailable = progresses(result)
+        if (logAvailable) return
         if (result is FollowResult.Behind) logger.error("The log ends at {}, before what was read", result.end)
         pull()
         pause.pause(RETRY_PAUSE)
--- a/library/src/main/kotlin/plantainturn/connection/log/SnapshotWriter.kt
+++ b/library/src/main/kotlin/plantainturn/connection/log/SnapshotWriter.kt
@@ -8,6 +8,7 @@
 /**
  * Appends snapshots of a stream before the log drops the records that they stand for.
  *
+ * A new node can't tell the age of the snapshot at which it started, so it appends its first one early.
  * Every node runs one. When a snapshot is due, the node of the lowest rank appends it, and the others see it before
  * their turn comes. Nothing depends on the ranks being right: two snapshots are as good as one.
  *
@@ -26,6 +27,7 @@
     private var since: Moment = timer.now() - settings.interval + settings.interval / START_DIVISOR
     private var dueSince: Moment? = null
     private var covered = LogOffset.FIRST
+    private var restartedAt = LogOffset.FIRST
 
     /** Appends a snapshot if it is this node's turn. Returns whether it did so. */
     @Synchronized
@@ -48,14 +50,21 @@
         }
 
     private fun noteNewest() {
-        val newest = follower.newestSnapshot
+        val newest = follower.newestSnapshot ?: return
         if (newest == seen) return
+        val first = seen == null
         seen = newest
-        restart(newest?.covers ?: LogOffset.FIRST)
+        if (first) {
+            covered = newest.covers
+        } else if (newest.covers >= restartedAt) {
+            restart(newest.covers)
+        }
     }
 
+    /** Counts from a snapshot. One that covers less than this node had read at the last one is too old to count. */
     private fun restart(covers: LogOffset) {
         covered = maxOf(covered, covers)
+        restartedAt = follower.position?.next ?: LogOffset.FIRST
         since = timer.now()
         dueSince = null
     }
--- a/library/src/main/kotlin/plantainturn/connection/log/StreamFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/log/StreamFollower.kt
@@ -53,7 +53,7 @@
         stopped?.let { return it }
         val from = position?.next ?: LogOffset.FIRST
         return when (val read = source.read(from, PAGE_RECORDS, wait)) {
-            is ReadResult.Records -> synchronized(lock) { foldPage(read) }
+            is ReadResult.Records -> synchronized(lock) { foldPage(read, from) }
             is ReadResult.Expired -> search(source, read.oldest)
             is ReadResult.Unavailable -> FollowResult.Unavailable(read.reason)
         }
@@ -69,16 +69,20 @@
         return texts.mapIndexed { index, text -> SnapshotPart(identifier, now.next, index, texts.size, text) }
     }
 
-    private fun foldPage(page: ReadResult.Records): FollowResult {
+    private fun foldPage(
+        page: ReadResult.Records,
+        from: LogOffset,
+    ): FollowResult {
+        if (page.end < from) return FollowResult.Behind(page.end)
         val before = position ?: StreamPosition(LogOffset.FIRST, fold.initial)
-        if (page.end < before.next) return FollowResult.Behind(page.end)
         val verdicts = mutableListOf<V>()
         var now = before
         var problem: FollowResult? = null
         for (stored in page.records.dropWhile { it.offset < before.next }) {
-            problem = obstacle(stored, now)
+            val content = RecordCodec.decode(stored.record.payload, fold.rule)
+            problem = obstacle(stored, content, now)
             if (problem != null) break
-            now = foldRecord(stored, now, verdicts)
+            now = foldRecord(stored, content, now, verdicts)
         }
         publish(now, verdicts, now.next >= page.end)
         return problem ?: FollowResult.Followed(now.next, page.end)
@@ -86,28 +90,28 @@
 
     private fun obstacle(
         stored: StoredRecord,
+        content: RecordContent,
         now: StreamPosition<S>,
-    ): FollowResult? {
-        if (stored.offset > now.next) return inconsistent("record ${stored.offset} came instead of ${now.next}")
-        val content = RecordCodec.decode(stored.record.payload, fold.rule)
-        return if (content is RecordContent.UnknownRule) stop(stored.offset, content.rule) else null
-    }
+    ): FollowResult? =
+        when {
+            stored.offset > now.next -> inconsistent("record ${stored.offset} came instead of ${now.next}")
+            content is RecordContent.UnknownRule -> stop(stored.offset, content.rule)
+            else -> null
+        }
 
     private fun foldRecord(
         stored: StoredRecord,
+        content: RecordContent,
         now: StreamPosition<S>,
         verdicts: MutableList<V>,
     ): StreamPosition<S> {
         kept?.add(stored)
-        return when (val content = RecordCodec.decode(stored.record.payload, fold.rule)) {
-            is RecordContent.Entries -> foldEntries(stored, content, now, verdicts)
-            is RecordContent.Snapshot ->
-                now
-                    .copy(
-                        next = stored.offset.next(),
-                    ).also { note(content.part, stored.offset) }
-            else -> now.copy(next = stored.offset.next()).also { logIgnored(stored, content) }
+        when (content) {
+            is RecordContent.Entries -> return foldEntries(stored, content, now, verdicts)
+            is RecordContent.Snapshot -> note(content.part, stored.offset)
+            else -> logIgnored(stored, content)
         }
+        return now.copy(next = stored.offset.next())
     }
 
     private fun foldEntries(
--- a/library/src/main/kotlin/plantainturn/connection/log/internal/SnapshotSearch.kt
+++ b/library/src/main/kotlin/plantainturn/connection/log/internal/SnapshotSearch.kt
@@ -6,6 +6,7 @@
 import plantainturn.connection.log.RecordCodec
 import plantainturn.connection.log.RecordContent
 import plantainturn.connection.log.RecordSource
+import plantainturn.connection.log.SnapshotPart
 import plantainturn.connection.log.StoredRecord
 import plantainturn.connection.log.StreamFold
 import plantainturn.connection.log.StreamPosition
@@ -53,18 +54,19 @@
         oldest: LogOffset,
     ): Result<S>? =
         when (val content = RecordCodec.decode(stored.record.payload, fold.rule)) {
-            is RecordContent.Snapshot -> usable(content, oldest)
+            is RecordContent.Snapshot -> usable(content.part, stored.offset, oldest)
             is RecordContent.UnknownRule -> Result.None(FollowResult.Stopped(stored.offset, content.rule))
             is RecordContent.Entries, is RecordContent.Malformed -> null
         }
 
     private fun usable(
-        content: RecordContent.Snapshot,
+        part: SnapshotPart,
+        at: LogOffset,
         oldest: LogOffset,
     ): Result<S>? {
-        val text = assembler.add(content.part) ?: return null
-        if (content.part.covers < oldest) return null
-        val position = SnapshotText.decode(fold, content.part.covers, text) ?: return null
+        val text = assembler.add(part) ?: return null
+        if (part.covers < oldest || part.covers > at) return null
+        val position = SnapshotText.decode(fold, part.covers, text) ?: return null
         return Result.Found(position)
     }
 }
