--- a/library/src/main/kotlin/plantainturn/request/claim/LogClaimService.kt
+++ b/library/src/main/kotlin/plantainturn/request/claim/LogClaimService.kt
@@ -93,6 +93,7 @@
             shard.loop.step(Duration.ZERO)
             shard.abandonOld()
         }
+        writers.forEach { it.check() }
     }
 
     private fun kept(outcome: ClaimOutcome): ClaimOutcome {
--- a/library/src/test/kotlin/plantainturn/connection/log/FaultyLogService.kt
+++ b/library/src/test/kotlin/plantainturn/connection/log/FaultyLogService.kt
@@ -61,9 +61,12 @@
         while (late.isNotEmpty()) deliverLate()
     }
 
-    /** Drops a random number of the oldest records of [stream]. */
-    fun expireSome(stream: StreamName) {
-        val records = inner.records(stream)
+    /** Drops a random number of the oldest records of [stream], at most those before [limit]. */
+    fun expireSome(
+        stream: StreamName,
+        limit: LogOffset = LogOffset(Long.MAX_VALUE),
+    ) {
+        val records = inner.records(stream).filter { it.offset <= limit }
         if (records.isEmpty()) return
         inner.expireBefore(stream, records.random(random).offset)
     }
--- /dev/null
+++ b/library/src/test/kotlin/plantainturn/request/claim/ClaimFoldTest.kt
@@ -0,0 +1,150 @@
+package plantainturn.request.claim
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.serialization.json.Json
+import net.jqwik.api.EdgeCasesMode
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.ShrinkingMode
+import org.junit.jupiter.api.Test
+import plantainturn.connection.log.LogOffset
+import plantainturn.connection.log.RecordIdentifier
+import kotlin.random.Random
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+
+class ClaimFoldTest {
+    private var state = ClaimState()
+
+    @Property(seed = "4", tries = 3_000, shrinking = ShrinkingMode.OFF, edgeCases = EdgeCasesMode.NONE)
+    fun `the fold decides as the plain rules do`(
+        @ForAll seed: Long,
+    ) {
+        val random = Random(seed)
+        val naive = NaiveClaims()
+        var folded = ClaimState()
+        repeat(80) {
+            val entry = randomEntry(random)
+            val result = ClaimFold.apply(folded, LogOffset(it.toLong()), persistentListOf(encode(entry)))
+            assertEquals(naive.add(entry), result.verdicts.singleOrNull()?.decision)
+            folded = result.state
+            if (random.nextInt(10) == 0) folded = ClaimFold.decode(ClaimFold.encode(folded))
+        }
+    }
+
+    @Test
+    fun `a claim that was released before it arrives is void and leaves the key free`() {
+        apply(ClaimEntry.Release(RecordIdentifier("late"), claimKey("k")))
+        assertEquals(ClaimDecision.Void, request("late", "k"))
+        assertEquals(ClaimDecision.Granted, request("next", "k"))
+    }
+
+    @Test
+    fun `a copy of a settled claim's request does not run again`() {
+        request("a", "k")
+        settle("a", "k")
+        assertEquals(ClaimDecision.Void, request("a", "k"))
+        assertEquals(ClaimDecision.Settled(answered()), request("b", "k"))
+    }
+
+    @Test
+    fun `a settlement by another than the holder has no effect`() {
+        request("a", "k")
+        settle("b", "k")
+        assertEquals(ClaimDecision.InProgress, request("c", "k"))
+    }
+
+    @Test
+    fun `a key without a time is forgotten after as many settlements as are kept`() {
+        run("first")
+        repeat(TeamWindow.SETTLED_KEPT - 1) { run("k$it") }
+        assertEquals(WITHOUT_BODY, request("again", "first"))
+        run("last")
+        assertEquals(ClaimDecision.Granted, request("again", "first"))
+    }
+
+    @Test
+    fun `a key with a time is never granted twice, also when it was forgotten`() {
+        repeat(TeamWindow.SETTLED_KEPT * 2) { run(timedKey(it.toLong())) }
+        assertEquals(ClaimDecision.Expired, request("again", timedKey(0)))
+        assertEquals(ClaimDecision.Granted, request("new", timedKey(TeamWindow.SETTLED_KEPT * 2L)))
+    }
+
+    @Test
+    fun `a key from a clock that is ahead does not make others expire`() {
+        run(timedKey(1L shl 40))
+        repeat(TeamWindow.SETTLED_KEPT * 2) { run(timedKey(it.toLong())) }
+        assertEquals(ClaimDecision.Granted, request("new", timedKey(TeamWindow.SETTLED_KEPT * 2L)))
+        assertEquals(WITHOUT_BODY, request("again", timedKey(1L shl 40)))
+    }
+
+    @Test
+    fun `a held key is not forgotten and a team holds a bounded number`() {
+        request("held", "held")
+        repeat(TeamWindow.SETTLED_KEPT + 10) { run("k$it") }
+        assertEquals(ClaimDecision.InProgress, request("again", "held"))
+        repeat(TeamWindow.HELD_LIMIT - 1) { request("h$it", "h$it") }
+        assertEquals(ClaimDecision.Full, request("one more", "one more"))
+    }
+
+    @Test
+    fun `a body is dropped after as many as are kept`() {
+        run("first")
+        repeat(TeamWindow.BODIES_KEPT) { run("k$it") }
+        assertEquals(WITHOUT_BODY, request("again", "first"))
+        assertEquals(ClaimDecision.Settled(answered()), request("again", "k0"))
+    }
+
+    @Test
+    fun `a key carries a time only if it is a UUID of version 7`() {
+        assertEquals(0x0123_4567_89abL, KeyTime.millisecondsOf("01234567-89ab-7def-8123-456789abcdef"))
+        assertNull(KeyTime.millisecondsOf("01234567-89ab-4def-8123-456789abcdef"))
+        assertNull(KeyTime.millisecondsOf("01234567-89ab-7def-c123-456789abcdef"))
+        assertNull(KeyTime.millisecondsOf("order-7"))
+    }
+
+    private fun run(key: String) {
+        request("claim of $key", key)
+        settle("claim of $key", key)
+    }
+
+    private fun request(
+        claim: String,
+        key: String,
+    ): ClaimDecision {
+        val entry = ClaimEntry.Request(RecordIdentifier(claim), claimKey(key), "content")
+        return ClaimFold.decide(state, entry).also { apply(entry) }
+    }
+
+    private fun settle(
+        claim: String,
+        key: String,
+    ) = apply(ClaimEntry.Settle(RecordIdentifier(claim), claimKey(key), answered()))
+
+    private fun apply(entry: ClaimEntry) {
+        state = ClaimFold.apply(state, entry)
+    }
+
+    private fun timedKey(milliseconds: Long): String {
+        val time = milliseconds.toString(16).padStart(12, '0')
+        return "${time.take(8)}-${time.drop(8)}-7000-8000-000000000000"
+    }
+
+    private fun encode(entry: ClaimEntry) = Json.encodeToJsonElement(ClaimEntry.serializer(), entry)
+
+    private fun randomEntry(random: Random): ClaimEntry {
+        val key = claimKey("k${random.nextInt(3)}")
+        val claim = RecordIdentifier("c${random.nextInt(12)} of ${key.key}")
+        return when (random.nextInt(8)) {
+            in 0..3 -> ClaimEntry.Request(claim, key, "content ${random.nextInt(8) / 7}")
+            4 -> ClaimEntry.Settle(claim, key, answered("body${random.nextInt(3)}"))
+            5 -> ClaimEntry.Settle(claim, key, ClaimOutcome.Unknown)
+            6 -> ClaimEntry.Release(claim, key)
+            else -> ClaimEntry.Abandon(claim, key)
+        }
+    }
+
+    private companion object {
+        val WITHOUT_BODY = ClaimDecision.Settled(answered("").copy(bodyTruncated = true))
+    }
+}
--- a/library/src/test/kotlin/plantainturn/request/claim/ClaimNode.kt
+++ b/library/src/test/kotlin/plantainturn/request/claim/ClaimNode.kt
@@ -1,7 +1,9 @@
 package plantainturn.request.claim
 
+import kotlinx.collections.immutable.persistentListOf
 import plantainturn.connection.log.AdvancingPause
 import plantainturn.connection.log.LogService
+import plantainturn.connection.log.SnapshotSettings
 import plantainturn.process.time.VirtualTimerService
 import plantainturn.version.configuration.ServiceName
 import plantainturn.version.configuration.TeamName
@@ -13,9 +15,10 @@
     incarnation: String,
     val timer: VirtualTimerService = VirtualTimerService(),
     settings: ClaimSettings = ClaimSettings(),
+    snapshots: SnapshotSettings = SnapshotSettings(),
 ) {
     val pause = AdvancingPause(timer)
-    val service = LogClaimService(log, incarnation, timer, pause, settings).apply { step() }
+    val service = LogClaimService(log, incarnation, timer, pause, settings, snapshots).apply { step() }
 
     /** Claims and steps until the claim is decided. */
     fun claim(
@@ -41,5 +44,4 @@
 fun claimKey(key: String): ClaimKey = ClaimKey(TeamName("refunds"), ServiceName("ledger"), key)
 
 /** An outcome with a body. */
-fun answered(body: String = "b2s="): ClaimOutcome.Answered =
-    ClaimOutcome.Answered(200, kotlinx.collections.immutable.persistentListOf(), body)
+fun answered(body: String = "b2s="): ClaimOutcome.Answered = ClaimOutcome.Answered(200, persistentListOf(), body)
--- a/library/src/test/kotlin/plantainturn/request/claim/LogClaimServiceTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/claim/LogClaimServiceTest.kt
@@ -1,7 +1,11 @@
 package plantainturn.request.claim
 
+import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.Test
 import plantainturn.connection.log.FakeLogService
+import plantainturn.connection.log.LogRecord
+import plantainturn.connection.log.RecordCodec
+import plantainturn.connection.log.RecordIdentifier
 import plantainturn.connection.log.StreamName
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -100,4 +104,78 @@
         assertEquals(1, log.records(stream).size)
         assertEquals(ClaimResult.InProgress, second.claim(key))
     }
+
+    @Test
+    fun `a claim that arrives after it was given up is not granted and does not block the key`() {
+        log.appendsToLose = Int.MAX_VALUE
+        val result = first.service.claimLater(key, "content")
+        assertIs<ClaimResult.Unavailable>(first.decided(result))
+        log.appendsToLose = 0
+        repeat(3) { first.service.step() }
+        first.timer.advance(1.seconds)
+        first.service.step()
+        arriveLate("a/0/claim/1")
+        first.service.step()
+        assertIs<ClaimResult.Granted>(second.claim(key))
+    }
+
+    @Test
+    fun `a claim that arrives after it was given up is released by its claimant`() {
+        log.appendsToLose = Int.MAX_VALUE
+        assertIs<ClaimResult.Unavailable>(first.decided(first.service.claimLater(key, "content")))
+        log.appendsToLose = 0
+        arriveLate("a/0/claim/1")
+        assertEquals(ClaimResult.InProgress, second.claim(key))
+        repeat(2) { first.service.step() }
+        first.timer.advance(1.seconds)
+        first.service.step()
+        second.service.step()
+        assertIs<ClaimResult.Granted>(second.claim(key))
+    }
+
+    @Test
+    fun `a claim that arrives after its node died is unknown in the end and never granted`() {
+        arriveLate("dead/0/claim/1")
+        assertEquals(ClaimResult.InProgress, second.claim(key))
+        second.service.step()
+        second.timer.advance(61.seconds)
+        repeat(2) { second.service.step() }
+        assertEquals(ClaimResult.Settled(ClaimOutcome.Unknown), second.claim(key))
+    }
+
+    @Test
+    fun `an outcome is written when the log is back`() {
+        val granted = assertIs<ClaimResult.Granted>(first.claim(key))
+        log.unavailable = true
+        first.service.settle(granted.claim, answered())
+        first.service.step()
+        assertEquals(1, first.service.owedEntries)
+        log.unavailable = false
+        first.timer.advance(1.seconds)
+        repeat(2) { first.service.step() }
+        assertEquals(0, first.service.owedEntries)
+        assertEquals(ClaimResult.Settled(answered()), second.claim(key))
+    }
+
+    @Test
+    fun `a body larger than the limit is not kept`() {
+        val granted = assertIs<ClaimResult.Granted>(first.claim(key))
+        first.service.settle(granted.claim, answered("x".repeat(4_000)))
+        first.service.step()
+        assertEquals(ClaimResult.Settled(answered("").copy(bodyTruncated = true)), second.claim(key))
+    }
+
+    @Test
+    fun `claims made at once go into one record`() {
+        val results = List(50) { first.service.claimLater(claimKey("order $it"), "content") }
+        first.service.step()
+        results.forEach { assertIs<ClaimResult.Granted>(it.join()) }
+        assertEquals(1, log.records(stream).size)
+    }
+
+    private fun arriveLate(claim: String) {
+        val request: ClaimEntry = ClaimEntry.Request(RecordIdentifier(claim), key, "content")
+        val entry = Json.encodeToJsonElement(ClaimEntry.serializer(), request)
+        log.append(stream, LogRecord(RecordIdentifier("late"), RecordCodec.encodeEntries(1, listOf(entry))))
+    }
 }
--- a/library/src/test/kotlin/plantainturn/version/configuration/ConfigurationChecksTest.kt
+++ b/library/src/test/kotlin/plantainturn/version/configuration/ConfigurationChecksTest.kt
@@ -65,7 +65,7 @@
         ConfigurationChecks.check(Json.parseToJsonElement(document) as JsonObject)
 
     private companion object {
-        val CASES =
+        const val CASES =
             """
         {"colour":1}                                              | $.colour | not a known field
         {"models":[]}                                             | $.models | must be an object
--- a/library/src/test/kotlin/plantainturn/version/configuration/MergePatchTest.kt
+++ b/library/src/test/kotlin/plantainturn/version/configuration/MergePatchTest.kt
@@ -23,7 +23,7 @@
     }
 
     private companion object {
-        val CASES =
+        const val CASES =
             """
         {"a":"b"}            | {"a":"c"}               | {"a":"c"}
         {"a":"b"}            | {"b":"c"}               | {"a":"b","b":"c"}
