Bound the kept bodies of claims by their length, and send refused patches again

The bound on bodies was a number of answers, so the window's size depended on the answers' size; now a team's bodies take at most 1 MiB of base 64, whatever their size. A log that refuses a record, as its client says when nothing was sent, is asked again within the deadline instead of leaving the patch's fate unknown.

--- a/library/src/main/kotlin/plantainturn/request/claim/internal/ClaimSnapshot.kt
+++ b/library/src/main/kotlin/plantainturn/request/claim/internal/ClaimSnapshot.kt
@@ -27,6 +27,7 @@
         private val settled: List<Settled>,
         private val settledTimed: List<Settled>,
         private val withBody: List<ServiceKey>,
+        private val bodyCharacters: Long,
         private val forgottenUntil: Long,
     ) {
         fun toWindow(): TeamWindow =
@@ -35,6 +36,7 @@
                 settled = settled.associate { it.key to it.value }.toPersistentMap(),
                 settledTimed = settledTimed.associate { it.key to it.value }.toPersistentMap(),
                 withBody = withBody.toPersistentSet(),
+                bodyCharacters = bodyCharacters,
                 forgottenUntil = forgottenUntil,
             )
     }
@@ -65,6 +67,7 @@
                 settled = window.settled.map { Settled(it.key, it.value) },
                 settledTimed = window.settledTimed.map { Settled(it.key, it.value) },
                 withBody = window.withBody.toList(),
+                bodyCharacters = window.bodyCharacters,
                 forgottenUntil = window.forgottenUntil,
             )
     }
--- a/library/src/test/kotlin/plantainturn/version/configuration/ConfigurationSubmitterTest.kt
+++ b/library/src/test/kotlin/plantainturn/version/configuration/ConfigurationSubmitterTest.kt
@@ -1,7 +1,10 @@
 package plantainturn.version.configuration
 
 import org.junit.jupiter.api.Test
+import plantainturn.connection.log.AppendResult
 import plantainturn.connection.log.FakeLogService
+import plantainturn.connection.log.LogRecord
+import plantainturn.connection.log.LogService
 import plantainturn.connection.log.StreamName
 import plantainturn.process.ResultCode
 import kotlin.test.assertEquals
@@ -83,6 +86,20 @@
         assertEquals(0, node.version)
     }
 
+    @Test
+    fun `a patch that the log refused for a while is sent again`() {
+        var refusals = 3
+        val refusing =
+            object : LogService by log {
+                override fun append(
+                    stream: StreamName,
+                    record: LogRecord,
+                ): AppendResult = if (refusals-- > 0) AppendResult.Refused("away") else log.append(stream, record)
+            }
+        val result = ConfigurationNode(refusing, "c").apply { read() }.submit(patch("p", 0))
+        assertEquals(PatchResult.Accepted(ConfigurationVersion(1)), result)
+    }
+
     @Test
     fun `a node that has read nothing submits nothing`() {
         assertIs<PatchResult.Unknown>(ConfigurationNode(log, "c").submit(patch("p", 0)))
