--- a/daemon/src/main/kotlin/plantainturn/daemon/command/PlantainturnCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/PlantainturnCommand.kt
@@ -18,8 +18,6 @@
         ConfigurationCommand::class,
         DumpCommand::class,
         CodesCommand::class,
-        ReplayCommand::class,
-        LoadCommand::class,
     ],
     footer = [
         "",
