Add the controller: lease on the log, memory ledger and issuing of orders

A shard's orders need one issuer. The lease is a fold of the shard's control stream; a claim names the fence and the last counted entry it saw, so that a renewal that the claimant had not read defeats it. The ledger reserves memory before an order is sent and releases it only on reports. On upstreams that ignore fences orders are announced on the log first.

--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/controller/Controller.kt
@@ -0,0 +1,292 @@
+package plantainturn.process.control.controller
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import plantainturn.connection.engine.EngineOrder
+import plantainturn.connection.upstream.UpstreamDirectory
+import plantainturn.process.control.controller.internal.ControlSession
+import plantainturn.process.control.controller.internal.LoadBudget
+import plantainturn.process.control.controller.internal.SerialWorker
+import plantainturn.process.control.controller.internal.UpstreamIssuer
+import plantainturn.process.control.controller.internal.actionFor
+import plantainturn.process.control.lease.IntendedOrder
+import plantainturn.process.control.lease.LeaseKeeper
+import plantainturn.process.control.ledger.MemoryLedger
+import plantainturn.process.control.ledger.ReservationResult
+import plantainturn.process.control.ledger.toPlanned
+import plantainturn.process.time.TimerService
+import plantainturn.process.time.TimerSubscription
+import plantainturn.version.configuration.Configuration
+import plantainturn.version.configuration.ConfigurationSource
+import plantainturn.version.configuration.UpstreamKind
+import plantainturn.version.configuration.UpstreamName
+import plantainturn.version.configuration.UpstreamSpecification
+import plantainturn.version.placement.DemandSource
+import plantainturn.version.placement.PlacementMove
+import plantainturn.version.placement.PlacementPlan
+import plantainturn.version.placement.Planner
+import plantainturn.version.placement.PlanningInput
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executor
+
+/**
+ * Issues the orders of one shard while this node holds its lease, and competes for the lease otherwise.
+ *
+ * Each round reads the reports of the shard's engines, asks the planner and issues the moves that the ledger and the
+ * weight store's limits admit. Each engine and the log have a worker of their own, so that one that hangs holds up no
+ * other. On upstreams that do not refuse old fences each order is announced on the log before it is sent.
+ *
+ * @param executor runs the blocking calls; it should have threads for as many engines as may hang at once
+ */
+public class Controller(
+    private val keeper: LeaseKeeper,
+    private val configuration: ConfigurationSource,
+    private val upstreams: UpstreamDirectory,
+    private val engines: EngineDirectory,
+    private val planner: Planner,
+    private val demand: DemandSource,
+    private val timer: TimerService,
+    private val executor: Executor,
+    private val shard: ShardSelector = ShardSelector.ALL,
+    private val settings: ControllerSettings = ControllerSettings(),
+) {
+    private val logWorker = SerialWorker(executor)
+    private val roundWorker = SerialWorker(executor)
+    private val workers = ConcurrentHashMap<UpstreamName, SerialWorker>()
+    private var subscription: TimerSubscription? = null
+
+    @Volatile
+    private var session: ControlSession? = null
+
+    @Volatile
+    private var plan: PlacementPlan? = null
+
+    @Volatile
+    private var deferred = persistentListOf<DeferredMove>()
+
+    @Volatile
+    private var stopping = false
+
+    /** Begins the rounds. */
+    public fun start() {
+        subscription = timer.subscribe(settings.tickPeriod, ::tick)
+    }
+
+    /** Runs one round now. Rounds that would overlap are left out. */
+    public fun tick() {
+        logWorker.submitIfIdle(::logStep)
+        roundWorker.submitIfIdle(::round)
+    }
+
+    /** Stops issuing orders, gives the lease back and then calls [released]. */
+    public fun stop(released: () -> Unit = {}) {
+        stopping = true
+        subscription?.cancel()
+        session = null
+        logWorker.submit {
+            keeper.release()
+            released()
+        }
+    }
+
+    /** Returns the state that `dump` shows. */
+    public fun state(): ControllerState {
+        val lease = keeper.lease
+        val held = session?.takeIf { it.granted.fence == lease?.fence }
+        return ControllerState(
+            fence = lease?.fence,
+            termMilliseconds = lease?.let { (it.validUntil - timer.now()).inWholeMilliseconds },
+            status = keeper.status,
+            control = keeper.state,
+            ledgers = held?.ledger?.views() ?: persistentListOf(),
+            plan = plan.takeIf { held != null },
+            deferred = if (held == null) persistentListOf() else deferred,
+        )
+    }
+
+    private fun logStep() {
+        keeper.step()
+        val current = session ?: return
+        val lease = keeper.lease?.takeIf { it.fence == current.ledger.fence } ?: return
+        val ended =
+            keeper.state.intents
+                .filter { hasEnded(it, current) }
+                .map { it.order.identifier }
+        if (ended.isNotEmpty()) keeper.settle(lease, ended)
+    }
+
+    /** An order that its upstream's ledger no longer holds can't act any more. */
+    private fun hasEnded(
+        intended: IntendedOrder,
+        current: ControlSession,
+    ): Boolean {
+        val ledger = current.ledger.get(intended.upstream)
+        if (ledger != null) return intended.order.identifier !in ledger.orders
+        return timer.now() > current.granted.grantedAt + settings.orderDelayBound
+    }
+
+    private fun round() {
+        if (stopping) return
+        val current = currentSession() ?: return
+        val known = configuration.current?.configuration ?: return
+        val members = members(known)
+        for ((upstream, specification) in members) {
+            openLedger(current, upstream, specification)
+            val issuer = issuer(current, upstream, specification)
+            worker(upstream).submitIfIdle(issuer::exchange)
+        }
+        issueMoves(current, known, members)
+    }
+
+    private fun currentSession(): ControlSession? {
+        val lease = keeper.lease
+        val current = session
+        if (current != null && current.ledger.fence == lease?.fence) return current
+        session =
+            lease?.let {
+                ControlSession(
+                    granted = it,
+                    ledger = MemoryLedger(it.fence, settings.orderDelayBound),
+                    budget = LoadBudget(settings.weightStoreShare),
+                )
+            }
+        return session
+    }
+
+    private fun members(known: Configuration): Map<UpstreamName, UpstreamSpecification> =
+        known.upstreams.filterValues { it.kind == UpstreamKind.ENGINE && shard.includes(it) }
+
+    private fun openLedger(
+        current: ControlSession,
+        upstream: UpstreamName,
+        specification: UpstreamSpecification,
+    ) {
+        if (current.ledger.get(upstream) != null) {
+            current.ledger.resize(upstream, specification)
+            return
+        }
+        val inherited = keeper.state.intents.filter { it.upstream == upstream && isEarlier(it, current) }
+        current.ledger.open(upstream, specification, timer.now(), inherited)
+    }
+
+    private fun isEarlier(
+        intended: IntendedOrder,
+        current: ControlSession,
+    ): Boolean = intended.order.identifier.fence < current.ledger.fence
+
+    private fun issueMoves(
+        current: ControlSession,
+        known: Configuration,
+        members: Map<UpstreamName, UpstreamSpecification>,
+    ) {
+        val input = planningInput(current, known, members)
+        val next = planner.plan(input)
+        plan = next
+        current.budget.refill(known.weightStore, timer.now())
+        val refused = mutableListOf<DeferredMove>()
+        val announced = mutableListOf<IntendedOrder>()
+        for (move in next.moves.sortedBy { !isEmergency(it) }) {
+            when (val result = reserve(current, move, known, input)) {
+                is MoveResult.Deferred -> refused += DeferredMove(move, result.cause)
+                is MoveResult.Issue -> dispatch(current, move.upstream, result.order, members, announced)
+            }
+        }
+        deferred = refused.toPersistentList()
+        if (announced.isNotEmpty()) logWorker.submit { announceAndSend(current, announced, members) }
+    }
+
+    private fun planningInput(
+        current: ControlSession,
+        known: Configuration,
+        members: Map<UpstreamName, UpstreamSpecification>,
+    ): PlanningInput {
+        val views = upstreams.views()
+        val planned =
+            members.mapNotNull { (upstream, specification) ->
+                val ledger = current.ledger.get(upstream) ?: return@mapNotNull null
+                val fresh = timer.now() - ledger.reportedAt <= settings.reportStaleness
+                val leaving = views[upstream]?.leaving ?: false
+                val permitted = keeper.lease?.permitsOrders(ledger.refusesOldFences, timer.now()) ?: false
+                upstream to ledger.toPlanned(specification, usable = fresh && !leaving && permitted)
+            }
+        return PlanningInput(timer.now(), known, planned.toMap().toPersistentMap(), demand.demand())
+    }
+
+    private fun reserve(
+        current: ControlSession,
+        move: PlacementMove,
+        known: Configuration,
+        input: PlanningInput,
+    ): MoveResult {
+        if (input.upstreams[move.upstream]?.usable != true) return MoveResult.Deferred("UPSTREAM_NOT_USABLE")
+        val action = actionFor(move, known) ?: return MoveResult.Deferred("NOT_CONFIGURED")
+        if (!current.budget.admits(action, isEmergency(move), current.ledger, known.weightStore)) {
+            return MoveResult.Deferred("WEIGHT_STORE_LIMIT")
+        }
+        return when (val result = current.ledger.reserve(move.upstream, action)) {
+            is ReservationResult.Reserved -> MoveResult.Issue(result.order)
+            is ReservationResult.Refused -> {
+                current.budget.refund(action)
+                MoveResult.Deferred(result.refusal.name)
+            }
+        }
+    }
+
+    private fun dispatch(
+        current: ControlSession,
+        upstream: UpstreamName,
+        order: EngineOrder,
+        members: Map<UpstreamName, UpstreamSpecification>,
+        announced: MutableList<IntendedOrder>,
+    ) {
+        val specification = members.getValue(upstream)
+        if (current.ledger.get(upstream)?.refusesOldFences == true) {
+            val issuer = issuer(current, upstream, specification)
+            worker(upstream).submit { issuer.send(order) }
+        } else {
+            announced += IntendedOrder(upstream, order)
+        }
+    }
+
+    private fun announceAndSend(
+        current: ControlSession,
+        orders: List<IntendedOrder>,
+        members: Map<UpstreamName, UpstreamSpecification>,
+    ) {
+        val lease = keeper.lease?.takeIf { it.fence == current.ledger.fence }
+        val counted = lease != null && keeper.announce(lease, orders)
+        for (intended in orders) {
+            if (counted) {
+                val issuer = issuer(current, intended.upstream, members.getValue(intended.upstream))
+                worker(intended.upstream).submit { issuer.send(intended.order) }
+            } else {
+                current.ledger.withdraw(intended.upstream, intended.order.identifier)
+            }
+        }
+    }
+
+    private fun issuer(
+        current: ControlSession,
+        upstream: UpstreamName,
+        specification: UpstreamSpecification,
+    ): UpstreamIssuer {
+        val engine = engines.engine(upstream, specification)
+        return UpstreamIssuer(upstream, engine, current, keeper, timer, settings)
+    }
+
+    private fun worker(upstream: UpstreamName): SerialWorker =
+        workers.computeIfAbsent(upstream) { SerialWorker(executor) }
+
+    private fun isEmergency(move: PlacementMove): Boolean = move is PlacementMove.Load && move.emergency
+
+    private sealed interface MoveResult {
+        data class Issue(
+            val order: EngineOrder,
+        ) : MoveResult
+
+        data class Deferred(
+            val cause: String,
+        ) : MoveResult
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/controller/internal/LoadBudget.kt
@@ -0,0 +1,78 @@
+package plantainturn.process.control.controller.internal
+
+import plantainturn.connection.engine.EngineAction
+import plantainturn.process.control.ledger.MemoryLedger
+import plantainturn.process.control.ledger.OrderPhase
+import plantainturn.process.control.ledger.UpstreamLedger
+import plantainturn.process.time.Moment
+import plantainturn.version.configuration.WeightStoreLimits
+import kotlin.time.DurationUnit
+
+/**
+ * Keeps the loads of one shard within the weight store's limits.
+ *
+ * One model load in flight is kept for emergencies where more than one is admitted. It is used by one thread.
+ */
+internal class LoadBudget(
+    private val share: Double,
+) {
+    private var tokens = 1.0
+    private var filledAt: Moment? = null
+
+    /** Refills the budget; called once a round before [admits]. */
+    fun refill(
+        limits: WeightStoreLimits,
+        now: Moment,
+    ) {
+        val rate = limits.loadsPerSecond * share
+        val since = filledAt?.let { (now - it).toDouble(DurationUnit.SECONDS) } ?: 0.0
+        tokens = (tokens + rate * since).coerceAtMost(maxOf(1.0, rate))
+        filledAt = now
+    }
+
+    /** Returns whether [action] may begin now, and counts it if it may. */
+    fun admits(
+        action: EngineAction,
+        emergency: Boolean,
+        ledger: MemoryLedger,
+        limits: WeightStoreLimits,
+    ): Boolean =
+        when (action) {
+            is EngineAction.LoadModel -> admitsModel(emergency, ledger, limits)
+            is EngineAction.LoadAdapter -> adaptersInFlight(ledger) < scaled(limits.concurrentAdapterLoads)
+            else -> true
+        }
+
+    /** Gives back what an order that was not issued had drawn. */
+    fun refund(action: EngineAction) {
+        if (action is EngineAction.LoadModel) tokens += 1.0
+    }
+
+    private fun admitsModel(
+        emergency: Boolean,
+        ledger: MemoryLedger,
+        limits: WeightStoreLimits,
+    ): Boolean {
+        val slots = scaled(limits.concurrentLoads)
+        val usable = if (emergency || slots == 1) slots else slots - 1
+        if (modelsInFlight(ledger) >= usable || tokens < 1.0) return false
+        tokens -= 1.0
+        return true
+    }
+
+    private fun scaled(limit: Int): Int = (limit * share).toInt().coerceAtLeast(1)
+
+    private fun modelsInFlight(ledger: MemoryLedger): Int = loadsInFlight(ledger) { it is EngineAction.LoadModel }
+
+    private fun adaptersInFlight(ledger: MemoryLedger): Int = loadsInFlight(ledger) { it is EngineAction.LoadAdapter }
+
+    private fun loadsInFlight(
+        ledger: MemoryLedger,
+        kind: (EngineAction) -> Boolean,
+    ): Int = ledger.upstreams().mapNotNull(ledger::get).sumOf { openLoads(it, kind) }
+
+    private fun openLoads(
+        ledger: UpstreamLedger,
+        kind: (EngineAction) -> Boolean,
+    ): Int = ledger.orders.values.count { it.phase != OrderPhase.ENDED && kind(it.order.action) }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/LeaseKeeper.kt
@@ -0,0 +1,227 @@
+package plantainturn.process.control.lease
+
+import kotlinx.collections.immutable.toPersistentList
+import org.apache.logging.log4j.LogManager
+import plantainturn.connection.engine.FenceNumber
+import plantainturn.connection.engine.OrderIdentifier
+import plantainturn.connection.log.AppendResult
+import plantainturn.connection.log.LogRecord
+import plantainturn.connection.log.LogService
+import plantainturn.connection.log.RecordIdentifier
+import plantainturn.connection.log.StoredRecord
+import plantainturn.connection.log.StreamName
+import plantainturn.process.control.lease.internal.ControlCodec
+import plantainturn.process.time.Moment
+import plantainturn.process.time.TimerService
+import kotlin.time.Duration
+
+/**
+ * Claims, renews and releases the lease of one shard on behalf of one node.
+ *
+ * [step] and the methods that append block on the log and are called by one thread at a time; [lease], [state] and
+ * [status] may be read from any thread. No wall clock is read: a candidate counts from when it read the last entry that
+ * counted, the holder from when it sent the renewal that it has read back.
+ *
+ * @param rank returns how many other candidates go before this node for the given fence; a hint, which safety never
+ * depends on
+ */
+public class LeaseKeeper(
+    private val log: LogService,
+    shard: String,
+    private val holder: HolderIdentifier,
+    private val timer: TimerService,
+    private val settings: LeaseSettings = LeaseSettings(),
+    private val rank: (FenceNumber) -> Int = { 0 },
+) {
+    private val logger = LogManager.getLogger(LeaseKeeper::class.java)
+    private val stream = StreamName.control(shard)
+    private val follower = ControlFollower(log, stream, ::observe)
+    private val renewalsSent = LinkedHashMap<RecordIdentifier, Moment>()
+    private var claimSent: SentClaim? = null
+    private var countedReadAt: Moment = timer.now()
+    private var lastRenewalSentAt: Moment? = null
+    private var nextRecordNumber = 0L
+    private var stopping = false
+
+    /** The lease that this node holds, as far as it knows, or null. */
+    @Volatile
+    public var lease: Lease? = null
+        private set
+
+    /** The state of the stream as far as it was read. */
+    @Volatile
+    public var state: ControlState = ControlState.EMPTY
+        private set
+
+    /** How far the stream is followed. */
+    @Volatile
+    public var status: ControlStatus = ControlStatus.BEHIND
+        private set
+
+    /** Reads on, and then renews the lease or claims it when it is time. */
+    public fun step() {
+        readOn()
+        if (status != ControlStatus.FOLLOWING) return
+        val held = lease
+        if (held != null) {
+            renewWhenDue(held)
+        } else if (!stopping && mayClaim()) {
+            claim()
+        }
+    }
+
+    /**
+     * Announces [orders] under [held] and returns whether the announcement was read back and counts.
+     *
+     * When it returns false the announcement may still come to count; the orders must then not be sent.
+     */
+    public fun announce(
+        held: Lease,
+        orders: List<IntendedOrder>,
+    ): Boolean {
+        append(ControlEntry.Intent(held.fence, orders.toPersistentList()))
+        readOn()
+        val open = state.intents.mapTo(HashSet()) { it.order.identifier }
+        return lease?.fence == held.fence && orders.all { it.order.identifier in open }
+    }
+
+    /** States that [orders] have ended. It is repeated by the caller as long as they stand in [state]. */
+    public fun settle(
+        held: Lease,
+        orders: List<OrderIdentifier>,
+    ) {
+        append(ControlEntry.Outcome(held.fence, orders.toPersistentList()))
+        readOn()
+    }
+
+    /** Forgets the lease because an upstream has seen a later fence. */
+    public fun supersededBy(fence: FenceNumber) {
+        val held = lease ?: return
+        if (fence > held.fence) lose("an upstream has seen fence $fence")
+    }
+
+    /** Gives the lease back and claims it no more. */
+    public fun release() {
+        stopping = true
+        val held = lease ?: return
+        lose("released")
+        append(ControlEntry.Release(held.fence))
+        readOn()
+    }
+
+    private fun readOn() {
+        follower.readToEnd()
+        state = follower.state
+        status = follower.status
+        val held = lease ?: return
+        if (state.fence != held.fence) lose("fence ${state.fence} was granted")
+    }
+
+    private fun observe(
+        stored: StoredRecord,
+        entry: ControlEntry,
+        verdict: LeaseVerdict,
+    ) {
+        if (verdict == LeaseVerdict.IGNORED) return
+        when (entry) {
+            is ControlEntry.Claim -> observeGrant(stored)
+            is ControlEntry.Renewal -> observeRenewal(stored, entry)
+            is ControlEntry.Release -> countedReadAt = timer.now()
+            else -> Unit
+        }
+    }
+
+    private fun observeGrant(stored: StoredRecord) {
+        countedReadAt = timer.now()
+        val sent = claimSent?.takeIf { it.identifier == stored.record.identifier } ?: return
+        val fence = FenceNumber(stored.offset.value)
+        lease = Lease(fence, countedReadAt, sent.sentAt + settings.term)
+        lastRenewalSentAt = sent.sentAt
+        claimSent = null
+        renewalsSent.clear()
+        logger.info("Granted the lease of {} with fence {}", stream, fence)
+    }
+
+    private fun observeRenewal(
+        stored: StoredRecord,
+        renewal: ControlEntry.Renewal,
+    ) {
+        countedReadAt = timer.now()
+        val sentAt = renewalsSent.remove(stored.record.identifier) ?: return
+        val held = lease?.takeIf { it.fence == renewal.fence } ?: return
+        val until = maxOf(held.validUntil, sentAt + settings.term)
+        lease = held.copy(validUntil = until)
+    }
+
+    private fun renewWhenDue(held: Lease) {
+        val now = timer.now()
+        val last = lastRenewalSentAt
+        if (last != null && now < last + settings.renewalPeriod) return
+        val identifier = nextIdentifier()
+        renewalsSent[identifier] = now
+        dropOldRenewals()
+        lastRenewalSentAt = now
+        append(ControlEntry.Renewal(held.fence), identifier)
+        readOn()
+        if (follower.recordsSinceSnapshot >= settings.snapshotRecords) writeSnapshot()
+    }
+
+    private fun writeSnapshot() {
+        append(ControlEntry.Snapshot(follower.next, follower.state))
+        readOn()
+    }
+
+    private fun dropOldRenewals() {
+        while (renewalsSent.size > REMEMBERED_RENEWALS) {
+            renewalsSent.remove(renewalsSent.keys.first())
+        }
+    }
+
+    private fun mayClaim(): Boolean = timer.now() >= countedReadAt + waitBeforeClaim()
+
+    private fun waitBeforeClaim(): Duration {
+        val turn = settings.rankDelay * rank(state.fence)
+        val free = state.holder == null
+        return if (free) turn else settings.term + settings.driftMargin + turn
+    }
+
+    private fun claim() {
+        val sent = repeatedOrNewClaim()
+        claimSent = sent
+        append(ControlEntry.Claim(holder, sent.state.fence, sent.state.counted), sent.identifier)
+        readOn()
+    }
+
+    /** An unsettled claim on the same state goes out again as it was, so that its first fate is its only one. */
+    private fun repeatedOrNewClaim(): SentClaim {
+        val sent = claimSent
+        if (sent != null && sent.state.counted == state.counted) return sent
+        return SentClaim(nextIdentifier(), state, timer.now())
+    }
+
+    private fun append(
+        entry: ControlEntry,
+        identifier: RecordIdentifier = nextIdentifier(),
+    ) {
+        val result = log.append(stream, LogRecord(identifier, ControlCodec.encode(entry)))
+        if (result !is AppendResult.Appended) logger.warn("Append {} to {}: {}", identifier, stream, result)
+    }
+
+    private fun lose(reason: String) {
+        val held = lease ?: return
+        lease = null
+        logger.info("Lost the lease of {} with fence {}: {}", stream, held.fence, reason)
+    }
+
+    private fun nextIdentifier(): RecordIdentifier = RecordIdentifier("$holder/${nextRecordNumber++}")
+
+    private class SentClaim(
+        val identifier: RecordIdentifier,
+        val state: ControlState,
+        val sentAt: Moment,
+    )
+
+    private companion object {
+        const val REMEMBERED_RENEWALS = 64
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/LeaseStep.kt
@@ -0,0 +1,7 @@
+package plantainturn.process.control.lease
+
+/** The result of folding one entry. */
+public data class LeaseStep(
+    val state: ControlState,
+    val verdict: LeaseVerdict,
+)
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/ledger/MemoryLedger.kt
@@ -0,0 +1,175 @@
+package plantainturn.process.control.ledger
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+import plantainturn.connection.engine.EngineAction
+import plantainturn.connection.engine.EngineOrder
+import plantainturn.connection.engine.FenceNumber
+import plantainturn.connection.engine.OrderIdentifier
+import plantainturn.connection.engine.OrderResult
+import plantainturn.process.control.lease.IntendedOrder
+import plantainturn.process.time.Moment
+import plantainturn.version.configuration.UpstreamName
+import plantainturn.version.configuration.UpstreamSpecification
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+
+/**
+ * The memory of all engines of a shard, as the holder of its lease must assume it.
+ *
+ * Resident, reserved and in-doubt memory with the cache reserve stay within each engine's capacity at every step. Each
+ * upstream's state stands under its own lock, so that calls for different upstreams do not wait for each other.
+ *
+ * @param fence the lease that the ledger serves; each lease gets a new ledger
+ * @param orderDelayBound the longest time between the end of a call that sent an order and its effect being visible
+ * in the engine's state, a pause of the sender before the call included
+ */
+public class MemoryLedger(
+    public val fence: FenceNumber,
+    orderDelayBound: Duration,
+) {
+    private val transition = ReportTransition(orderDelayBound)
+    private val cells = ConcurrentHashMap<UpstreamName, Cell>()
+    private val lastSequence = AtomicLong()
+
+    /**
+     * Begins the state of [upstream] at [now], unless it is known.
+     *
+     * @param inherited orders of earlier leases that may still act there
+     */
+    public fun open(
+        upstream: UpstreamName,
+        specification: UpstreamSpecification,
+        now: Moment,
+        inherited: List<IntendedOrder> = emptyList(),
+    ) {
+        cells.computeIfAbsent(upstream) {
+            val opened =
+                UpstreamLedger(
+                    fence = fence,
+                    capacityMegabytes = specification.weightCapacityMegabytes,
+                    refusesOldFences = specification.refusesOldFences,
+                    openedAt = now,
+                )
+            Cell(inherited.fold(opened) { ledger, intended -> ledger.inherited(intended.order, now) })
+        }
+    }
+
+    /** Returns the state of [upstream], or null if it is not known. */
+    public fun get(upstream: UpstreamName): UpstreamLedger? = cells[upstream]?.read()
+
+    /** Returns the names of the upstreams that are known. */
+    public fun upstreams(): PersistentList<UpstreamName> = cells.keys.sorted().toPersistentList()
+
+    /** Takes over the latest capacity of [upstream]. What is held stays held, also beyond a smaller capacity. */
+    public fun resize(
+        upstream: UpstreamName,
+        specification: UpstreamSpecification,
+    ) {
+        change(upstream) { it.copy(capacityMegabytes = specification.weightCapacityMegabytes) }
+    }
+
+    /** Takes in [reading] of [upstream]. */
+    public fun report(
+        upstream: UpstreamName,
+        reading: ReportReading,
+    ) {
+        change(upstream) { transition.apply(it, reading) }
+    }
+
+    /** Reserves what [action] on [upstream] needs and gives it an identifier, if it may be issued now. */
+    public fun reserve(
+        upstream: UpstreamName,
+        action: EngineAction,
+    ): ReservationResult {
+        val cell = cells[upstream] ?: return ReservationResult.Refused(ReservationRefusal.UNKNOWN_UPSTREAM)
+        return cell.reserve(EngineOrder(OrderIdentifier(fence, lastSequence.incrementAndGet()), action))
+    }
+
+    /** Gives back what an order that was never sent had reserved. */
+    public fun withdraw(
+        upstream: UpstreamName,
+        identifier: OrderIdentifier,
+    ) {
+        change(upstream) { it.withdrawn(identifier) }
+    }
+
+    /** Notes that a call that sends the order begins. Returns whether it may be sent. */
+    public fun beginSend(
+        upstream: UpstreamName,
+        identifier: OrderIdentifier,
+    ): Boolean = cells[upstream]?.beginSend(identifier) ?: false
+
+    /** Notes that a call that sent the order returned at [now] with [result]. */
+    public fun endSend(
+        upstream: UpstreamName,
+        identifier: OrderIdentifier,
+        result: OrderResult,
+        now: Moment,
+    ) {
+        change(upstream) { ledger ->
+            val order = ledger.orders[identifier] ?: return@change ledger
+            ledger.with(order.copy(phase = phaseAfter(result), lastSentAt = now))
+        }
+    }
+
+    /** Notes that the order will not be sent again. */
+    public fun giveUp(
+        upstream: UpstreamName,
+        identifier: OrderIdentifier,
+    ) {
+        change(upstream) { ledger ->
+            val order = ledger.orders[identifier]?.takeIf { it.phase == OrderPhase.SENT } ?: return@change ledger
+            ledger.with(order.copy(phase = OrderPhase.IN_DOUBT))
+        }
+    }
+
+    /** Returns the views of all upstreams, by name. */
+    public fun views(): PersistentList<LedgerView> =
+        upstreams().mapNotNull { name -> get(name)?.let { LedgerView.of(name, it) } }.toPersistentList()
+
+    /** A refused order may still act when an earlier copy of it was sent, so it stays in doubt. */
+    private fun phaseAfter(result: OrderResult): OrderPhase =
+        when (result) {
+            OrderResult.Accepted -> OrderPhase.ACCEPTED
+            is OrderResult.Refused, is OrderResult.StaleFence -> OrderPhase.IN_DOUBT
+            is OrderResult.Unknown -> OrderPhase.SENT
+        }
+
+    private fun change(
+        upstream: UpstreamName,
+        transform: (UpstreamLedger) -> UpstreamLedger,
+    ) {
+        cells[upstream]?.change(transform)
+    }
+
+    /** The state of one upstream under its lock. */
+    private class Cell(
+        private var ledger: UpstreamLedger,
+    ) {
+        @Synchronized
+        fun read(): UpstreamLedger = ledger
+
+        @Synchronized
+        fun change(transform: (UpstreamLedger) -> UpstreamLedger) {
+            ledger = transform(ledger)
+        }
+
+        @Synchronized
+        fun reserve(order: EngineOrder): ReservationResult {
+            val refusal = Reservation.refusal(ledger, order)
+            if (refusal != null) return ReservationResult.Refused(refusal)
+            ledger = ledger.reserved(order)
+            return ReservationResult.Reserved(order)
+        }
+
+        @Synchronized
+        fun beginSend(identifier: OrderIdentifier): Boolean {
+            val order = ledger.orders[identifier] ?: return false
+            if (order.phase != OrderPhase.RESERVED && order.phase != OrderPhase.SENT) return false
+            ledger = ledger.with(order.copy(phase = OrderPhase.SENDING, sends = order.sends + 1))
+            return true
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/ledger/PlannedView.kt
@@ -0,0 +1,65 @@
+package plantainturn.process.control.ledger
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.toPersistentMap
+import plantainturn.connection.engine.EngineRole
+import plantainturn.connection.engine.ResidentState
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.UpstreamSpecification
+import plantainturn.version.placement.PlacementState
+import plantainturn.version.placement.PlannedUpstream
+
+/**
+ * Returns this state as the planner sees it.
+ *
+ * @param usable whether the engine answers, is not leaving and may be given orders
+ */
+public fun UpstreamLedger.toPlanned(
+    specification: UpstreamSpecification,
+    usable: Boolean,
+): PlannedUpstream =
+    PlannedUpstream(
+        failureDomain = specification.failureDomain,
+        accelerators = specification.accelerators,
+        capacityMegabytes = capacityMegabytes,
+        freeMegabytes = freeMegabytes,
+        concurrency = specification.concurrency,
+        usable = usable && established,
+        role = report?.role ?: EngineRole.MIXED,
+        placements = placements(),
+        tokensPerSecond = report?.tokensPerSecond ?: 0.0,
+    )
+
+/** Returns the state of each model and adapter that takes memory on the engine or may come to do so. */
+public fun UpstreamLedger.placements(): PersistentMap<ModelName, PlacementState> {
+    val open = orders.values.filter { it.phase != OrderPhase.ENDED }
+    val names = residents.keys.map { it.name } + open.mapNotNull { it.loads?.name }
+    return names
+        .distinct()
+        .sorted()
+        .associateWith { placement(it, open) }
+        .toPersistentMap()
+}
+
+/** What may be unloaded does not count as resident. */
+private fun UpstreamLedger.placement(
+    name: ModelName,
+    open: List<LedgerOrder>,
+): PlacementState {
+    val unload = open.firstOrNull { it.unloads?.name == name }
+    if (unload != null) return unload.placementOr(PlacementState.UNLOADING)
+    return residentPlacement(name) ?: open.first { it.loads?.name == name }.placementOr(PlacementState.LOADING)
+}
+
+private fun UpstreamLedger.residentPlacement(name: ModelName): PlacementState? {
+    val states = residents.values.filter { it.name == name }.map { it.state }
+    return when {
+        ResidentState.READY in states -> PlacementState.READY
+        ResidentState.LOADING in states -> PlacementState.LOADING
+        ResidentState.UNLOADING in states -> PlacementState.UNLOADING
+        else -> null
+    }
+}
+
+private fun LedgerOrder.placementOr(certain: PlacementState): PlacementState =
+    if (phase == OrderPhase.IN_DOUBT) PlacementState.IN_DOUBT else certain
