--- a/library/src/main/kotlin/plantainturn/version/placement/PlannedUpstream.kt
+++ b/library/src/main/kotlin/plantainturn/version/placement/PlannedUpstream.kt
@@ -11,8 +11,9 @@
  *
  * @property freeMegabytes memory that a new load may reserve now: capacity less all that is held, reserved or in doubt
  * @property placements what is held, arriving, going or in doubt there
- * @property usable whether it answers, is not leaving and may be given orders
+ * @property usable whether it answers and is not leaving, so that what it holds counts as resident
  * @property tokensPerSecond tokens generated a second as last reported
+ * @property acceptsOrders whether orders may be given to it now; what it holds counts as resident either way
  */
 public data class PlannedUpstream(
     val failureDomain: FailureDomain,
@@ -24,4 +25,5 @@
     val role: EngineRole = EngineRole.MIXED,
     val placements: PersistentMap<ModelName, PlacementState> = persistentMapOf(),
     val tokensPerSecond: Double = 0.0,
+    val acceptsOrders: Boolean = true,
 )
