Route, admit, limit, retry and quarantine requests

Cause: random routing herds on lagging reports, nothing bounded the load on an upstream or the wait of a caller, and a request that crashes its upstream was sent on and on.

Router (two choices over an index by model), UpstreamUsage (adaptive limits, permits), AdmissionQueue (deadlines, priorities, shares, early refusal), RetryBudget, QuarantineRegister, DemandMeter and RequestTracker, wired into both coordinators. A caller's answer does not wait for the claim to be settled; a planned stop does.

--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/admission/DemandMeter.kt
@@ -0,0 +1,45 @@
+package plantainturn.request.admission
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.toPersistentMap
+import plantainturn.process.time.Moment
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.placement.ModelDemand
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * Measures the demand for each model and adapter from the requests of this node.
+ *
+ * A request costs constant time under the lock of its model.
+ */
+public class DemandMeter {
+    private val meters = ConcurrentHashMap<ModelName, ModelMeter>()
+
+    /** Records that a request for [target] arrived, whatever becomes of it. */
+    public fun recordArrival(
+        target: ModelName,
+        now: Moment,
+    ): Unit = meterOf(target).recordArrival(now)
+
+    /** Records that a request for [target] was answered with [tokens] tokens. */
+    public fun recordAnswer(
+        target: ModelName,
+        tokens: Int,
+    ): Unit = meterOf(target).recordAnswer(tokens)
+
+    /**
+     * Returns the demand for each target that has had any within the last hours.
+     *
+     * @param waiting gives the requests that wait for a target now
+     */
+    public fun snapshot(
+        now: Moment,
+        waiting: (ModelName) -> Int,
+    ): PersistentMap<ModelName, ModelDemand> {
+        meters.values.removeIf { it.isForgotten(now) }
+        return meters.mapValues { (name, meter) -> meter.read(now, waiting(name)) }.toPersistentMap()
+    }
+
+    private fun meterOf(target: ModelName): ModelMeter =
+        meters[target] ?: meters.computeIfAbsent(target) { ModelMeter() }
+}
--- a/library/src/main/kotlin/plantainturn/request/completion/CompletionCoordinator.kt
+++ b/library/src/main/kotlin/plantainturn/request/completion/CompletionCoordinator.kt
@@ -1,128 +1,108 @@
 package plantainturn.request.completion
 
-import plantainturn.connection.engine.GenerationEnd
-import plantainturn.connection.engine.GenerationRequest
+import org.apache.logging.log4j.LogManager
 import plantainturn.connection.upstream.UpstreamDirectory
-import plantainturn.connection.upstream.UpstreamView
 import plantainturn.process.ResultCode
 import plantainturn.process.time.TimerService
-import plantainturn.request.AttemptNumber
+import plantainturn.request.RequestResources
+import plantainturn.request.admission.AdmissionTicket
+import plantainturn.request.completion.internal.AttemptRunner
+import plantainturn.request.completion.internal.AttemptStarter
+import plantainturn.request.completion.internal.CompletionRun
+import plantainturn.request.completion.internal.CompletionTarget
+import plantainturn.request.completion.internal.CurrentIndex
+import plantainturn.request.completion.internal.EngineProbe
+import plantainturn.request.internal.LockedRandom
+import plantainturn.request.routing.LoadEstimate
+import plantainturn.request.routing.Router
+import plantainturn.version.configuration.Configuration
 import plantainturn.version.configuration.ConfigurationSource
-import plantainturn.version.configuration.ModelName
-import plantainturn.version.configuration.UpstreamName
+import plantainturn.version.configuration.TeamSpecification
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 
-/** Runs callers' requests for answers on the model engines. */
+/**
+ * Runs callers' requests for answers on the model engines.
+ *
+ * A request waits for its turn and for an upstream with room, runs there, and goes on at another upstream from the
+ * token reached if its answer breaks off. The calling thread is blocked until the end. Every path gives back the
+ * permits that it took.
+ */
 public class CompletionCoordinator(
     private val configuration: ConfigurationSource,
-    private val directory: UpstreamDirectory,
-    private val engines: EngineConnections,
+    directory: UpstreamDirectory,
+    engines: EngineConnections,
     private val timer: TimerService,
-    private val random: Random,
+    random: Random,
     private val settings: CompletionSettings = CompletionSettings(),
+    private val resources: RequestResources = RequestResources(timer),
 ) : CompletionHandler {
+    private val logger = LogManager.getLogger(CompletionCoordinator::class.java)
+    private val starter = AttemptStarter(CurrentIndex(directory), routerOf(random), resources, timer)
+    private val probe = EngineProbe(directory, engines)
+    private val runner = AttemptRunner(directory, engines, resources.quarantine, probe, timer, settings)
+
+    @Suppress("TooGenericExceptionCaught")
     override fun handle(
         request: CompletionRequest,
         receiver: AnswerReceiver,
     ): CompletionResult {
-        val current =
-            configuration.current?.configuration
-                ?: return CompletionResult.Unanswered(ResultCode.NOT_READY, "no configuration was read yet", 1.seconds)
-        if (request.target !in current.models && request.target !in current.adapters) {
-            return CompletionResult.Unanswered(ResultCode.MODEL_UNKNOWN, "no model ${request.target}")
+        if (!resources.tracker.tryBegin()) {
+            return CompletionResult.Unanswered(ResultCode.STOPPING, "this node is stopping", RETRY_AFTER)
+        }
+        try {
+            return handleTracked(request, receiver)
+        } catch (exception: Exception) {
+            logger.error("Request {} met a fault", request.identifier, exception)
+            return CompletionResult.Unanswered(ResultCode.INTERNAL_FAULT, "this node met a fault of its own")
+        } finally {
+            resources.tracker.end()
         }
-        return run(request, StreamAssembler(request.identifier, receiver, request.maximumTokens))
     }
 
-    private fun run(
+    private fun handleTracked(
         request: CompletionRequest,
-        assembler: StreamAssembler,
+        receiver: AnswerReceiver,
     ): CompletionResult {
-        val tried = mutableSetOf<UpstreamName>()
-        var attempt = AttemptNumber.FIRST
-        var ran = false
-        while (attempt.value <= settings.maximumAttempts) {
-            val view = choose(request.target, tried) ?: break
-            tried += view.name
-            val end = dispatch(request, assembler, attempt, view)
-            result(end, assembler)?.let { return it }
-            ran = ran || end is GenerationEnd.Broken || end is GenerationEnd.Finished
-            attempt = attempt.next()
-        }
-        return exhausted(tried, ran, assembler)
-    }
-
-    private fun choose(
-        target: ModelName,
-        tried: Set<UpstreamName>,
-    ): UpstreamView? {
-        val ready = directory.views().values.filter { it.isReady(target) && !it.leaving && it.name !in tried }
-        return ready.filter { !it.suspected }.ifEmpty { ready }.randomOrNull(random)
+        val current =
+            configuration.current?.configuration
+                ?: return CompletionResult.Unanswered(
+                    ResultCode.NOT_READY,
+                    "no configuration was read yet",
+                    RETRY_AFTER,
+                )
+        val target =
+            CompletionTarget.of(current, request)
+                ?: return CompletionResult.Unanswered(ResultCode.MODEL_UNKNOWN, "no model ${request.target}")
+        resources.demand.recordArrival(request.target, timer.now())
+        val assembler = StreamAssembler(request.identifier, receiver, request.maximumTokens)
+        val ticket = ticketOf(current, request)
+        return CompletionRun(request, target, ticket, assembler, starter, runner, resources, timer, settings).execute()
     }
 
-    private fun dispatch(
+    private fun ticketOf(
+        configuration: Configuration,
         request: CompletionRequest,
-        assembler: StreamAssembler,
-        attempt: AttemptNumber,
-        view: UpstreamView,
-    ): GenerationEnd {
-        assembler.beginAttempt(attempt)
-        val generation =
-            GenerationRequest(
-                request = request.identifier,
-                attempt = attempt,
-                target = request.target,
-                prompt = request.prompt,
-                maximumTokens = request.maximumTokens,
-                priority = request.priority,
-                resumePosition = assembler.deliveredTokens,
-                resumeText = assembler.deliveredText,
-            )
-        val remaining = request.deadline - timer.now()
-        val engine = engines.connect(view.name, view.specification)
-        val end =
-            engine.generate(generation, minOf(settings.silenceLimit, remaining)) { chunk ->
-                assembler.receive(chunk) && timer.now() < request.deadline
-            }
-        assembler.endAttempt()
-        return end
+    ): AdmissionTicket {
+        val team = configuration.teams[request.team] ?: UNKNOWN_TEAM
+        return AdmissionTicket(
+            target = request.target,
+            team = request.team,
+            share = team.share,
+            waitingLimit = team.waitingLimit,
+            priority = request.priority,
+            latestStart = request.deadline - settings.leastRunTime,
+        )
     }
 
-    private fun result(
-        end: GenerationEnd,
-        assembler: StreamAssembler,
-    ): CompletionResult? =
-        when {
-            assembler.callerGone -> CompletionResult.Unanswered(ResultCode.CANCELLED, "the caller went away")
-            end is GenerationEnd.Finished && assembler.isWhole(end) ->
-                CompletionResult.Answered(end.totalTokens, end.reason)
-            assembler.isFull -> CompletionResult.Answered(assembler.deliveredTokens, LENGTH)
-            end is GenerationEnd.Stopped ->
-                CompletionResult.Unanswered(ResultCode.DEADLINE_PASSED, "the deadline passed")
-            else -> null
-        }
-
-    private fun exhausted(
-        tried: Set<UpstreamName>,
-        ran: Boolean,
-        assembler: StreamAssembler,
-    ): CompletionResult =
-        when {
-            assembler.deliveredTokens > 0 ->
-                CompletionResult.Unanswered(ResultCode.STREAM_BROKEN, "no upstream could resume the answer")
-            ran -> CompletionResult.Unanswered(ResultCode.OUTCOME_UNKNOWN, "the attempts broke off")
-            tried.isEmpty() ->
-                CompletionResult.Unanswered(ResultCode.NO_UPSTREAM, "no ready upstream holds the model", 1.seconds)
-            else ->
-                CompletionResult.Unanswered(
-                    ResultCode.RETRIES_EXHAUSTED_NOT_RUN,
-                    "each upstream refused",
-                    1.seconds,
-                )
-        }
+    private fun routerOf(random: Random): Router {
+        val estimate =
+            LoadEstimate(resources.ownDomain, resources.usage, resources.remoteSends, resources.prefixCache)
+        return Router(estimate, resources.prefixCache, LockedRandom(random))
+    }
 
     private companion object {
-        const val LENGTH = "length"
+        val RETRY_AFTER = 1.seconds
+        val UNKNOWN_TEAM = TeamSpecification(keySha256 = "")
     }
 }
--- a/library/src/main/kotlin/plantainturn/request/completion/CompletionSettings.kt
+++ b/library/src/main/kotlin/plantainturn/request/completion/CompletionSettings.kt
@@ -1,6 +1,7 @@
 package plantainturn.request.completion
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -8,8 +9,10 @@
  *
  * @property silenceLimit the time without a token after which an attempt counts as broken
  * @property maximumAttempts attempts of one request at most
+ * @property leastRunTime the time before the deadline after which a request is no longer started
  */
 public data class CompletionSettings(
     val silenceLimit: Duration = 5.seconds,
-    val maximumAttempts: Int = 4,
+    val maximumAttempts: Int = 6,
+    val leastRunTime: Duration = 50.milliseconds,
 )
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/completion/internal/AttemptRunner.kt
@@ -0,0 +1,126 @@
+package plantainturn.request.completion.internal
+
+import plantainturn.connection.engine.GenerationEnd
+import plantainturn.connection.engine.GenerationRequest
+import plantainturn.connection.upstream.UpstreamDirectory
+import plantainturn.process.time.TimerService
+import plantainturn.request.AttemptNumber
+import plantainturn.request.completion.CompletionRequest
+import plantainturn.request.completion.CompletionSettings
+import plantainturn.request.completion.EngineConnections
+import plantainturn.request.completion.StreamAssembler
+import plantainturn.request.quarantine.CrashEvidence
+import plantainturn.request.quarantine.CrashProbe
+import plantainturn.request.quarantine.QuarantineRegister
+import plantainturn.request.quarantine.RequestFingerprint
+import kotlin.time.Duration
+
+/** Runs one attempt on one engine and settles its accounts, whatever becomes of it. */
+internal class AttemptRunner(
+    private val directory: UpstreamDirectory,
+    private val engines: EngineConnections,
+    private val quarantine: QuarantineRegister,
+    private val probe: CrashProbe,
+    private val timer: TimerService,
+    private val settings: CompletionSettings,
+) {
+    /** Runs [attempt] of [request] and returns how it ended; an end that is not whole is [GenerationEnd.Broken]. */
+    fun run(
+        request: CompletionRequest,
+        fingerprint: RequestFingerprint,
+        firstTokenTarget: Duration,
+        attempt: AttemptNumber,
+        start: AttemptStart.Started,
+        assembler: StreamAssembler,
+    ): GenerationEnd {
+        val begun = timer.now()
+        var end: GenerationEnd = GenerationEnd.Broken("the attempt failed in this node")
+        try {
+            end = truthful(generate(request, attempt, firstTokenTarget, start, assembler), assembler)
+        } finally {
+            assembler.endAttempt()
+            val now = timer.now()
+            val cutShort = now >= request.deadline && now - begun < firstTokenTarget
+            start.permit.end(now, failed = isUpstreamFailure(end) && !cutShort)
+            settle(end, fingerprint, start, cutShort)
+        }
+        return end
+    }
+
+    private fun generate(
+        request: CompletionRequest,
+        attempt: AttemptNumber,
+        firstTokenTarget: Duration,
+        start: AttemptStart.Started,
+        assembler: StreamAssembler,
+    ): GenerationEnd {
+        assembler.beginAttempt(attempt)
+        val generation =
+            GenerationRequest(
+                request = request.identifier,
+                attempt = attempt,
+                target = request.target,
+                prompt = request.prompt,
+                maximumTokens = request.maximumTokens,
+                priority = request.priority,
+                resumePosition = assembler.deliveredTokens,
+                resumeText = assembler.deliveredText,
+            )
+        val engine = engines.connect(start.view.name, start.view.specification)
+        val silenceLimit = minOf(settings.silenceLimit, request.deadline - timer.now())
+        return engine.generate(generation, silenceLimit) { chunk ->
+            val now = timer.now()
+            start.permit.firstToken(now, firstTokenTarget)
+            assembler.receive(chunk) && now < request.deadline
+        }
+    }
+
+    private fun truthful(
+        end: GenerationEnd,
+        assembler: StreamAssembler,
+    ): GenerationEnd {
+        val untrue = end is GenerationEnd.Finished && !assembler.isWhole(end) && !assembler.isFull
+        return if (untrue) GenerationEnd.Broken("tokens are missing") else end
+    }
+
+    private fun isUpstreamFailure(end: GenerationEnd): Boolean =
+        end is GenerationEnd.Broken || end is GenerationEnd.RefusedNotRun || end is GenerationEnd.Unreachable
+
+    private fun settle(
+        end: GenerationEnd,
+        fingerprint: RequestFingerprint,
+        start: AttemptStart.Started,
+        cutShort: Boolean,
+    ) {
+        val upstream = start.view.name
+        when (end) {
+            is GenerationEnd.Finished -> {
+                directory.reportSuccess(upstream)
+                quarantine.succeeded(fingerprint, upstream)
+            }
+            is GenerationEnd.Broken ->
+                if (cutShort) {
+                    quarantine.ended(
+                        fingerprint,
+                        upstream,
+                    )
+                } else {
+                    broke(fingerprint, start)
+                }
+            is GenerationEnd.Unreachable -> {
+                directory.reportFailure(upstream)
+                quarantine.ended(fingerprint, upstream)
+            }
+            is GenerationEnd.RefusedNotRun, is GenerationEnd.Stopped -> quarantine.ended(fingerprint, upstream)
+        }
+    }
+
+    private fun broke(
+        fingerprint: RequestFingerprint,
+        start: AttemptStart.Started,
+    ) {
+        val upstream = start.view.name
+        directory.reportFailure(upstream)
+        quarantine.broke(fingerprint, CrashEvidence(upstream, start.view.report?.incarnation), probe)
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/completion/internal/AttemptStarter.kt
@@ -0,0 +1,77 @@
+package plantainturn.request.completion.internal
+
+import kotlinx.collections.immutable.PersistentSet
+import plantainturn.process.ResultCode
+import plantainturn.process.time.TimerService
+import plantainturn.request.RequestResources
+import plantainturn.request.admission.AdmissionListener
+import plantainturn.request.admission.AdmissionRefusal
+import plantainturn.request.admission.AdmissionTicket
+import plantainturn.request.admission.StartResult
+import plantainturn.request.quarantine.RequestFingerprint
+import plantainturn.request.routing.RouteDecision
+import plantainturn.request.routing.RouteQuery
+import plantainturn.request.routing.Router
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.UpstreamName
+import java.util.concurrent.CompletableFuture
+import kotlin.time.Duration.Companion.seconds
+
+/** Waits in the admission queue for an upstream and the permit to send there. */
+internal class AttemptStarter(
+    private val index: CurrentIndex,
+    private val router: Router,
+    private val resources: RequestResources,
+    private val timer: TimerService,
+) {
+    /** Blocks the calling thread until an attempt for [target] may start, or is refused. */
+    fun await(
+        ticket: AdmissionTicket,
+        target: CompletionTarget,
+        fingerprint: RequestFingerprint,
+        tried: PersistentSet<UpstreamName>,
+    ): AttemptStart {
+        val end = CompletableFuture<AttemptStart>()
+        val avoided = tried.addAll(resources.quarantine.upstreamsToAvoid(fingerprint))
+        val query = RouteQuery(ticket.target, target.prefixes, avoided)
+        resources.admission.submit(ticket, Waiting(query, target.baseModel, fingerprint, end))
+        return end.get()
+    }
+
+    private inner class Waiting(
+        private val query: RouteQuery,
+        private val baseModel: ModelName?,
+        private val fingerprint: RequestFingerprint,
+        private val end: CompletableFuture<AttemptStart>,
+    ) : AdmissionListener {
+        override fun tryStart(): StartResult =
+            when (val decision = router.route(index.read(), query, baseModel, timer.now())) {
+                is RouteDecision.Chosen -> start(decision)
+                is RouteDecision.Busy, is RouteDecision.Arriving -> StartResult.Busy
+                is RouteDecision.NoneHolds -> StartResult.Refused(noUpstream())
+            }
+
+        override fun refused(refusal: AdmissionRefusal) {
+            end.complete(AttemptStart.Refused(refusal))
+        }
+
+        private fun start(decision: RouteDecision.Chosen): StartResult {
+            val view = decision.upstream
+            val now = timer.now()
+            val permit = resources.usage.tryBegin(view.name, view.specification, now) ?: return StartResult.Busy
+            if (!resources.quarantine.tryBegin(fingerprint, view.name)) {
+                permit.end(now, failed = false)
+                return StartResult.Refused(quarantined())
+            }
+            resources.prefixCache.observeSend(view.name, query.prefixes, now)
+            end.complete(AttemptStart.Started(view, permit))
+            return StartResult.Started
+        }
+    }
+
+    private fun noUpstream(): AdmissionRefusal =
+        AdmissionRefusal(ResultCode.NO_UPSTREAM, "no upstream that takes work holds the model", 1.seconds)
+
+    private fun quarantined(): AdmissionRefusal =
+        AdmissionRefusal(ResultCode.QUARANTINED, "requests like this one broke off at upstreams", 10.seconds)
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/completion/internal/CurrentIndex.kt
@@ -0,0 +1,22 @@
+package plantainturn.request.completion.internal
+
+import plantainturn.connection.upstream.UpstreamDirectory
+import plantainturn.request.routing.RoutingIndex
+import java.util.concurrent.atomic.AtomicReference
+
+/** Keeps the routing index of the directory's present views. */
+internal class CurrentIndex(
+    private val directory: UpstreamDirectory,
+) {
+    private val latest = AtomicReference(RoutingIndex.EMPTY)
+
+    /** Returns the index of the present views, and works it out if they have changed. */
+    fun read(): RoutingIndex {
+        val snapshot = directory.views()
+        val known = latest.get()
+        if (known.isOf(snapshot)) return known
+        val updated = known.updated(snapshot)
+        latest.set(updated)
+        return updated
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/completion/internal/EngineProbe.kt
@@ -0,0 +1,21 @@
+package plantainturn.request.completion.internal
+
+import plantainturn.connection.engine.EngineReportResult
+import plantainturn.connection.upstream.UpstreamDirectory
+import plantainturn.request.completion.EngineConnections
+import plantainturn.request.quarantine.CrashEvidence
+import plantainturn.request.quarantine.CrashProbe
+
+/** Asks engines themselves whether they crashed. */
+internal class EngineProbe(
+    private val directory: UpstreamDirectory,
+    private val engines: EngineConnections,
+) : CrashProbe {
+    override fun isConfirmed(evidence: CrashEvidence): Boolean {
+        val view = directory.views()[evidence.upstream] ?: return true
+        return when (val result = engines.connect(view.name, view.specification).report()) {
+            is EngineReportResult.Reported -> result.report.incarnation != evidence.incarnation
+            is EngineReportResult.Unavailable -> true
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/internal/LockedRandom.kt
@@ -0,0 +1,14 @@
+package plantainturn.request.internal
+
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.random.Random
+
+/** Lets several threads draw from [random]. */
+internal class LockedRandom(
+    private val random: Random,
+) : Random() {
+    private val lock = ReentrantLock()
+
+    override fun nextBits(bitCount: Int): Int = lock.withLock { random.nextBits(bitCount) }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/routing/PrefixCacheIndex.kt
@@ -0,0 +1,182 @@
+package plantainturn.request.routing
+
+import plantainturn.connection.engine.CacheEvent
+import plantainturn.process.time.Moment
+import plantainturn.version.configuration.UpstreamName
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.math.pow
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+
+/**
+ * Remembers which upstreams should have which prompt prefixes in their caches.
+ *
+ * It is fed by cache events, which are late and have gaps, and by this node's own sends. What it says is a hint: trust
+ * in it halves with each [halfLife], and a gap in an upstream's events forgets all that was known of that upstream's
+ * cache, since an eviction may have been missed. Memory is bounded. Safe for use by several threads.
+ *
+ * @param capacity prefixes remembered at most
+ */
+public class PrefixCacheIndex(
+    capacity: Int = DEFAULT_CAPACITY,
+    private val halfLife: Duration = DEFAULT_HALF_LIFE,
+) {
+    private class Hint(
+        val upstream: UpstreamName,
+        val generation: Long,
+        val since: Moment,
+    )
+
+    private class Progress(
+        var nextSequence: Long = 0,
+        var generation: Long = 0,
+    )
+
+    private class Shard(
+        capacity: Int,
+    ) {
+        val lock = ReentrantLock()
+        val hints: LinkedHashMap<Long, List<Hint>> =
+            object : LinkedHashMap<Long, List<Hint>>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+                override fun removeEldestEntry(eldest: MutableMap.MutableEntry<Long, List<Hint>>): Boolean =
+                    size > capacity
+            }
+    }
+
+    private val shards = List(SHARDS) { Shard(maxOf(1, capacity / SHARDS)) }
+    private val progress = ConcurrentHashMap<UpstreamName, Progress>()
+
+    /** Returns the sequence number from which the events of [upstream] are wanted next. */
+    public fun nextSequence(upstream: UpstreamName): Long {
+        val progress = progressOf(upstream)
+        return synchronized(progress) { progress.nextSequence }
+    }
+
+    /** Takes [events] of [upstream], in order of their sequence numbers. */
+    public fun observe(
+        upstream: UpstreamName,
+        events: List<CacheEvent>,
+        now: Moment,
+    ): Unit = events.forEach { observe(upstream, it, now) }
+
+    /** Takes the fact that this node sends a prompt with [prefixes] to [upstream], which is going to cache them. */
+    public fun observeSend(
+        upstream: UpstreamName,
+        prefixes: List<Long>,
+        now: Moment,
+    ) {
+        val generation = generationOf(upstream)
+        prefixes.forEach { store(it, Hint(upstream, generation, now)) }
+    }
+
+    /** Forgets all that is known of the cache of [upstream], as after its restart; its events start anew. */
+    public fun forget(upstream: UpstreamName) {
+        val progress = progressOf(upstream)
+        synchronized(progress) {
+            progress.generation += 1
+            progress.nextSequence = 0
+        }
+    }
+
+    /** Returns the upstream that should have the longest of [prefixes], the latest hint first, or null. */
+    public fun longestHolder(prefixes: List<Long>): UpstreamName? {
+        for (index in prefixes.indices.reversed()) {
+            val hint = hintsOf(prefixes[index]).filter(::isCurrent).maxByOrNull { it.since }
+            if (hint != null) return hint.upstream
+        }
+        return null
+    }
+
+    /**
+     * Returns the expected share of a prompt that [upstream] has in its cache, between 0 and 1.
+     *
+     * @param prefixes the hashes of the prompt's prefixes, the shortest first
+     */
+    public fun cachedShare(
+        upstream: UpstreamName,
+        prefixes: List<Long>,
+        now: Moment,
+    ): Double {
+        for (index in prefixes.indices.reversed()) {
+            val hint = hintsOf(prefixes[index]).firstOrNull { it.upstream == upstream && isCurrent(it) }
+            if (hint != null) return trust(hint, now) * (index + 1) / prefixes.size
+        }
+        return 0.0
+    }
+
+    private fun observe(
+        upstream: UpstreamName,
+        event: CacheEvent,
+        now: Moment,
+    ) {
+        val progress = progressOf(upstream)
+        val generation =
+            synchronized(progress) {
+                if (event.sequence < progress.nextSequence) return
+                if (event.sequence > progress.nextSequence) progress.generation += 1
+                progress.nextSequence = event.sequence + 1
+                progress.generation
+            }
+        if (event.stored) {
+            store(event.prefixHash, Hint(upstream, generation, now))
+        } else {
+            remove(event.prefixHash, upstream)
+        }
+    }
+
+    private fun store(
+        prefix: Long,
+        hint: Hint,
+    ) {
+        val shard = shardOf(prefix)
+        shard.lock.withLock {
+            val others = shard.hints[prefix].orEmpty().filter { it.upstream != hint.upstream }
+            shard.hints[prefix] = others.takeLast(HINTS_PER_PREFIX - 1) + hint
+        }
+    }
+
+    private fun remove(
+        prefix: Long,
+        upstream: UpstreamName,
+    ) {
+        val shard = shardOf(prefix)
+        shard.lock.withLock {
+            val others = shard.hints[prefix].orEmpty().filter { it.upstream != upstream }
+            if (others.isEmpty()) shard.hints.remove(prefix) else shard.hints[prefix] = others
+        }
+    }
+
+    private fun hintsOf(prefix: Long): List<Hint> {
+        val shard = shardOf(prefix)
+        return shard.lock.withLock { shard.hints[prefix].orEmpty() }
+    }
+
+    private fun isCurrent(hint: Hint): Boolean = hint.generation == generationOf(hint.upstream)
+
+    private fun trust(
+        hint: Hint,
+        now: Moment,
+    ): Double = HALF.pow((now - hint.since) / halfLife)
+
+    private fun generationOf(upstream: UpstreamName): Long {
+        val progress = progressOf(upstream)
+        return synchronized(progress) { progress.generation }
+    }
+
+    private fun progressOf(upstream: UpstreamName): Progress =
+        progress[upstream] ?: progress.computeIfAbsent(upstream) { Progress() }
+
+    private fun shardOf(prefix: Long): Shard = shards[prefix.mod(SHARDS)]
+
+    private companion object {
+        const val SHARDS = 16
+        const val DEFAULT_CAPACITY = 32_768
+        const val HINTS_PER_PREFIX = 4
+        const val INITIAL_CAPACITY = 64
+        const val LOAD_FACTOR = 0.75f
+        const val HALF = 0.5
+        val DEFAULT_HALF_LIFE = 5.minutes
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/routing/RouteQuery.kt
@@ -0,0 +1,19 @@
+package plantainturn.request.routing
+
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.UpstreamName
+
+/**
+ * What the router must know of a request.
+ *
+ * @property target the model or adapter
+ * @property prefixes the hashes of the prompt's prefixes, the shortest first
+ * @property avoided upstreams to choose only when no other holds the target, such as those already tried
+ */
+public data class RouteQuery(
+    val target: ModelName,
+    val prefixes: List<Long> = emptyList(),
+    val avoided: PersistentSet<UpstreamName> = persistentSetOf(),
+)
--- a/library/src/main/kotlin/plantainturn/request/service/ServiceCoordinator.kt
+++ b/library/src/main/kotlin/plantainturn/request/service/ServiceCoordinator.kt
@@ -1,14 +1,17 @@
 package plantainturn.request.service
 
+import org.apache.logging.log4j.LogManager
 import plantainturn.connection.upstream.UpstreamDirectory
 import plantainturn.process.ResultCode
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
+import plantainturn.request.RequestResources
 import plantainturn.request.claim.Claim
 import plantainturn.request.claim.ClaimKey
 import plantainturn.request.claim.ClaimOutcome
 import plantainturn.request.claim.ClaimResult
 import plantainturn.request.claim.ClaimService
+import plantainturn.request.internal.LockedRandom
 import plantainturn.request.internal.pause
 import plantainturn.request.service.internal.CallDispatcher
 import plantainturn.request.service.internal.DispatchEnd
@@ -17,6 +20,8 @@
 import plantainturn.request.service.internal.recordOf
 import plantainturn.version.configuration.ConfigurationSource
 import plantainturn.version.configuration.ServiceSpecification
+import java.util.concurrent.Executor
+import java.util.concurrent.Executors
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -27,19 +32,42 @@
  * An idempotent call may be sent again. Any other call runs at most once: with a key it is claimed on the log before
  * it is dispatched and settled afterwards; without one it is dispatched to one upstream. Only a call that reached no
  * upstream is sent to another.
+ *
+ * A caller gets its answer before the log has the outcome; a planned stop waits for that too.
+ *
+ * @param settling runs what the log is told after a call
  */
 public class ServiceCoordinator(
     private val configuration: ConfigurationSource,
-    private val directory: UpstreamDirectory,
-    private val connections: ServiceConnections,
+    directory: UpstreamDirectory,
+    connections: ServiceConnections,
     private val claims: ClaimService,
     private val timer: TimerService,
-    private val random: Random,
+    random: Random,
     private val settings: ServiceSettings = ServiceSettings(),
+    private val resources: RequestResources = RequestResources(timer),
+    private val settling: Executor = settlingThreads(),
 ) : ServiceHandler {
-    private val dispatcher = CallDispatcher(directory, connections, timer, random, settings.maximumAttempts)
+    private val logger = LogManager.getLogger(ServiceCoordinator::class.java)
+    private val dispatcher =
+        CallDispatcher(directory, connections, resources, timer, LockedRandom(random), settings.maximumAttempts)
 
+    @Suppress("TooGenericExceptionCaught")
     override fun handle(request: ServiceRequest): ServiceOutcome {
+        if (!resources.tracker.tryBegin()) {
+            return ServiceOutcome.Unanswered(ResultCode.STOPPING, "this node is stopping", RETRY_AFTER)
+        }
+        try {
+            return handleTracked(request)
+        } catch (exception: Exception) {
+            logger.error("Request {} met a fault", request.identifier, exception)
+            return ServiceOutcome.Unanswered(ResultCode.INTERNAL_FAULT, "this node met a fault of its own")
+        } finally {
+            resources.tracker.end()
+        }
+    }
+
+    private fun handleTracked(request: ServiceRequest): ServiceOutcome {
         val current =
             configuration.current?.configuration
                 ?: return ServiceOutcome.Unanswered(ResultCode.NOT_READY, "no configuration was read yet", RETRY_AFTER)
@@ -90,13 +118,26 @@
         claim: Claim,
     ): ServiceOutcome {
         val end = dispatcher.dispatch(request, specification, deadline, repeatable = false)
+        resources.tracker.extend()
+        settling.execute {
+            try {
+                settle(claim, end)
+            } finally {
+                resources.tracker.end()
+            }
+        }
+        return outcomeOf(end)
+    }
+
+    private fun settle(
+        claim: Claim,
+        end: DispatchEnd,
+    ): Unit =
         when (end) {
             is DispatchEnd.Answered -> claims.settle(claim, recordOf(end.answer, settings.recordedBodyBytes))
             is DispatchEnd.Unknown -> claims.settle(claim, ClaimOutcome.Unknown)
             is DispatchEnd.NotRun -> claims.release(claim)
         }
-        return outcomeOf(end)
-    }
 
     private fun fromRecord(outcome: ClaimOutcome): ServiceOutcome =
         when (outcome) {
@@ -110,21 +151,16 @@
         when (end) {
             is DispatchEnd.Answered -> ServiceOutcome.Answered(ResultCode.ANSWERED, end.answer)
             is DispatchEnd.Unknown -> ServiceOutcome.Unanswered(ResultCode.OUTCOME_UNKNOWN, end.reason)
-            is DispatchEnd.NotRun -> notRun(end)
-        }
-
-    private fun notRun(end: DispatchEnd.NotRun): ServiceOutcome =
-        if (end.tried == 0) {
-            ServiceOutcome.Unanswered(ResultCode.NO_UPSTREAM, "no upstream of the service takes calls", RETRY_AFTER)
-        } else {
-            ServiceOutcome.Unanswered(
-                ResultCode.RETRIES_EXHAUSTED_NOT_RUN,
-                "no connection to ${end.tried} upstreams",
-                RETRY_AFTER,
-            )
+            is DispatchEnd.NotRun -> ServiceOutcome.Unanswered(end.code, end.detail, RETRY_AFTER)
         }
 
     private companion object {
+        const val SETTLING_THREADS = 4
         val RETRY_AFTER = 1.seconds
+
+        fun settlingThreads(): Executor =
+            Executors.newFixedThreadPool(SETTLING_THREADS) { work ->
+                Thread(work, "claim-settling").apply { isDaemon = true }
+            }
     }
 }
--- a/library/src/main/kotlin/plantainturn/request/service/internal/CallDispatcher.kt
+++ b/library/src/main/kotlin/plantainturn/request/service/internal/CallDispatcher.kt
@@ -3,10 +3,13 @@
 import plantainturn.connection.service.ServiceCall
 import plantainturn.connection.service.ServiceResult
 import plantainturn.connection.upstream.UpstreamDirectory
-import plantainturn.connection.upstream.UpstreamView
+import plantainturn.process.ResultCode
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.request.AttemptNumber
+import plantainturn.request.RequestResources
+import plantainturn.request.quarantine.CrashEvidence
+import plantainturn.request.quarantine.RequestFingerprint
 import plantainturn.request.service.ServiceConnections
 import plantainturn.request.service.ServiceRequest
 import plantainturn.version.configuration.ServiceSpecification
@@ -17,10 +20,13 @@
 internal class CallDispatcher(
     private val directory: UpstreamDirectory,
     private val connections: ServiceConnections,
+    private val resources: RequestResources,
     private val timer: TimerService,
-    private val random: Random,
+    random: Random,
     private val maximumAttempts: Int,
 ) {
+    private val starter = CallStarter(directory, resources, timer, random)
+
     /**
      * Sends [request] until it is answered, has run or may have run, or [deadline] passes.
      *
@@ -32,38 +38,44 @@
         deadline: Moment,
         repeatable: Boolean,
     ): DispatchEnd {
+        val fingerprint = RequestFingerprint.of(request.service, request.path, request.body)
         val tried = mutableSetOf<UpstreamName>()
-        var end: DispatchEnd = DispatchEnd.NotRun(tried = 0)
-        while (tried.size < maximumAttempts && timer.now() < deadline) {
-            val view = choose(specification, tried) ?: return end
-            tried += view.name
-            val result = send(request, view, AttemptNumber(tried.size), deadline)
-            end = combine(end, result, tried.size)
-            if (end is DispatchEnd.Answered) return end
-            if (end is DispatchEnd.Unknown && !repeatable) return end
+        var end: DispatchEnd = DispatchEnd.NotRun(ResultCode.DEADLINE_PASSED_IN_QUEUE, "no time was left to call")
+        while (mayTry(tried.size, deadline)) {
+            when (val start = starter.start(specification, tried, fingerprint)) {
+                is CallStart.Refused -> return if (tried.isEmpty()) start.end else end
+                is CallStart.Started -> {
+                    tried += start.view.name
+                    end = combine(end, send(request, start, fingerprint, AttemptNumber(tried.size), deadline))
+                }
+            }
+            if (isFinal(end, repeatable)) return end
         }
         return end
     }
 
-    private fun choose(
-        specification: ServiceSpecification,
-        tried: Set<UpstreamName>,
-    ): UpstreamView? {
-        val views = directory.views()
-        val usable =
-            specification.upstreams
-                .filter { it !in tried }
-                .mapNotNull { views[it] }
-                .filter { !it.leaving }
-        return usable.filter { !it.suspected }.ifEmpty { usable }.randomOrNull(random)
+    private fun mayTry(
+        tried: Int,
+        deadline: Moment,
+    ): Boolean {
+        val now = timer.now()
+        if (tried >= maximumAttempts || now >= deadline) return false
+        return tried == 0 || resources.retryBudget.tryRetry(now)
     }
 
+    private fun isFinal(
+        end: DispatchEnd,
+        repeatable: Boolean,
+    ): Boolean = end is DispatchEnd.Answered || end is DispatchEnd.Unknown && !repeatable
+
     private fun send(
         request: ServiceRequest,
-        view: UpstreamView,
+        start: CallStart.Started,
+        fingerprint: RequestFingerprint,
         attempt: AttemptNumber,
         deadline: Moment,
     ): ServiceResult {
+        val view = start.view
         val call =
             ServiceCall(
                 request = request.identifier,
@@ -75,22 +87,42 @@
                 idempotencyKey = request.idempotencyKey,
                 timeout = deadline - timer.now(),
             )
-        val result = connections.connect(request.service, view.name, view.specification).call(call)
-        when (result) {
-            is ServiceResult.Answered -> directory.reportSuccess(view.name)
-            is ServiceResult.Unreachable, is ServiceResult.Unknown -> directory.reportFailure(view.name)
+        var result: ServiceResult = ServiceResult.Unknown("the call failed in this node")
+        try {
+            result = connections.connect(request.service, view.name, view.specification).call(call)
+        } finally {
+            settle(result, start, fingerprint, timedOut = timer.now() >= deadline)
         }
         return result
     }
 
+    private fun settle(
+        result: ServiceResult,
+        start: CallStart.Started,
+        fingerprint: RequestFingerprint,
+        timedOut: Boolean,
+    ) {
+        val upstream = start.view.name
+        start.permit.end(timer.now(), failed = result !is ServiceResult.Answered)
+        if (result is ServiceResult.Answered) directory.reportSuccess(upstream) else directory.reportFailure(upstream)
+        when {
+            result is ServiceResult.Answered -> resources.quarantine.succeeded(fingerprint, upstream)
+            result is ServiceResult.Unknown && !timedOut ->
+                resources.quarantine.broke(fingerprint, CrashEvidence(upstream, incarnation = null)) { true }
+            else -> resources.quarantine.ended(fingerprint, upstream)
+        }
+        if (result is ServiceResult.Answered) resources.retryBudget.recordSuccess()
+    }
+
     private fun combine(
         before: DispatchEnd,
         result: ServiceResult,
-        tried: Int,
     ): DispatchEnd =
         when (result) {
             is ServiceResult.Answered -> DispatchEnd.Answered(result)
             is ServiceResult.Unknown -> DispatchEnd.Unknown(result.reason)
-            is ServiceResult.Unreachable -> before as? DispatchEnd.Unknown ?: DispatchEnd.NotRun(tried)
+            is ServiceResult.Unreachable ->
+                before as? DispatchEnd.Unknown
+                    ?: DispatchEnd.NotRun(ResultCode.RETRIES_EXHAUSTED_NOT_RUN, result.reason)
         }
 }
--- a/library/src/main/kotlin/plantainturn/request/service/internal/DispatchEnd.kt
+++ b/library/src/main/kotlin/plantainturn/request/service/internal/DispatchEnd.kt
@@ -1,6 +1,7 @@
 package plantainturn.request.service.internal
 
 import plantainturn.connection.service.ServiceResult
+import plantainturn.process.ResultCode
 
 /** What is known after a call was dispatched. */
 internal sealed interface DispatchEnd {
@@ -14,12 +15,9 @@
         val reason: String,
     ) : DispatchEnd
 
-    /**
-     * The call reached no upstream and will reach none.
-     *
-     * @property tried upstreams to which no connection was made
-     */
+    /** The call reached no upstream and will reach none; [code] tells why. */
     data class NotRun(
-        val tried: Int,
+        val code: ResultCode,
+        val detail: String,
     ) : DispatchEnd
 }
