--- a/daemon/src/main/kotlin/plantainturn/daemon/command/PlantainturnCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/PlantainturnCommand.kt
@@ -18,6 +18,7 @@
         ConfigurationCommand::class,
         DumpCommand::class,
         CodesCommand::class,
+        ReplayCommand::class,
     ],
     footer = [
         "",
--- a/daemon/src/main/kotlin/plantainturn/daemon/node/CallerPart.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/node/CallerPart.kt
@@ -11,6 +11,7 @@
 import plantainturn.daemon.caller.ServiceEndpoint
 import plantainturn.daemon.settings.LimitSettings
 import plantainturn.process.time.TimerService
+import plantainturn.request.RequestResources
 import plantainturn.request.claim.ClaimService
 import plantainturn.request.completion.CompletionCoordinator
 import plantainturn.request.service.ServiceCoordinator
@@ -25,13 +26,21 @@
     configuration: ConfigurationSource,
     directory: UpstreamDirectory,
     claims: ClaimService,
+    resources: RequestResources,
     timer: TimerService,
     random: Random,
     identifiers: RequestIdentifiers,
     observer: ResultObserver,
 ) {
     private val completions =
-        CompletionCoordinator(configuration, directory, platform.upstreams::engine, timer, random)
+        CompletionCoordinator(
+            configuration,
+            directory,
+            platform.upstreams::engine,
+            timer,
+            random,
+            resources = resources,
+        )
     private val services =
         ServiceCoordinator(
             configuration,
@@ -40,6 +49,7 @@
             claims,
             timer,
             random,
+            resources = resources,
         )
     private val routes =
         CompletionConvention.entries.map { convention ->
--- a/daemon/src/main/kotlin/plantainturn/daemon/node/ControlPart.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/node/ControlPart.kt
@@ -4,12 +4,12 @@
 import plantainturn.daemon.settings.NodeSettings
 import plantainturn.process.control.controller.Controller
 import plantainturn.process.control.controller.ControllerSettings
-import plantainturn.process.control.controller.FloorPlanner
 import plantainturn.process.control.lease.HolderIdentifier
 import plantainturn.process.control.lease.LeaseKeeper
 import plantainturn.process.control.lease.LeaseSettings
 import plantainturn.process.time.TimerService
 import plantainturn.version.configuration.ConfigurationSource
+import plantainturn.version.placement.DemandPlanner
 import plantainturn.version.placement.DemandSource
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.SynchronousQueue
@@ -39,7 +39,7 @@
             configuration,
             directory,
             platform.upstreams::engine,
-            FloorPlanner(),
+            DemandPlanner(),
             demand,
             timer,
             executor,
--- a/daemon/src/main/kotlin/plantainturn/daemon/node/Node.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/node/Node.kt
@@ -11,13 +11,16 @@
 import plantainturn.daemon.operator.ConfigurationEndpoint
 import plantainturn.daemon.operator.DumpSource
 import plantainturn.daemon.operator.OperatorApi
+import plantainturn.connection.log.TimerPause
 import plantainturn.daemon.settings.NodeSettings
 import plantainturn.process.control.controller.ControllerState
 import plantainturn.process.time.SystemTimerService
+import plantainturn.request.RequestResources
 import plantainturn.request.claim.LogClaimService
 import plantainturn.version.configuration.NumberedConfiguration
 import java.security.SecureRandom
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 
 /** One node: its state for the life of the process, its servers, and how it starts and stops. */
 internal class Node(
@@ -33,9 +36,10 @@
     private val version = VersionPart(platform, incarnation, timer, { emptyList() }, { 0 })
     private val directory = PolledUpstreams(version.follower, platform.upstreams, timer)
     private val claims = LogClaimService(platform.log, "$incarnation/claims", timer)
+    private val resources = RequestResources(timer, settings.failureDomain)
     private val control =
         ControlPart(settings, platform, incarnation, timer, version.follower, directory) {
-            kotlinx.collections.immutable.persistentMapOf()
+            resources.demand.snapshot(timer.now()) { 0 }
         }
     private val callers =
         CallerPart(
@@ -44,6 +48,7 @@
             version.follower,
             directory,
             claims,
+            resources,
             timer,
             random,
             identifiers,
@@ -87,6 +92,9 @@
         logger.info("Node {} stops", incarnation)
         readiness.beginStop()
         control.stop()
+        TimerPause(timer).pause(settings.stop.balancerLagMilliseconds.milliseconds)
+        resources.tracker.beginStop()
+        resources.tracker.awaitIdle(timer, settings.stop.limitMilliseconds.milliseconds)
         callerServer.stop()
         controlServer.stop()
         claims.close()
