--- a/daemon/src/main/kotlin/plantainturn/daemon/command/PlantainturnCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/PlantainturnCommand.kt
@@ -19,7 +19,6 @@
         DumpCommand::class,
         CodesCommand::class,
         ReplayCommand::class,
-        LoadCommand::class,
     ],
     footer = [
         "",
