--- a/library/src/main/kotlin/plantainturn/connection/log/SnapshotWriter.kt
+++ b/library/src/main/kotlin/plantainturn/connection/log/SnapshotWriter.kt
@@ -27,6 +27,7 @@
     private var since: Moment = timer.now() - settings.interval + settings.interval / START_DIVISOR
     private var dueSince: Moment? = null
     private var covered = LogOffset.FIRST
+    private var charactersBefore = 0L
     private var restartedAt = LogOffset.FIRST
 
     /** Appends a snapshot if it is this node's turn. Returns whether it did so. */
@@ -65,6 +66,7 @@
     private fun restart(covers: LogOffset) {
         covered = maxOf(covered, covers)
         restartedAt = follower.position?.next ?: LogOffset.FIRST
+        charactersBefore = follower.foldedCharacters
         since = timer.now()
         dueSince = null
     }
@@ -73,7 +75,10 @@
         val position = follower.position ?: return false
         if (position.next == LogOffset.FIRST) return false
         val records = position.next.value - covered.value
-        return records >= settings.intervalRecords || timer.now() - since >= settings.interval
+        val characters = follower.foldedCharacters - charactersBefore
+        return records >= settings.intervalRecords ||
+            characters >= settings.intervalCharacters ||
+            timer.now() - since >= settings.interval
     }
 
     private fun write(): Boolean {
--- a/library/src/main/kotlin/plantainturn/connection/log/StreamFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/log/StreamFollower.kt
@@ -40,6 +40,11 @@
     public var newestSnapshot: SnapshotMark? = null
         private set
 
+    /** The length of all entries' payloads folded so far. */
+    @Volatile
+    public var foldedCharacters: Long = 0
+        private set
+
     /** Why the follower goes no further, or null. */
     @Volatile
     public var stopped: FollowResult.Stopped? = null
@@ -123,6 +128,7 @@
         val next = stored.offset.next()
         val identifier = stored.record.identifier
         if (identifier in now.recent) return now.copy(next = next)
+        foldedCharacters += stored.record.payload.length
         val result = fold.apply(now.state, stored.offset, content.entries)
         verdicts += result.verdicts
         return StreamPosition(next, result.state, now.recent + identifier)
--- a/library/src/test/kotlin/plantainturn/connection/log/SnapshotWriterTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/log/SnapshotWriterTest.kt
@@ -13,7 +13,8 @@
     private val stream = StreamName("words")
     private val log = FakeLogService()
     private val timer = VirtualTimerService()
-    private val settings = SnapshotSettings(retention = 24.hours, retentionRecords = 40, stagger = 10.seconds)
+    private val settings =
+        SnapshotSettings(24.hours, retentionRecords = 40, retentionCharacters = 4_000, stagger = 10.seconds)
     private val first = Node("a", 0)
     private val second = Node("b", 1)
 
@@ -43,6 +44,16 @@
         assertTrue(first.check())
     }
 
+    @Test
+    fun `a snapshot is due after a quarter of the length that the log keeps`() {
+        append(1)
+        assertFalse(first.check())
+        log.append(stream, WordFold.record("long", "x".repeat(1_000)))
+        assertTrue(first.check())
+        append(1)
+        assertFalse(first.check())
+    }
+
     @Test
     fun `a higher rank writes only if no lower one did`() {
         append(10)
--- a/library/src/test/kotlin/plantainturn/request/claim/LogClaimServiceTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/claim/LogClaimServiceTest.kt
@@ -7,6 +7,8 @@
 import plantainturn.connection.log.RecordCodec
 import plantainturn.connection.log.RecordIdentifier
 import plantainturn.connection.log.StreamName
+import plantainturn.process.time.SystemTimerService
+import java.util.concurrent.CompletableFuture
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.time.Duration.Companion.seconds
@@ -173,6 +175,24 @@
         assertEquals(1, log.records(stream).size)
     }
 
+    @Test
+    fun `a key is granted to one of many threads at two started nodes`() {
+        SystemTimerService().use { timer ->
+            val services = List(2) { LogClaimService(log, "started $it", timer) }
+            services.forEach { it.start() }
+            val calls = List(16) { index -> CompletableFuture.supplyAsync { claimStarted(services[index % 2]) } }
+            assertEquals(1, calls.map { it.join() }.count { it is ClaimResult.Granted })
+            services.forEach { it.close() }
+        }
+    }
+
+    /** Claims until the service has read its streams. */
+    private fun claimStarted(service: LogClaimService): ClaimResult {
+        var result = service.claim(key, "content")
+        while (result is ClaimResult.Unavailable) result = service.claim(key, "content")
+        return result
+    }
+
     private fun arriveLate(claim: String) {
         val request: ClaimEntry = ClaimEntry.Request(RecordIdentifier(claim), key, "content")
         val entry = Json.encodeToJsonElement(ClaimEntry.serializer(), request)
