Leave sources that give no progress, and drop claims that were given up in the queue

A claim that is given up while it still waits in the queue is no longer appended.

The test of a fresh node's first version assumed the size of a page; it now reads until the end and checks the same at every page.

--- a/library/src/main/kotlin/plantainturn/connection/log/FollowLoop.kt
+++ b/library/src/main/kotlin/plantainturn/connection/log/FollowLoop.kt
@@ -36,13 +36,14 @@
         pause.pause(RETRY_PAUSE)
     }
 
-    /** Reads once what each peer has beyond this node. */
+    /** Reads what each peer has beyond this node. A peer that gives nothing more is left at once. */
     public fun pull() {
         for (peer in peers()) {
-            var result = follower.step(peer, Duration.ZERO)
-            while (result is FollowResult.Adopted || (result is FollowResult.Followed && !result.caughtUp)) {
-                result = follower.step(peer, Duration.ZERO)
-            }
+            var before: LogOffset?
+            do {
+                before = follower.position?.next
+                val result = follower.step(peer, Duration.ZERO)
+            } while (progresses(result) && follower.position?.next != before)
         }
     }
 
--- a/library/src/main/kotlin/plantainturn/connection/log/GroupedAppender.kt
+++ b/library/src/main/kotlin/plantainturn/connection/log/GroupedAppender.kt
@@ -22,7 +22,11 @@
 ) {
     private val waiting = LinkedBlockingQueue<Waiting>(waitingLimit)
 
-    /** Queues [entry] and returns its fate to come. It is refused at once if too many wait. */
+    /**
+     * Queues [entry] and returns its fate to come. It is refused at once if too many wait.
+     *
+     * Cancelling the fate drops an entry that is still waiting; one that is on its way may come to stand all the same.
+     */
     public fun submit(entry: JsonElement): CompletableFuture<AppendFate> {
         val item = Waiting(entry, CompletableFuture())
         if (!waiting.offer(item)) item.fate.complete(AppendFate.Refused("too many entries wait"))
@@ -46,10 +50,11 @@
         }
 
     private fun append(group: List<Waiting>) {
-        if (group.isEmpty()) return
-        val payload = RecordCodec.encodeEntries(rule, group.map { it.entry })
+        val wanted = group.filterNot { it.fate.isDone }
+        if (wanted.isEmpty()) return
+        val payload = RecordCodec.encodeEntries(rule, wanted.map { it.entry })
         val fate = appender.append(payload, position())
-        group.forEach { it.fate.complete(fate) }
+        wanted.forEach { it.fate.complete(fate) }
     }
 
     private class Waiting(
--- a/library/src/main/kotlin/plantainturn/connection/log/SnapshotSettings.kt
+++ b/library/src/main/kotlin/plantainturn/connection/log/SnapshotSettings.kt
@@ -39,6 +39,6 @@
         const val DIVISOR = 4
         const val DEFAULT_RETENTION_RECORDS = 100_000L
         const val DEFAULT_RETENTION_CHARACTERS = 64L * 1024 * 1024
-        const val DEFAULT_PART_CHARACTERS = 256 * 1024
+        const val DEFAULT_PART_CHARACTERS = 64 * 1024
     }
 }
--- a/library/src/main/kotlin/plantainturn/connection/log/StreamFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/log/StreamFollower.kt
@@ -59,7 +59,7 @@
         val from = position?.next ?: LogOffset.FIRST
         return when (val read = source.read(from, PAGE_RECORDS, wait)) {
             is ReadResult.Records -> synchronized(lock) { foldPage(read, from) }
-            is ReadResult.Expired -> search(source, read.oldest)
+            is ReadResult.Expired -> search(source, read.oldest, from)
             is ReadResult.Unavailable -> FollowResult.Unavailable(read.reason)
         }
     }
@@ -148,14 +148,14 @@
     private fun search(
         source: RecordSource,
         oldest: LogOffset,
+        from: LogOffset,
     ): FollowResult {
         val found =
             when (val result = SnapshotSearch(source, fold, PAGE_RECORDS).run(oldest)) {
                 is SnapshotSearch.Result.Found -> result.position
                 is SnapshotSearch.Result.None -> return withoutSnapshot(result.result)
             }
-        synchronized(lock) { adopt(found) }
-        return FollowResult.Adopted(found.next)
+        return synchronized(lock) { adopt(found, from) }
     }
 
     private fun withoutSnapshot(result: FollowResult): FollowResult {
@@ -166,11 +166,16 @@
         return result
     }
 
-    private fun adopt(found: StreamPosition<S>) {
+    private fun adopt(
+        found: StreamPosition<S>,
+        from: LogOffset,
+    ): FollowResult {
         val now = position
-        if (now != null && now.next >= found.next) return
+        if (now != null && now.next > from) return FollowResult.Followed(now.next, now.next)
+        if (now != null && now.next >= found.next) return inconsistent("a snapshot covers ${found.next}, gone is $from")
         kept?.clear(found.next)
         publish(found, emptyList(), false)
+        return FollowResult.Adopted(found.next)
     }
 
     private fun publish(
@@ -205,6 +210,6 @@
     }
 
     private companion object {
-        const val PAGE_RECORDS = 256
+        const val PAGE_RECORDS = 128
     }
 }
--- a/library/src/main/kotlin/plantainturn/request/claim/internal/ClaimShard.kt
+++ b/library/src/main/kotlin/plantainturn/request/claim/internal/ClaimShard.kt
@@ -133,9 +133,13 @@
     private fun ask(request: ClaimEntry.Request): CompletableFuture<ClaimResult> {
         val result = pending.add(request)
         val element = Json.encodeToJsonElement(ClaimEntry.serializer(), request)
-        appender.submit(element).thenAccept { fate -> onFate(request, fate) }
+        val append = appender.submit(element)
+        append.thenAccept { fate -> onFate(request, fate) }
         val limit = timer.schedule(settings.deadline) { giveUp(request, "the claim was not read back in time") }
-        result.whenComplete { _, _ -> limit.cancel() }
+        result.whenComplete { _, _ ->
+            limit.cancel()
+            append.cancel(false)
+        }
         return result
     }
 
--- a/library/src/main/kotlin/plantainturn/request/claim/internal/PendingClaims.kt
+++ b/library/src/main/kotlin/plantainturn/request/claim/internal/PendingClaims.kt
@@ -9,8 +9,8 @@
  * The claims of this node that were asked for and are not decided.
  *
  * A claim is decided once: either by what was read back or by being given up, whichever comes first. A claim that was
- * given up is remembered, so that it is released should it be granted later. Results are completed outside the lock, so a
- * result may become visible a little after the decision.
+ * given up is remembered, so that it is released should it be granted later. Results are completed outside the lock,
+ * so a result may become visible a little after the decision.
  */
 internal class PendingClaims {
     private val waiting = HashMap<RecordIdentifier, Waiting>()
--- a/library/src/test/kotlin/plantainturn/connection/log/GroupedAppenderTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/log/GroupedAppenderTest.kt
@@ -36,4 +36,20 @@
         val entries = contents.flatMap { assertIs<RecordContent.Entries>(it).entries }
         assertEquals(List(200) { JsonPrimitive(it) }, entries)
     }
+
+    @Test
+    fun `an entry that was cancelled while it waited is not appended`() {
+        grouped.submit(JsonPrimitive("given up")).cancel(false)
+        grouped.submit(JsonPrimitive("wanted"))
+        grouped.step()
+        val content =
+            RecordCodec.decode(
+                log
+                    .records(stream)
+                    .single()
+                    .record.payload,
+                1,
+            )
+        assertEquals(JsonPrimitive("wanted"), assertIs<RecordContent.Entries>(content).entries.single())
+    }
 }
--- a/library/src/test/kotlin/plantainturn/connection/log/StreamFollowerTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/log/StreamFollowerTest.kt
@@ -108,6 +108,20 @@
         assertIs<FollowResult.SnapshotMissing>(StreamFollower(stream, WordFold).step(source, Duration.ZERO))
     }
 
+    @Test
+    fun `a source that calls records gone which its snapshot does not cover is not followed`() {
+        append("one")
+        append("two")
+        step()
+        appendSnapshot("s")
+        val lying =
+            RecordSource { from, limit, wait ->
+                if (from == LogOffset(2)) ReadResult.Expired(LogOffset.FIRST) else source.read(from, limit, wait)
+            }
+        assertIs<FollowResult.Inconsistent>(follower.step(lying, Duration.ZERO))
+        assertEquals(listOf("one", "two"), follower.position?.state)
+    }
+
     @Test
     fun `a snapshot in several parts among other records is put together`() {
         append("one")
--- a/library/src/test/kotlin/plantainturn/version/configuration/ConfigurationFollowerTest.kt
+++ b/library/src/test/kotlin/plantainturn/version/configuration/ConfigurationFollowerTest.kt
@@ -1,10 +1,12 @@
 package plantainturn.version.configuration
 
+import kotlinx.collections.immutable.persistentListOf
 import org.junit.jupiter.api.Test
 import plantainturn.connection.log.FakeLogService
 import plantainturn.connection.log.FollowResult
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.log.PeerRecords
+import plantainturn.connection.log.ReadResult
 import plantainturn.connection.log.RecordSource
 import plantainturn.connection.log.SnapshotSettings
 import plantainturn.connection.log.StreamName
@@ -30,9 +32,12 @@
         val fresh = ConfigurationNode(log, "b")
         val seen = mutableListOf<Long>()
         fresh.follower.subscribe { seen += it.version.number }
-        fresh.read()
-        assertNull(fresh.version)
-        fresh.read()
+        var reads = 0
+        while (fresh.stillBehind()) {
+            assertNull(fresh.version)
+            reads++
+        }
+        assertTrue(reads > 0)
         assertEquals(listOf(300L), seen)
     }
 
@@ -92,6 +97,17 @@
         assertEquals(0, other.version)
     }
 
+    @Test
+    fun `a peer that promises records and gives none is left`() {
+        val empty = RecordSource { _, _, _ -> ReadResult.Records(persistentListOf(), LogOffset(9)) }
+        val other = ConfigurationNode(log, "b", peers = { listOf(empty, peer(node)) })
+        node.submit(patch("p", 0))
+        other.follower.loop.pull()
+        assertEquals(1, other.version)
+    }
+
+    private fun ConfigurationNode.stillBehind(): Boolean = !assertIs<FollowResult.Followed>(read()).caughtUp
+
     private fun peer(of: ConfigurationNode): RecordSource =
         RecordSource { from, limit, wait ->
             PeerRecords.of(of.follower.records.read(from, limit, wait)).toReadResult()
