--- a/bin/lib/processes.sh
+++ b/bin/lib/processes.sh
@@ -68,6 +68,9 @@
   sed -n "s/.*\"$2\":\([0-9]*\).*/\1/p" "$work/$1.out" | head -n 1
 }
 
+# is_ready PORT: whether a node is ready for callers.
+is_ready() { curl --silent --fail --max-time 2 --output /dev/null "http://127.0.0.1:$1/ready"; }
+
 # write_node_settings NAME FAILURE_DOMAIN LOG_PORT VMS_PORT PEERS_JSON: writes $work/NAME.json.
 write_node_settings() {
   local hash
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/EngineStandInCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/EngineStandInCommand.kt
@@ -1,5 +1,6 @@
 package plantainturn.daemon.command
 
+import kotlinx.serialization.serializer
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import plantainturn.standins.EngineStandIn
@@ -12,5 +13,6 @@
     @Mixin
     private lateinit var runner: StandInRunner
 
-    override fun call(): Int = runner.run(EngineStandInSettings.serializer()) { settings -> EngineStandIn(settings).start() }
+    override fun call(): Int =
+        runner.run(serializer<EngineStandInSettings>()) { settings -> EngineStandIn(settings).start() }
 }
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/PlantainturnCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/PlantainturnCommand.kt
@@ -2,9 +2,7 @@
 
 import picocli.CommandLine
 import picocli.CommandLine.Command
-import picocli.CommandLine.Model.CommandSpec
 import picocli.CommandLine.ParameterException
-import picocli.CommandLine.Spec
 
 /** The root of the command line. */
 @Command(
@@ -26,8 +24,5 @@
     ],
 )
 internal class PlantainturnCommand : Runnable {
-    @Spec
-    private lateinit var spec: CommandSpec
-
     override fun run(): Unit = throw ParameterException(CommandLine(this), "Missing command")
 }
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/ServiceStandInCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/ServiceStandInCommand.kt
@@ -1,5 +1,6 @@
 package plantainturn.daemon.command
 
+import kotlinx.serialization.serializer
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import plantainturn.standins.ServiceStandIn
@@ -12,5 +13,6 @@
     @Mixin
     private lateinit var runner: StandInRunner
 
-    override fun call(): Int = runner.run(ServiceStandInSettings.serializer()) { settings -> ServiceStandIn(settings).start() }
+    override fun call(): Int =
+        runner.run(serializer<ServiceStandInSettings>()) { settings -> ServiceStandIn(settings).start() }
 }
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/StandInRunner.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/StandInRunner.kt
@@ -14,7 +14,7 @@
     @Option(
         names = ["--settings"],
         paramLabel = "FILE",
-        description = ["The stand-in's settings, JSON. Default: each setting's default, on a port that the system picks."],
+        description = ["The settings, JSON. Default: each setting's default, on a port that the system picks."],
     )
     private var file: Path? = null
 
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/VmListStandInCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/VmListStandInCommand.kt
@@ -1,5 +1,6 @@
 package plantainturn.daemon.command
 
+import kotlinx.serialization.serializer
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import plantainturn.standins.VmListStandIn
@@ -12,5 +13,6 @@
     @Mixin
     private lateinit var runner: StandInRunner
 
-    override fun call(): Int = runner.run(VmListStandInSettings.serializer()) { settings -> VmListStandIn(settings).start() }
+    override fun call(): Int =
+        runner.run(serializer<VmListStandInSettings>()) { settings -> VmListStandIn(settings).start() }
 }
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/WeightStoreStandInCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/WeightStoreStandInCommand.kt
@@ -1,5 +1,6 @@
 package plantainturn.daemon.command
 
+import kotlinx.serialization.serializer
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import plantainturn.standins.WeightStoreStandIn
@@ -12,5 +13,6 @@
     @Mixin
     private lateinit var runner: StandInRunner
 
-    override fun call(): Int = runner.run(WeightStoreStandInSettings.serializer()) { settings -> WeightStoreStandIn(settings).start() }
+    override fun call(): Int =
+        runner.run(serializer<WeightStoreStandInSettings>()) { settings -> WeightStoreStandIn(settings).start() }
 }
--- a/daemon/src/main/kotlin/plantainturn/daemon/http/BearerToken.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/http/BearerToken.kt
@@ -7,7 +7,7 @@
 internal class BearerToken private constructor(
     private val sha256: ByteArray,
 ) {
-    /** Returns whether the token's SHA-256 is [expected], in lower-case hexadecimal, in time that tells nothing of it. */
+    /** Returns whether the token's SHA-256 is [expected], in lower-case hexadecimal. Takes constant time. */
     fun matchesSha256(expected: String): Boolean =
         MessageDigest.isEqual(sha256.toHexString().toByteArray(), expected.toByteArray())
 
--- a/daemon/src/test/kotlin/plantainturn/daemon/caller/CompletionParserTest.kt
+++ b/daemon/src/test/kotlin/plantainturn/daemon/caller/CompletionParserTest.kt
@@ -35,8 +35,10 @@
             "{\"model\": \"\", \"prompt\": \"p\"} | model must have 1 to 256 characters",
             "{\"model\": \"m\"} | prompt must be a text",
             "{\"model\": \"m\", \"prompt\": 7} | prompt must be a text",
-            "{\"model\": \"m\", \"prompt\": \"p\", \"max_tokens\": 0} | max_tokens must be a whole number from 1 to 32768 (tokens)",
-            "{\"model\": \"m\", \"prompt\": \"p\", \"max_tokens\": \"9\"} | max_tokens must be a whole number from 1 to 32768 (tokens)",
+            "{\"model\": \"m\", \"prompt\": \"p\", \"max_tokens\": 0} |" +
+                " max_tokens must be a whole number from 1 to 32768 (tokens)",
+            "{\"model\": \"m\", \"prompt\": \"p\", \"max_tokens\": \"9\"} |" +
+                " max_tokens must be a whole number from 1 to 32768 (tokens)",
             "{\"model\": \"m\", \"prompt\": \"p\", \"stream\": 1} | stream must be true or false",
             "{\"model\": \"m\", \"prompt\": \"p\", \"priority\": \"now\"} | priority must be interactive or batch",
         ],
--- a/daemon/src/test/kotlin/plantainturn/daemon/settings/NodeSettingsReaderTest.kt
+++ b/daemon/src/test/kotlin/plantainturn/daemon/settings/NodeSettingsReaderTest.kt
@@ -28,7 +28,8 @@
         val paths = result.faults.map { it.path }
         val missing = listOf("failureDomain", "region", "shard", "operatorTokenSha256", "peerToken")
         assertEquals(
-            listOf("$.name") + missing.map { "$.$it" } + listOf("$.callers", "$.control", "$.log", "$.vmList", "$.colour"),
+            listOf("$.name") + missing.map { "$.$it" } +
+                listOf("$.callers", "$.control", "$.log", "$.vmList", "$.colour"),
             paths,
         )
     }
@@ -39,8 +40,10 @@
         value = [
             "\"port\": 9000 | \"port\": 70000 | $.control.port | must be a whole number from 0 to 65535 (TCP port)",
             "\"port\": 9000 | \"port\": \"9000\" | $.control.port | must be a whole number from 0 to 65535 (TCP port)",
-            "http://127.0.0.1:1 | http://log.example | $.log.url | must be a URL such as http://10.0.0.1:8000, with an IP number",
-            "\"peerToken\": \"0123456789abcdef\" | \"peerToken\": \"short\" | $.peerToken | must be a token of 16 to 256 characters without spaces",
+            "http://127.0.0.1:1 | http://log.example | $.log.url |" +
+                " must be a URL such as http://10.0.0.1:8000, with an IP number",
+            "\"peerToken\": \"0123456789abcdef\" | \"peerToken\": \"short\" | $.peerToken |" +
+                " must be a token of 16 to 256 characters without spaces",
         ],
     )
     fun `a wrong value is named with its path and what is expected`(
