--- a/library/src/main/kotlin/plantainturn/process/control/controller/Controller.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/controller/Controller.kt
@@ -9,6 +9,7 @@
 import plantainturn.process.control.controller.internal.LoadBudget
 import plantainturn.process.control.controller.internal.SerialWorker
 import plantainturn.process.control.controller.internal.UpstreamIssuer
+import plantainturn.process.control.controller.internal.VersionUpgrade
 import plantainturn.process.control.controller.internal.actionFor
 import plantainturn.process.control.lease.IntendedOrder
 import plantainturn.process.control.lease.LeaseKeeper
@@ -181,7 +182,9 @@
         members: Map<UpstreamName, UpstreamSpecification>,
     ) {
         val input = planningInput(current, known, members)
-        val next = planner.plan(input)
+        val wanted = planner.plan(input)
+        val upgrades = VersionUpgrade(known, input.upstreams, current.ledger::get).moves(wanted.moves)
+        val next = wanted.copy(moves = wanted.moves.addAll(upgrades))
         plan = next
         current.budget.refill(known.weightStore, timer.now())
         val refused = mutableListOf<DeferredMove>()
@@ -207,7 +210,7 @@
                 val ledger = current.ledger.get(upstream) ?: return@mapNotNull null
                 val fresh = timer.now() - ledger.reportedAt <= settings.reportStaleness
                 val leaving = views[upstream]?.leaving ?: false
-                val permitted = keeper.lease?.permitsOrders(ledger.refusesOldFences, timer.now()) ?: false
+                val permitted = keeper.permits(ledger.fence, ledger.refusesOldFences)
                 upstream to ledger.toPlanned(specification, usable = fresh && !leaving && permitted)
             }
         return PlanningInput(timer.now(), known, planned.toMap().toPersistentMap(), demand.demand())
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/controller/internal/VersionUpgrade.kt
@@ -0,0 +1,80 @@
+package plantainturn.process.control.controller.internal
+
+import plantainturn.connection.engine.ResidentState
+import plantainturn.process.control.ledger.UpstreamLedger
+import plantainturn.version.configuration.Configuration
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.UpstreamName
+import plantainturn.version.placement.PlacementMove
+import plantainturn.version.placement.PlacementState
+import plantainturn.version.placement.PlannedUpstream
+
+/**
+ * Brings resident weights to the configured version, one engine at a time for each model or adapter.
+ *
+ * The new version is loaded beside the old one, which the engine drops when the new one is ready. Where there is no
+ * memory for both, the old one is unloaded first, but only while another engine holds the model ready.
+ */
+internal class VersionUpgrade(
+    private val known: Configuration,
+    private val upstreams: Map<UpstreamName, PlannedUpstream>,
+    private val ledger: (UpstreamName) -> UpstreamLedger?,
+) {
+    /** Returns the moves to begin now, none for what [planned] moves already. */
+    fun moves(planned: List<PlacementMove>): List<PlacementMove> {
+        val busy = planned.mapNotNullTo(HashSet(), ::nameOf)
+        val names = (known.models.keys + known.adapters.keys).sorted()
+        return names.filter { it !in busy && isAtRest(it) }.mapNotNull(::upgrade)
+    }
+
+    private fun upgrade(name: ModelName): PlacementMove? {
+        val version = known.models[name]?.weightsVersion ?: known.adapters.getValue(name).weightsVersion
+        val outdated = upstreams.filter { it.value.usable && isOutdated(name, version, it.key) }
+        val roomy = outdated.filter { it.value.freeMegabytes >= memoryOf(name) }.keys.minOrNull()
+        if (roomy != null) return PlacementMove.Load(roomy, name, "version $version is configured")
+        val crowded = outdated.keys.minOrNull() ?: return null
+        if (readyElsewhere(name, crowded).isEmpty()) return null
+        return PlacementMove.Unload(crowded, name, "version $version is configured, and there is no memory for both")
+    }
+
+    private fun isOutdated(
+        name: ModelName,
+        version: String,
+        upstream: UpstreamName,
+    ): Boolean {
+        val held =
+            ledger(upstream)
+                ?.residents
+                ?.values
+                .orEmpty()
+                .filter { it.name == name }
+        return held.any { it.state == ResidentState.READY } && held.none { it.weightsVersion == version }
+    }
+
+    private fun readyElsewhere(
+        name: ModelName,
+        except: UpstreamName,
+    ): Set<UpstreamName> =
+        upstreams
+            .filter { it.key != except && it.value.usable && it.value.placements[name] == PlacementState.READY }
+            .keys
+
+    private fun isAtRest(name: ModelName): Boolean =
+        upstreams.keys.none { upstream ->
+            ledger(upstream)
+                ?.orders
+                ?.values
+                .orEmpty()
+                .any { it.loads?.name == name || it.unloads?.name == name }
+        }
+
+    private fun memoryOf(name: ModelName): Long =
+        known.models[name]?.memoryMegabytes ?: known.adapters.getValue(name).memoryMegabytes
+
+    private fun nameOf(move: PlacementMove): ModelName? =
+        when (move) {
+            is PlacementMove.Load -> move.name
+            is PlacementMove.Unload -> move.name
+            is PlacementMove.ChangeRole -> null
+        }
+}
--- a/library/src/main/kotlin/plantainturn/process/control/lease/ControlEntry.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/ControlEntry.kt
@@ -19,7 +19,8 @@
      * @property countedSeen the offset of the last claim, renewal or release that the claimant saw counted, or
      * [ControlState.NOTHING_COUNTED]
      * @property keptFrom set by a claimant that found the stream's beginning expired and no snapshot: the oldest offset
-     * that it could read; the claim is then granted when nothing has counted since that offset
+     * that it could read; the claim is then granted when nothing has counted since that offset, and announcements that
+     * are older than the log's retention are forgotten
      */
     @Serializable
     @SerialName("claim")
--- a/library/src/main/kotlin/plantainturn/process/control/lease/LeaseFold.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/LeaseFold.kt
@@ -1,5 +1,6 @@
 package plantainturn.process.control.lease
 
+import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import plantainturn.connection.engine.FenceNumber
 import plantainturn.connection.log.LogOffset
@@ -33,11 +34,11 @@
     ): LeaseStep {
         if (!isGranted(state, claim)) return ignored(state)
         val granted =
-            state.copy(
+            ControlState(
                 fence = FenceNumber(offset.value),
                 holder = claim.holder,
                 counted = offset,
-                highestIntent = 0,
+                intents = if (claim.keptFrom == null) state.intents else persistentListOf(),
             )
         return counted(granted)
     }
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/internal/FenceGuard.kt
@@ -0,0 +1,69 @@
+package plantainturn.process.control.lease.internal
+
+import plantainturn.connection.engine.FenceNumber
+import plantainturn.process.control.lease.Lease
+import plantainturn.process.time.Moment
+
+/**
+ * A holder's lease under its own lock, with the fences from elsewhere that upstreams have reported.
+ *
+ * Every engine's thread asks it before a send, while the log's thread changes it.
+ */
+internal class FenceGuard {
+    private var dismissed = FenceNumber.NONE
+
+    @get:Synchronized
+    var lease: Lease? = null
+        private set
+
+    /** The later fence that an upstream has reported and that no read of the log has explained yet. */
+    @get:Synchronized
+    var contestedBy: FenceNumber? = null
+        private set
+
+    @Synchronized
+    fun grant(granted: Lease) {
+        lease = granted
+        contestedBy = null
+        dismissed = FenceNumber.NONE
+    }
+
+    @Synchronized
+    fun lose() {
+        lease = null
+        contestedBy = null
+    }
+
+    @Synchronized
+    fun prolong(
+        fence: FenceNumber,
+        until: Moment,
+    ) {
+        val held = lease?.takeIf { it.fence == fence } ?: return
+        lease = held.copy(validUntil = maxOf(held.validUntil, until))
+    }
+
+    @Synchronized
+    fun observeFence(fence: FenceNumber) {
+        val held = lease ?: return
+        if (fence <= held.fence || fence <= dismissed) return
+        contestedBy = maxOf(fence, contestedBy ?: fence)
+    }
+
+    /** Notes that a read of the log that began after [fence] was reported shows no such lease. */
+    @Synchronized
+    fun dismiss(fence: FenceNumber) {
+        dismissed = maxOf(dismissed, fence)
+        if (contestedBy == fence) contestedBy = null
+    }
+
+    @Synchronized
+    fun permits(
+        fence: FenceNumber,
+        refusesOldFences: Boolean,
+        now: Moment,
+    ): Boolean {
+        val held = lease?.takeIf { it.fence == fence } ?: return false
+        return contestedBy == null && held.permitsOrders(refusesOldFences, now)
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/internal/GapScan.kt
@@ -0,0 +1,81 @@
+package plantainturn.process.control.lease.internal
+
+import plantainturn.connection.log.LogOffset
+import plantainturn.connection.log.LogService
+import plantainturn.connection.log.ReadResult
+import plantainturn.connection.log.StoredRecord
+import plantainturn.connection.log.StreamName
+import plantainturn.process.control.lease.ControlEntry
+import plantainturn.process.control.lease.ControlState
+import kotlin.time.Duration
+
+/** Where a reader can begin when the beginning of a control stream has expired. */
+internal sealed interface GapScan {
+    /** At [next], with [state] as the state of all that came before. */
+    data class Start(
+        val next: LogOffset,
+        val state: ControlState,
+    ) : GapScan
+
+    /** Nowhere yet; the kept records, from [oldest] on, hold no entry that bears on the lease. */
+    data class Silent(
+        val oldest: LogOffset,
+    ) : GapScan
+
+    /** Nowhere yet; someone uses the stream, so a snapshot will follow. */
+    data object Busy : GapScan
+
+    companion object {
+        private const val PAGE_RECORDS = 500
+
+        /** Scans [stream] from [oldest], the first offset that is kept, to its end. */
+        fun of(
+            log: LogService,
+            stream: StreamName,
+            oldest: LogOffset,
+        ): GapScan {
+            val entries = readEntries(log, stream, oldest) ?: return Busy
+            val snapshot = entries.mapNotNull { it.entry as? ControlEntry.Snapshot }.lastOrNull { it.next >= oldest }
+            if (snapshot != null) return Start(snapshot.next, snapshot.state)
+            val first = entries.firstOrNull { it.bearsOnLease } ?: return Silent(oldest)
+            val claim = first.entry as? ControlEntry.Claim
+            val certain = claim?.keptFrom != null && oldest <= claim.keptFrom
+            return if (certain) Start(first.offset, ControlState.EMPTY) else Busy
+        }
+
+        private fun readEntries(
+            log: LogService,
+            stream: StreamName,
+            oldest: LogOffset,
+        ): List<ScannedEntry>? {
+            val entries = mutableListOf<ScannedEntry>()
+            var from = oldest
+            while (true) {
+                val page = log.read(stream, from, PAGE_RECORDS, Duration.ZERO) as? ReadResult.Records ?: return null
+                if (page.records.isEmpty()) return entries
+                entries += page.records.mapNotNull(::scanned)
+                from =
+                    page.records
+                        .last()
+                        .offset
+                        .next()
+            }
+        }
+
+        private fun scanned(stored: StoredRecord): ScannedEntry? =
+            when (val decoded = ControlCodec.decode(stored.record.payload)) {
+                is DecodedEntry.Known -> ScannedEntry(stored.offset, decoded.entry)
+                is DecodedEntry.UnknownRule -> ScannedEntry(stored.offset, null)
+                DecodedEntry.Foreign -> null
+            }
+    }
+}
+
+/** An entry of the scan; null for one of a rule version that this build does not know. */
+private class ScannedEntry(
+    val offset: LogOffset,
+    val entry: ControlEntry?,
+) {
+    val bearsOnLease: Boolean
+        get() = entry !is ControlEntry.Snapshot
+}
--- a/library/src/main/kotlin/plantainturn/process/control/ledger/ReservationRefusal.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/ledger/ReservationRefusal.kt
@@ -17,7 +17,7 @@
     /** The adapter's base model is not ready on the upstream, or is about to leave it. */
     BASE_NOT_READY,
 
-    /** Adapters on the upstream still need the base model. */
+    /** An adapter of the base model is being loaded on the upstream. */
     BASE_IN_USE,
 
     /** The weights are there already, or there is nothing to unload. */
