--- a/library/src/main/kotlin/plantainturn/version/placement/internal/PlacementBoard.kt
+++ b/library/src/main/kotlin/plantainturn/version/placement/internal/PlacementBoard.kt
@@ -133,4 +133,6 @@
 
 /** Weighs the fast average, which follows a burst, against the slow one, which outlasts a lull. */
 internal fun plannedRequestsPerSecond(demand: ModelDemand): Double =
-    maxOf(demand.slowRequestsPerSecond, (demand.fastRequestsPerSecond + demand.slowRequestsPerSecond) / 2)
+    maxOf(demand.slowRequestsPerSecond, FAST_WEIGHT * demand.fastRequestsPerSecond)
+
+private const val FAST_WEIGHT = 0.9
--- a/replay/src/main/kotlin/plantainturn/replay/ReplayResult.kt
+++ b/replay/src/main/kotlin/plantainturn/replay/ReplayResult.kt
@@ -12,6 +12,7 @@
     public data class Completed(
         val report: ReplayReport,
         val minutes: PersistentList<ReplayMinute>,
+        val outcomes: ReplayOutcomes,
     ) : ReplayResult
 
     /** The trace can't be replayed; [faults] names every fault with its line. */
--- a/replay/src/main/kotlin/plantainturn/replay/ReplayRunner.kt
+++ b/replay/src/main/kotlin/plantainturn/replay/ReplayRunner.kt
@@ -20,7 +20,13 @@
  *
  * Equal options give equal results.
  */
-public class ReplayRunner {
+public class ReplayRunner internal constructor(
+    private val everythingEverywhere: Boolean = false,
+    private val demandFactor: Double = 1.0,
+) {
+    /** Makes a runner. */
+    public constructor() : this(everythingEverywhere = false, demandFactor = 1.0)
+
     /** Replays what [options] ask for. */
     public fun run(options: ReplayOptions): ReplayResult {
         val deployment = DeploymentCatalogue.find(options.deployment)
@@ -35,7 +41,7 @@
         deployment: ReplayDeployment,
         seed: Long,
     ): PersistentList<TraceRecord> =
-        TraceGenerator(deployment.configuration, deployment.workload, Random(seed)).generate()
+        TraceGenerator(deployment.configuration, deployment.workload.scaledBy(demandFactor), Random(seed)).generate()
 
     private fun check(
         options: ReplayOptions,
@@ -66,11 +72,12 @@
         val random = Random(options.seed)
         val faultRandom = Random(options.seed + FAULT_SEED_OFFSET)
         val schedule = FaultSchedule.draw(options.faults, deployment.configuration, length(records), faultRandom)
-        val world = ReplayWorld(deployment, options.policy, schedule, random)
+        val world = ReplayWorld(deployment, options.policy, schedule, random, everythingEverywhere)
         world.run(records)
         return ReplayResult.Completed(
             report = world.measures.report(deployment.accelerators, options.seed),
             minutes = world.measures.minutes().toPersistentList(),
+            outcomes = world.measures.outcomes(),
         )
     }
 
--- a/replay/src/main/kotlin/plantainturn/replay/measure/Measures.kt
+++ b/replay/src/main/kotlin/plantainturn/replay/measure/Measures.kt
@@ -5,6 +5,7 @@
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.replay.ReplayMinute
+import plantainturn.replay.ReplayOutcomes
 import plantainturn.replay.ReplayReport
 import plantainturn.replay.engine.EngineObserver
 import plantainturn.replay.world.RequestRun
@@ -26,9 +27,9 @@
     private var unreachableSeconds = 0L
     private var duplicates = 0L
 
-    /** Requests that were answered, in time or late. */
-    var answered: Long = 0
-        private set
+    private var answered = 0L
+    private var lateFirstTokens = 0L
+    private var slowAnswers = 0L
 
     override fun moveBegan() {
         moves++
@@ -64,7 +65,11 @@
         if (run.record.priority == RequestPriority.INTERACTIVE) {
             firstTokens.recordValue(firstToken.inWholeMicroseconds)
         }
-        if (firstToken > run.firstTokenTarget || run.slowTokens > SLOW_SHARE * run.record.answerTokens) return
+        val late = firstToken > run.firstTokenTarget
+        val slow = run.slowTokens > SLOW_SHARE * run.record.answerTokens
+        if (late) lateFirstTokens++
+        if (slow) slowAnswers++
+        if (late || slow) return
         attained++
         minuteOf(run.arrivedAt).attained++
     }
@@ -72,6 +77,8 @@
     fun minutes(): List<ReplayMinute> =
         minutes.map { ReplayMinute(it.arrived, it.attained, it.moves) }.toPersistentList()
 
+    fun outcomes(): ReplayOutcomes = ReplayOutcomes(answered, lateFirstTokens, slowAnswers)
+
     fun report(
         accelerators: Int,
         seed: Long,
--- a/replay/src/main/kotlin/plantainturn/replay/policy/ExpectedWaitRouting.kt
+++ b/replay/src/main/kotlin/plantainturn/replay/policy/ExpectedWaitRouting.kt
@@ -160,9 +160,9 @@
     }
 
     private companion object {
-        const val START_SHARE = 0.7
+        const val START_SHARE = 0.6
         const val MINIMUM = 2.0
-        const val DECREASE = 0.97
-        const val INCREASE = 0.1
+        const val DECREASE = 0.92
+        const val INCREASE = 0.04
     }
 }
--- a/replay/src/main/kotlin/plantainturn/replay/trace/WorkloadShape.kt
+++ b/replay/src/main/kotlin/plantainturn/replay/trace/WorkloadShape.kt
@@ -33,4 +33,7 @@
     val answerSpread: Double = 0.7,
     val medianPromptTokens: Double = 400.0,
     val promptSpread: Double = 0.8,
-)
+) {
+    /** Returns the shape with [factor] times the interactive demand. */
+    fun scaledBy(factor: Double): WorkloadShape = copy(requestsPerSecond = requestsPerSecond * factor)
+}
--- a/replay/src/main/kotlin/plantainturn/replay/world/ReplayWorld.kt
+++ b/replay/src/main/kotlin/plantainturn/replay/world/ReplayWorld.kt
@@ -29,12 +29,18 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
-/** Engines, nodes and faults in virtual time, under one policy. */
+/**
+ * Engines, nodes and faults in virtual time, under one policy.
+ *
+ * @property everythingEverywhere whether each engine holds every model, whatever the memory: a bound on what placement
+ *   can gain
+ */
 internal class ReplayWorld(
     private val deployment: ReplayDeployment,
     policy: PolicyName,
     schedule: FaultSchedule,
     private val random: Random,
+    private val everythingEverywhere: Boolean = false,
 ) {
     private val configuration = deployment.configuration
     private val timer = VirtualTimerService()
@@ -132,7 +138,8 @@
             }
 
     private fun placeInitially(engine: SimulatedEngine) {
-        initial.models.getValue(engine.name).forEach { model ->
+        val models = if (everythingEverywhere) configuration.models.keys else initial.models.getValue(engine.name)
+        models.forEach { model ->
             engine.place(model, configuration.models.getValue(model).memoryMegabytes, null)
             configuration.adapters
                 .filterValues { it.baseModel == model }
@@ -143,6 +150,7 @@
     private fun placement(policy: PolicyName): PlacementPolicy =
         when (policy) {
             PolicyName.PLANTAINTURN -> {
+                if (everythingEverywhere) return PlacementPolicy { }
                 val planner = DemandPlanner(deployment.planner)
                 PlannedPlacement(planner, configuration, upstreams, desk, demand, timer)
             }
