--- /dev/null
+++ b/library/src/test/kotlin/plantainturn/request/admission/AdmissionQueueTest.kt
@@ -0,0 +1,137 @@
+package plantainturn.request.admission
+
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import org.junit.jupiter.api.Test
+import plantainturn.process.Outcome
+import plantainturn.process.ResultCode
+import plantainturn.process.time.VirtualTimerService
+import plantainturn.request.RequestPriority
+import plantainturn.request.Samples
+import plantainturn.version.configuration.TeamName
+import kotlin.random.Random
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class AdmissionQueueTest {
+    private val timer = VirtualTimerService()
+    private val queue = AdmissionQueue(timer)
+    private var room = 0
+
+    @Test
+    fun `a request starts when room is released`() {
+        val listener = submit()
+        room = 1
+        queue.pump()
+        assertEquals(listOf("started"), listener.ends)
+    }
+
+    @Test
+    fun `a request whose deadline passes gets its end at that moment`() {
+        val listener = submit(limit = 3.seconds)
+        timer.advance(2_999.milliseconds)
+        assertEquals(listOf(), listener.ends)
+        timer.advance(1.milliseconds)
+        assertEquals(listOf("DEADLINE_PASSED_IN_QUEUE"), listener.ends)
+        assertEquals(0, queue.waiting(Samples.model))
+    }
+
+    @Test
+    fun `a request that can't be started in time is refused at once with a time to come back`() {
+        repeat(10) { submit(limit = 100.seconds) }
+        drainOneASecond(3)
+        val refused = submit(limit = 4.seconds)
+        assertEquals(listOf("OVERLOADED"), refused.ends)
+        assertTrue(assertNotNull(refused.retryAfter) in 2.seconds..6.seconds, refused.retryAfter.toString())
+        assertEquals(listOf(), submit(limit = 30.seconds).ends)
+    }
+
+    @Test
+    fun `a team's waiting requests are limited over all models`() {
+        repeat(2) { submit(waitingLimit = 2) }
+        assertEquals(listOf("TEAM_LIMIT_REACHED"), submit(waitingLimit = 2).ends)
+        assertEquals(listOf(), submit(team = "other", waitingLimit = 2).ends)
+    }
+
+    @Property(seed = "47", tries = 500)
+    fun `each request gets exactly one end, started or refused as not run, by its deadline`(
+        @ForAll seed: Long,
+    ) {
+        val random = Random(seed)
+        val timer = VirtualTimerService()
+        val queue = AdmissionQueue(timer)
+        var room = 2
+        val listeners = mutableListOf<Listener>()
+        repeat(60) {
+            val limit = random.nextInt(1, 3_000).milliseconds
+            val listener = Listener { (room > 0).also { free -> if (free) room -= 1 } }
+            listeners += listener
+            queue.submit(ticket(timer, limit, random.nextInt(3), random.nextBoolean()), listener)
+            timer.advance(random.nextInt(200).milliseconds)
+            if (random.nextInt(3) == 0) room += 1
+            if (random.nextBoolean()) queue.pump()
+        }
+        timer.advance(3.seconds)
+        listeners.forEach { assertEquals(1, it.ends.size) }
+        assertEquals(0, queue.waiting(Samples.model))
+        assertTrue(listeners.mapNotNull { it.code }.all { it.outcome == Outcome.NOT_RUN })
+    }
+
+    private fun drainOneASecond(count: Int) {
+        repeat(count) {
+            timer.advance(1.seconds)
+            room = 1
+            queue.pump()
+        }
+    }
+
+    private fun submit(
+        limit: Duration = 10.seconds,
+        team: String = "desk",
+        waitingLimit: Int = 100,
+    ): Listener {
+        val listener = Listener { (room > 0).also { free -> if (free) room -= 1 } }
+        queue.submit(ticket(timer, limit, 0, batch = false, team, waitingLimit), listener)
+        return listener
+    }
+
+    private fun ticket(
+        timer: VirtualTimerService,
+        limit: Duration,
+        number: Int,
+        batch: Boolean,
+        team: String = "team-$number",
+        waitingLimit: Int = 10,
+    ) = AdmissionTicket(
+        target = Samples.model,
+        team = TeamName(team),
+        share = 1 + number,
+        waitingLimit = waitingLimit,
+        priority = if (batch) RequestPriority.BATCH else RequestPriority.INTERACTIVE,
+        latestStart = timer.now() + limit,
+    )
+
+    private class Listener(
+        private val takeRoom: () -> Boolean,
+    ) : AdmissionListener {
+        val ends = mutableListOf<String>()
+        var retryAfter: Duration? = null
+        var code: ResultCode? = null
+
+        override fun tryStart(): StartResult {
+            if (!takeRoom()) return StartResult.Busy
+            ends += "started"
+            return StartResult.Started
+        }
+
+        override fun refused(refusal: AdmissionRefusal) {
+            ends += refusal.code.name
+            code = refusal.code
+            retryAfter = refusal.retryAfter
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/kotlin/plantainturn/request/admission/WaitingLineTest.kt
@@ -0,0 +1,65 @@
+package plantainturn.request.admission
+
+import org.junit.jupiter.api.Test
+import plantainturn.process.time.Moment
+import plantainturn.request.RequestPriority
+import plantainturn.request.Samples
+import plantainturn.version.configuration.TeamName
+import kotlin.test.assertEquals
+
+class WaitingLineTest {
+    private val line = WaitingLine<String>()
+
+    @Test
+    fun `interactive requests go first and batch requests are not starved`() {
+        repeat(20) { add("interactive", "desk") }
+        repeat(3) { add("batch", "desk", RequestPriority.BATCH) }
+        val order = drain(23)
+        assertEquals(listOf(8, 17, 22), order.indices.filter { order[it] == "batch" })
+    }
+
+    @Test
+    fun `teams get turns by their shares whatever their numbers`() {
+        repeat(100) { add("loud", "loud") }
+        repeat(20) { add("quiet", "quiet") }
+        repeat(20) { add("large", "large", share = 2) }
+        val first = drain(40).groupingBy { it }.eachCount()
+        assertEquals(mapOf("loud" to 10, "quiet" to 10, "large" to 20), first)
+    }
+
+    @Test
+    fun `a team that was absent does not save up turns`() {
+        repeat(50) { add("steady", "steady") }
+        drain(30)
+        repeat(20) { add("late", "late") }
+        assertEquals(10, drain(20).count { it == "late" })
+    }
+
+    @Test
+    fun `a resumed request goes before the team's others`() {
+        add("first", "desk")
+        add("resumed", "desk", resumed = true)
+        assertEquals(listOf("resumed", "first"), drain(2))
+    }
+
+    @Test
+    fun `turns ahead count those that would go first`() {
+        repeat(16) { add("interactive", "desk") }
+        repeat(5) { add("batch", "desk", RequestPriority.BATCH) }
+        assertEquals(18, line.turnsAhead(RequestPriority.INTERACTIVE))
+        assertEquals(21, line.turnsAhead(RequestPriority.BATCH))
+    }
+
+    private fun add(
+        entry: String,
+        team: String,
+        priority: RequestPriority = RequestPriority.INTERACTIVE,
+        share: Int = 1,
+        resumed: Boolean = false,
+    ) {
+        val ticket = AdmissionTicket(Samples.model, TeamName(team), share, 100, priority, Moment.ORIGIN, resumed)
+        line.add(ticket, entry)
+    }
+
+    private fun drain(count: Int): List<String> = List(count) { checkNotNull(line.peek()).also { line.takeTurn() } }
+}
