--- /dev/null
+++ b/library/src/test/kotlin/plantainturn/request/quarantine/CrashingFleet.kt
@@ -0,0 +1,123 @@
+package plantainturn.request.quarantine
+
+import plantainturn.process.time.VirtualTimerService
+import plantainturn.request.Samples
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Several nodes before upstreams that now and then die by themselves, with or without one request that kills them.
+ *
+ * @param poison whether such a request is sent, again and again, at any node
+ * @param naturalDeathSeconds the mean time between deaths that no request is to blame for, null for none
+ */
+class CrashingFleet(
+    private val random: Random,
+    private val poison: Boolean,
+    private val naturalDeathSeconds: Int?,
+) {
+    private class Attempt(
+        val node: Int,
+        val fingerprint: RequestFingerprint,
+        val upstream: Int,
+        val endsAt: Int,
+    )
+
+    private val timer = VirtualTimerService()
+    private val nodes = List(NODES) { QuarantineRegister(timer) }
+    private val running = mutableListOf<Attempt>()
+    private var nextFingerprint = 1L
+
+    /** Upstreams that the poisonous request killed. */
+    var killed = 0
+        private set
+
+    /** Deaths that no request was to blame for. */
+    var naturalDeaths = 0
+        private set
+
+    /** Innocent requests that were quarantined, and that were held back. */
+    var falseAlarms = 0
+        private set
+    var heldBack = 0
+        private set
+    var sent = 0
+        private set
+
+    fun run(steps: Int) {
+        repeat(steps) { step ->
+            finish(step)
+            repeat(3) { send(random.nextInt(NODES), RequestFingerprint(nextFingerprint++), step) }
+            if (poison && step % POISON_EVERY == 0) send(random.nextInt(NODES), POISON, step)
+            if (naturalDeathSeconds != null && random.nextInt(naturalDeathSeconds * 10) == 0) naturalDeath(step)
+            if (step % GOSSIP_EVERY == 0) gossip()
+            timer.advance(STEP)
+        }
+    }
+
+    private fun send(
+        node: Int,
+        fingerprint: RequestFingerprint,
+        step: Int,
+        tried: Int? = null,
+    ) {
+        if (fingerprint != POISON) sent += 1
+        val avoided = nodes[node].upstreamsToAvoid(fingerprint)
+        val free = (0 until UPSTREAMS).filter { it != tried && Samples.engineName(it) !in avoided }
+        val upstream = free.ifEmpty { (0 until UPSTREAMS).filter { it != tried } }.random(random)
+        if (nodes[node].tryBegin(fingerprint, Samples.engineName(upstream))) {
+            running += Attempt(node, fingerprint, upstream, step + 1 + random.nextInt(LONGEST))
+            if (fingerprint == POISON) kill(upstream, step)
+        } else if (fingerprint != POISON) {
+            heldBack += 1
+        }
+    }
+
+    private fun kill(
+        upstream: Int,
+        step: Int,
+    ) {
+        killed += 1
+        die(upstream, step)
+    }
+
+    private fun naturalDeath(step: Int) {
+        naturalDeaths += 1
+        die(random.nextInt(UPSTREAMS), step)
+    }
+
+    private fun die(
+        upstream: Int,
+        step: Int,
+    ) {
+        val hit = running.filter { it.upstream == upstream }
+        running.removeAll(hit)
+        for (attempt in hit.shuffled(random)) {
+            val evidence = CrashEvidence(Samples.engineName(upstream), "before")
+            val quarantined = nodes[attempt.node].broke(attempt.fingerprint, evidence) { true }
+            if (quarantined && attempt.fingerprint != POISON) falseAlarms += 1
+            if (!quarantined) send(attempt.node, attempt.fingerprint, step, upstream)
+        }
+    }
+
+    private fun finish(step: Int) {
+        val done = running.filter { it.endsAt <= step }
+        running.removeAll(done)
+        done.forEach { nodes[it.node].succeeded(it.fingerprint, Samples.engineName(it.upstream)) }
+    }
+
+    private fun gossip() {
+        val digests = nodes.map { it.snapshot() }
+        nodes.forEach { node -> digests.forEach(node::merge) }
+    }
+
+    private companion object {
+        const val NODES = 8
+        const val UPSTREAMS = 6
+        const val LONGEST = 40
+        const val POISON_EVERY = 20
+        const val GOSSIP_EVERY = 10
+        val POISON = RequestFingerprint(-1)
+        val STEP = 100.milliseconds
+    }
+}
