Make every HTTP connection to the outside send at most once, whatever client it is given

Cause: the node built its own OkHttp client, which had neither the listener that records whether sending began nor the guard against OkHttp's own repeat. With it, every call that broke counted as never sent, so a non-idempotent call could have been sent again. The connections now harden the client they are given; the evidence is recorded by a network interceptor, which runs once a connection exists and before anything is written.

Ruled out: asking callers to use HttpClients only; nothing would have failed when they did not.

Seen failing first: with the hardening off, "a client made elsewhere gives the same evidence" got Unreachable for a call that had run.

--- a/library/src/main/kotlin/plantainturn/connection/engine/HttpModelEngine.kt
+++ b/library/src/main/kotlin/plantainturn/connection/engine/HttpModelEngine.kt
@@ -14,6 +14,7 @@
 import plantainturn.connection.http.decode
 import plantainturn.connection.http.decodeText
 import plantainturn.connection.http.notRunDetail
+import plantainturn.connection.http.sendingAtMostOnce
 import plantainturn.request.AttemptNumber
 import plantainturn.request.RequestIdentifier
 import java.io.IOException
@@ -25,15 +26,16 @@
  *
  * An attempt counts as not run only if no byte of it was sent or the engine answered with an error that promises so.
  *
- * @param client a client of [plantainturn.connection.http.HttpClients]
+ * @param client the process's client, best made by [plantainturn.connection.http.HttpClients]
  * @param address base URL of the engine
  * @param controlTimeout the time that reports, orders and reads of cache events may take
  */
 public class HttpModelEngine(
-    private val client: OkHttpClient,
+    client: OkHttpClient,
     address: String,
     private val controlTimeout: Duration = DEFAULT_CONTROL_TIMEOUT,
 ) : ModelEngine {
+    private val client = client.sendingAtMostOnce()
     private val exchanger = HttpExchanger(client, address)
 
     override fun generate(
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/connection/http/AtMostOnceClient.kt
@@ -0,0 +1,54 @@
+package plantainturn.connection.http
+
+import okhttp3.Interceptor
+import okhttp3.OkHttpClient
+import okhttp3.Protocol
+import okhttp3.Response
+import java.util.concurrent.TimeUnit
+
+/**
+ * Returns this client, or one on the same connections, such that it sends every request at most once and tells by
+ * [SendEvidence] whether it began to.
+ *
+ * It follows no redirect, repeats nothing after a fault of the connection, and speaks HTTP/1.1 only.
+ */
+internal fun OkHttpClient.sendingAtMostOnce(): OkHttpClient {
+    if (AtMostOnceInterceptor in networkInterceptors) return this
+    return newBuilder()
+        .protocols(listOf(Protocol.HTTP_1_1))
+        .retryOnConnectionFailure(false)
+        .followRedirects(false)
+        .followSslRedirects(false)
+        .addInterceptor(ReadTimeoutInterceptor)
+        .addNetworkInterceptor(AtMostOnceInterceptor)
+        .build()
+}
+
+/** Applies the [ReadTimeout] of a request. */
+private object ReadTimeoutInterceptor : Interceptor {
+    override fun intercept(chain: Interceptor.Chain): Response {
+        val request = chain.request()
+        val limit = request.tag(ReadTimeout::class) ?: return chain.proceed(request)
+        val milliseconds = limit.duration.inWholeMilliseconds.coerceIn(1, Int.MAX_VALUE.toLong())
+        return chain.withReadTimeout(milliseconds.toInt(), TimeUnit.MILLISECONDS).proceed(request)
+    }
+}
+
+/**
+ * Records that a connection was made and sending begins, and keeps OkHttp from sending the request again.
+ *
+ * OkHttp does so by itself after a 503 answer with `Retry-After: 0`, even when it is told to retry nothing; the field
+ * is hidden from it.
+ */
+private object AtMostOnceInterceptor : Interceptor {
+    private const val UNAVAILABLE_STATUS = 503
+    private const val RETRY_AFTER = "Retry-After"
+
+    override fun intercept(chain: Interceptor.Chain): Response {
+        val request = chain.request()
+        request.tag(SendEvidence::class)?.sendingBegins()
+        val response = chain.proceed(request)
+        if (response.code != UNAVAILABLE_STATUS || response.header(RETRY_AFTER) != "0") return response
+        return response.newBuilder().removeHeader(RETRY_AFTER).build()
+    }
+}
--- a/library/src/main/kotlin/plantainturn/connection/http/HttpExchanger.kt
+++ b/library/src/main/kotlin/plantainturn/connection/http/HttpExchanger.kt
@@ -20,9 +20,10 @@
  * @param address base URL of the server
  */
 internal class HttpExchanger(
-    private val client: OkHttpClient,
+    client: OkHttpClient,
     address: String,
 ) {
+    private val client = client.sendingAtMostOnce()
     private val base: HttpUrl = address.toHttpUrl()
 
     /** Returns the URL below the server's address with these path segments. */
--- a/library/src/main/kotlin/plantainturn/connection/log/HttpLogService.kt
+++ b/library/src/main/kotlin/plantainturn/connection/log/HttpLogService.kt
@@ -15,7 +15,7 @@
  * Records are appended by `POST /streams/{stream}/records` and read by `GET` of the same path with `from`, `limit` and
  * `waitMilliseconds`.
  *
- * @param client a client of [plantainturn.connection.http.HttpClients]
+ * @param client the process's client, best made by [plantainturn.connection.http.HttpClients]
  * @param address base URL of the service
  * @param timeout the time that a call may take, the wait of a read not counted
  */
--- a/library/src/main/kotlin/plantainturn/connection/service/HttpPlainService.kt
+++ b/library/src/main/kotlin/plantainturn/connection/service/HttpPlainService.kt
@@ -16,7 +16,7 @@
  * A call is sent at most once. Its request identifier, attempt and idempotency key travel in [REQUEST_HEADER],
  * [ATTEMPT_HEADER] and `Idempotency-Key`.
  *
- * @param client a client of [plantainturn.connection.http.HttpClients]
+ * @param client the process's client, best made by [plantainturn.connection.http.HttpClients]
  * @param address base URL of the upstream
  */
 public class HttpPlainService(
--- a/library/src/main/kotlin/plantainturn/connection/vm/HttpVmList.kt
+++ b/library/src/main/kotlin/plantainturn/connection/vm/HttpVmList.kt
@@ -11,7 +11,7 @@
 /**
  * The platform's VM list over HTTP, by `GET /vms`.
  *
- * @param client a client of [plantainturn.connection.http.HttpClients]
+ * @param client the process's client, best made by [plantainturn.connection.http.HttpClients]
  * @param address base URL of the service
  * @param timeout the time that a read may take
  */
--- a/standins/src/test/kotlin/plantainturn/standins/HttpPlainServiceTest.kt
+++ b/standins/src/test/kotlin/plantainturn/standins/HttpPlainServiceTest.kt
@@ -1,6 +1,8 @@
 package plantainturn.standins
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
+import okhttp3.OkHttpClient
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
@@ -46,6 +48,13 @@
         assertEquals(mapOf("key-1" to 1), truth().byKey)
     }
 
+    @Test
+    fun `a client made elsewhere gives the same evidence`() {
+        control.switch(ServiceFaults.serializer(), ServiceFaults(crashAfterExecution = 1))
+        assertIs<ServiceResult.Unknown>(call(HttpPlainService(OkHttpClient(), control.address)))
+        assertIs<ServiceResult.Unreachable>(call(HttpPlainService(OkHttpClient(), closedAddress())))
+    }
+
     @Test
     fun `an answer that is too late leaves the outcome unknown`() {
         control.switch(ServiceFaults.serializer(), ServiceFaults(answerDelayMilliseconds = 10_000))
@@ -87,7 +96,7 @@
     private fun call(
         target: PlainService = service,
         method: String = "POST",
-        headers: kotlinx.collections.immutable.PersistentList<HttpField> = persistentListOf(),
+        headers: PersistentList<HttpField> = persistentListOf(),
         timeout: Duration = 10.seconds,
     ): ServiceResult {
         val body = if (method == "POST") "order".encodeToByteArray() else ByteArray(0)
