Add membership by bounded gossip

Cause: nodes need to know each other, the leaving marks, quarantines and demand of the others without a second coordination service, within 5 KB/s a node.

Messages hold at most 900 bytes of JSON; news is sent a logarithmic number of times from a queue that gives each entry its turn; synchronisation with one peer now and then covers the rest. Ruled out: full state in each exchange (grows with the square), a digest of all keys in each message (8 KB at 330 nodes).

--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/membership/HeardValue.kt
@@ -0,0 +1,14 @@
+package plantainturn.process.membership
+
+import plantainturn.process.time.Moment
+
+/**
+ * A value that a member published.
+ *
+ * @property publishedAt when it was published, on this process's clock; the time that it travelled is left out
+ */
+public data class HeardValue<out V : GossipValue>(
+    val member: MemberIdentifier,
+    val value: V,
+    val publishedAt: Moment,
+)
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/membership/internal/GossipTable.kt
@@ -0,0 +1,183 @@
+package plantainturn.process.membership.internal
+
+import kotlinx.collections.immutable.toPersistentList
+import plantainturn.process.membership.GossipEntry
+import plantainturn.process.membership.GossipJson
+import plantainturn.process.membership.KnownVersion
+import plantainturn.process.membership.MemberIdentifier
+import plantainturn.process.membership.SyncRequest
+import plantainturn.process.time.Moment
+import java.util.TreeMap
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * All entries that a node holds, the newest of each key, and the turn in which they are sent.
+ *
+ * An entry that is new here is queued and sent a bounded number of times; each time it goes to the end of the queue,
+ * so that however many there are, each gets its turn. Entries about members go before values.
+ */
+internal class GossipTable {
+    private class Held(
+        val entry: GossipEntry,
+        val publishedAt: Moment,
+        val bytes: Int,
+    )
+
+    private val lock = ReentrantLock()
+    private val held = TreeMap<String, Held>()
+    private val memberQueue = LinkedHashMap<String, Int>()
+    private val valueQueue = LinkedHashMap<String, Int>()
+
+    /** Takes [entry] if it is newer than what is held, and queues it to be sent [repeats] times. */
+    fun merge(
+        entry: GossipEntry,
+        repeats: Int,
+        now: Moment,
+    ): Boolean =
+        lock.withLock {
+            val present = held[entry.key]
+            if (present != null && present.entry.version >= entry.version) return false
+            held[entry.key] = Held(entry, publishedAt(entry, now), GossipJson.bytesOf(entry) + ENTRY_SLACK_BYTES)
+            queueOf(entry)[entry.key] = repeats
+            true
+        }
+
+    fun get(key: String): GossipEntry? = lock.withLock { held[key]?.entry }
+
+    /** Returns all entries with the moment of their publication. */
+    fun all(): List<Pair<GossipEntry, Moment>> = lock.withLock { held.values.map { it.entry to it.publishedAt } }
+
+    /** Drops all that [member] published, and its own entry too if [wholly]. */
+    fun forget(
+        member: MemberIdentifier,
+        wholly: Boolean,
+    ) {
+        lock.withLock {
+            val gone =
+                held.values
+                    .map { it.entry }
+                    .filter { it.member == member && (wholly || it is GossipEntry.Published) }
+            gone.forEach { drop(it.key) }
+        }
+    }
+
+    /** Takes the entries that are next to be sent and fit in [bytes]. */
+    fun nextToSend(
+        bytes: Int,
+        now: Moment,
+    ): List<GossipEntry> =
+        lock.withLock {
+            val budget = ByteBudget(bytes)
+            take(memberQueue, budget, now) + take(valueQueue, budget, now)
+        }
+
+    /** Returns the versions held from the key [from] on, as many as fit in [bytes]. */
+    fun syncRequest(
+        from: String,
+        bytes: Int,
+    ): SyncRequest =
+        lock.withLock {
+            val budget = ByteBudget(bytes)
+            val known = mutableListOf<KnownVersion>()
+            for ((key, entry) in held.tailMap(from)) {
+                if (!budget.take(key.length + KNOWN_BYTES)) return SyncRequest(from, key, known.toPersistentList())
+                known += KnownVersion(key, entry.entry.version)
+            }
+            SyncRequest(from, null, known.toPersistentList())
+        }
+
+    /** Returns what the sender of [request] lacks, in order of the keys, as much as fits in [bytes]. */
+    fun answerSync(
+        request: SyncRequest,
+        bytes: Int,
+        now: Moment,
+    ): SyncAnswer =
+        lock.withLock {
+            val known = request.known.associate { it.key to it.version }
+            val to = request.to
+            val range =
+                if (to ==
+                    null
+                ) {
+                    held.tailMap(request.from)
+                } else {
+                    held.subMap(request.from, maxOf(request.from, to))
+                }
+            val budget = ByteBudget(bytes)
+            val entries = mutableListOf<GossipEntry>()
+            for ((key, entry) in range) {
+                if ((known[key] ?: Long.MIN_VALUE) >= entry.entry.version) continue
+                if (!budget.take(entry.bytes)) return SyncAnswer(entries, key)
+                entries += aged(entry, now)
+            }
+            SyncAnswer(entries, to)
+        }
+
+    private fun take(
+        queue: LinkedHashMap<String, Int>,
+        budget: ByteBudget,
+        now: Moment,
+    ): List<GossipEntry> {
+        val taken = mutableListOf<GossipEntry>()
+        for (key in queue.keys.toList()) {
+            val entry = held[key]
+            if (entry == null) {
+                queue.remove(key)
+                continue
+            }
+            if (!budget.take(entry.bytes)) break
+            taken += aged(entry, now)
+            val left = (queue.remove(key) ?: 1) - 1
+            if (left > 0) queue[key] = left
+        }
+        return taken
+    }
+
+    private fun drop(key: String) {
+        held.remove(key)
+        memberQueue.remove(key)
+        valueQueue.remove(key)
+    }
+
+    private fun queueOf(entry: GossipEntry): LinkedHashMap<String, Int> =
+        if (entry is GossipEntry.Membership) memberQueue else valueQueue
+
+    private fun publishedAt(
+        entry: GossipEntry,
+        now: Moment,
+    ): Moment = if (entry is GossipEntry.Published) now - entry.ageMilliseconds.milliseconds else now
+
+    private fun aged(
+        held: Held,
+        now: Moment,
+    ): GossipEntry {
+        val entry = held.entry
+        if (entry !is GossipEntry.Published) return entry
+        return entry.copy(ageMilliseconds = (now - held.publishedAt).inWholeMilliseconds)
+    }
+
+    private companion object {
+        const val ENTRY_SLACK_BYTES = 30
+        const val KNOWN_BYTES = 44
+    }
+}
+
+/** Bytes that are left for a message. */
+internal class ByteBudget(
+    private var left: Int,
+) {
+    /** Takes [bytes] if they are left. */
+    fun take(bytes: Int): Boolean {
+        if (bytes > left) return false
+        left -= bytes
+        return true
+    }
+}
+
+/** What a peer lacked; [syncedTo] is the key from which it is to ask next, null if it has reached the end. */
+internal class SyncAnswer(
+    val entries: List<GossipEntry>,
+    val syncedTo: String?,
+)
--- /dev/null
+++ b/library/src/test/kotlin/plantainturn/process/membership/GossipMembershipTest.kt
@@ -0,0 +1,261 @@
+package plantainturn.process.membership
+
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import org.junit.jupiter.api.Test
+import plantainturn.process.membership.InMemoryPeers.Companion.address
+import plantainturn.request.quarantine.QuarantineEntry
+import plantainturn.request.quarantine.RequestFingerprint
+import plantainturn.version.configuration.ConfigurationVersion
+import plantainturn.version.configuration.FailureDomain
+import plantainturn.version.configuration.UpstreamName
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+class GossipMembershipTest {
+    private val peers = InMemoryPeers()
+    private val timer = peers.timer
+
+    @Test
+    fun `members that join through one seed come to know each other and their values`() {
+        startAll(8)
+        peers.running.values.forEach { it.publish(GossipValue.NodeStatus(ready = true)) }
+        timer.advance(20.seconds)
+        assertTrue(peers.agree(), "${peers.views()}")
+        peers.running.values.forEach { assertEquals(8, it.values(GossipValue.NodeStatus::class).size) }
+    }
+
+    @Test
+    fun `a member that dies is suspected and then removed with its values`() {
+        settled(8)
+        peers.running.values.forEach { it.publish(GossipValue.NodeStatus(ready = true)) }
+        timer.advance(15.seconds)
+        peers.kill(address(3))
+        timer.advance(30.seconds)
+        assertTrue(peers.agree(), "${peers.views()}")
+        peers.running.values.forEach { assertEquals(7, it.values(GossipValue.NodeStatus::class).size) }
+    }
+
+    @Test
+    fun `a suspected member contradicts and stays`() {
+        settled(6)
+        val removed = watchRemovals(address(3))
+        peers.slow[address(3)] = 300.milliseconds
+        timer.advance(3.seconds)
+        assertTrue(peers.running.values.any { member -> member.members().any { it.suspected } })
+        peers.slow.clear()
+        timer.advance(20.seconds)
+        assertFalse(removed())
+        assertTrue(peers.running.values.none { member -> member.members().any { it.suspected } })
+    }
+
+    @Test
+    fun `a member that one other cannot reach is vouched for by the rest`() {
+        settled(6)
+        val removed = watchRemovals(address(3))
+        peers.cut = { from, to -> setOf(from, to) == setOf(address(1), address(3)) }
+        timer.advance(30.seconds)
+        assertFalse(removed())
+        assertTrue(peers.running.values.none { member -> member.members().any { it.suspected } })
+    }
+
+    @Test
+    fun `both sides of a partition go on alone and find each other again`() {
+        settled(6)
+        peers.cut = { from, to -> (from < address(3)) != (to < address(3)) }
+        timer.advance(40.seconds)
+        assertEquals(
+            setOf(3),
+            peers
+                .views()
+                .values
+                .map { it.size }
+                .toSet(),
+        )
+        timer.advance(10.minutes)
+        peers.cut = { _, _ -> false }
+        timer.advance(60.seconds)
+        assertTrue(peers.agree(), "${peers.views()}")
+    }
+
+    @Test
+    fun `a member that was paused does not bury those that it could not hear`() {
+        settled(6)
+        val frozen = address(2)
+        val removals = watchRemovals(address(4))
+        peers.frozen += frozen
+        timer.advance(15.seconds)
+        peers.frozen.clear()
+        timer.advance(30.seconds)
+        assertFalse(removals())
+        assertTrue(peers.agree(), "${peers.views()}")
+    }
+
+    @Test
+    fun `all members start again at once`() {
+        settled(8)
+        val before = peers.running.values.map { it.self }
+        peers.running.keys
+            .toList()
+            .forEach(peers::kill)
+        startAll(8)
+        timer.advance(40.seconds)
+        assertTrue(peers.agree(), "${peers.views()}")
+        val known =
+            peers.running.values
+                .flatMap { member -> member.members().map { it.identifier } }
+                .toSet()
+        assertTrue(known.intersect(before.toSet()).isEmpty())
+    }
+
+    @Test
+    fun `members are replaced one by one`() {
+        settled(8)
+        for (number in 0 until 8) {
+            peers.kill(address(number))
+            peers.start(address(number + 20), seeds = listOf(address(7), address(20)))
+            timer.advance(10.seconds)
+        }
+        timer.advance(30.seconds)
+        assertTrue(peers.agree(), "${peers.views()}")
+    }
+
+    @Test
+    fun `a process that took over an address shows that the one before is gone`() {
+        settled(4)
+        val before = peers.running.getValue(address(2)).self
+        peers.kill(address(2))
+        peers.start(address(2))
+        timer.advance(6.seconds)
+        assertTrue(peers.running.values.none { member -> member.members().any { it.identifier == before } })
+    }
+
+    @Test
+    fun `a member that leaves is gone without being suspected`() {
+        settled(6)
+        val leaving = peers.running.getValue(address(3))
+        leaving.leave()
+        timer.advance(100.milliseconds)
+        peers.kill(address(3))
+        timer.advance(4.seconds)
+        assertTrue(peers.agree(), "${peers.views()}")
+    }
+
+    @Test
+    fun `urgent news reaches all without waiting for a period`() {
+        settled(8)
+        val start = timer.now()
+        peers.running.getValue(address(5)).publish(GossipValue.LeavingVm("http://10.1.0.1"))
+        while (!allHeard() && timer.now() - start < 5.seconds) timer.advance(10.milliseconds)
+        assertTrue(timer.now() - start < 900.milliseconds, "took ${timer.now() - start}")
+    }
+
+    @Test
+    fun `messages stay within their limit and every value gets its turn`() {
+        settled(5)
+        for (member in peers.running.values) {
+            repeat(30) { member.publish(quarantine(it)) }
+        }
+        timer.advance(5.minutes)
+        assertTrue(peers.mostBytes <= 900, "${peers.mostBytes}")
+        for (member in peers.running.values) {
+            assertEquals(150, member.values(GossipValue.Quarantine::class).size)
+        }
+    }
+
+    @Test
+    fun `a value that no message can carry is refused`() {
+        val member = peers.start(InMemoryPeers.FIRST)
+        val inFlight = (1..100).associate { UpstreamName("upstream-with-a-long-name-$it") to it }
+        val result = member.publish(GossipValue.RecentSends(persistentMapOf<UpstreamName, Int>().putAll(inFlight)))
+        assertIs<PublishResult.TooLarge>(result)
+    }
+
+    @Test
+    fun `a value's age counts from its publication`() {
+        settled(3)
+        val publishedAt = timer.now()
+        peers.running.getValue(address(0)).publish(GossipValue.NodeStatus(ready = true))
+        timer.advance(30.seconds)
+        for (member in peers.running.values) {
+            val heard = member.values(GossipValue.NodeStatus::class).single()
+            assertTrue(heard.publishedAt - publishedAt < 50.milliseconds, "${heard.publishedAt - publishedAt}")
+        }
+    }
+
+    @Test
+    fun `the highest configuration version is heard with the address that has it`() {
+        val heard = mutableListOf<String>()
+        val first = peers.start(InMemoryPeers.FIRST)
+        first.subscribe(
+            object : MembershipListener {
+                override fun onConfigurationVersion(
+                    version: ConfigurationVersion,
+                    address: String,
+                ) {
+                    heard += "$version $address"
+                }
+            },
+        )
+        val message =
+            GossipMessage(
+                GossipEntry.Membership(
+                    MemberIdentifier("other/1"),
+                    1,
+                    MemberState.ALIVE,
+                    address(9),
+                    FailureDomain("como"),
+                ),
+                configurationVersion =
+                    ConfigurationVersion(7),
+            )
+        repeat(2) { first.receive(message) {} }
+        assertEquals(listOf("7 ${address(9)}"), heard)
+        assertContains(first.members().map { it.address }, address(9))
+    }
+
+    private fun startAll(count: Int) = repeat(count) { peers.start(address(it)) }
+
+    private fun settled(count: Int) {
+        startAll(count)
+        timer.advance(20.seconds)
+        assertTrue(peers.agree(), "${peers.views()}")
+    }
+
+    /** Returns a function that tells whether any member has counted the one at [address] as gone. */
+    private fun watchRemovals(address: String): () -> Boolean {
+        var removed = false
+        for ((own, member) in peers.running) {
+            if (own == address) continue
+            member.subscribe(
+                object : MembershipListener {
+                    override fun onMembersChanged() {
+                        if (member.members().none { it.address == address }) removed = true
+                    }
+                },
+            )
+        }
+        return { removed }
+    }
+
+    private fun allHeard() = peers.running.values.all { it.values(GossipValue.LeavingVm::class).isNotEmpty() }
+
+    private fun quarantine(number: Int): GossipValue {
+        val fingerprint =
+            RequestFingerprint(number.toLong())
+        val entry =
+            QuarantineEntry(
+                fingerprint,
+                persistentListOf(),
+                false,
+                1_000,
+            )
+        return GossipValue.Quarantine(entry)
+    }
+}
