--- a/library/src/main/kotlin/plantainturn/process/membership/GossipMembership.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/GossipMembership.kt
@@ -99,8 +99,7 @@
 
     override fun publish(value: GossipValue): PublishResult {
         val entry = GossipEntry.Published(self, own.nextCounter(), value)
-        val published = table.get(entry.key) as? GossipEntry.Published
-        if (published?.value == value) return PublishResult.Published
+        if (table.fresh(entry.key, timer.now()) == value) return PublishResult.Published
         val bytes = GossipJson.bytesOf(entry)
         if (bytes > composer.valueLimit) return PublishResult.TooLarge(bytes, composer.valueLimit)
         merge(entry)
@@ -143,14 +142,21 @@
         lastTick = now
         ticks++
         urgentLeft.updateAndGet { (it + 1).coerceAtMost(URGENT_BURST) }
-        if (gap > settings.period * PAUSE_PERIODS) suspicions.extend(gap) else bury(now)
+        if (gap > settings.period * PAUSE_PERIODS) suspicions.restart(now + suspicionTime()) else bury(now)
+        table.expire(now)
         suspicions.forgotten(now).forEach { table.forget(it, wholly = true) }
         if (ticks % settings.syncPeriods == 0) syncDue = true
-        val member = choice.next(members())
+        val member = nextToProbe()
         if (member != null) probe(member)
         if (member == null || ticks % settings.contactPeriods == 0) contact()
     }
 
+    /** Every other time a suspected member, so that it hears soon what it has to contradict. */
+    private fun nextToProbe(): Member? {
+        val suspected = if (ticks % 2 == 0) members().filter { it.suspected } else emptyList()
+        return choice.any(suspected) ?: choice.next(members())
+    }
+
     private fun bury(now: Moment) {
         suspicions.expired(now).forEach { merge(it.copy(state = MemberState.DEAD)) }
     }
--- a/library/src/main/kotlin/plantainturn/process/membership/GossipValue.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/GossipValue.kt
@@ -9,6 +9,9 @@
 import plantainturn.version.configuration.SerializableMap
 import plantainturn.version.configuration.UpstreamName
 import plantainturn.version.placement.ModelDemand
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 
 /** Something that a member tells the others. A member's later value replaces its earlier one of the same [slot]. */
 @Serializable
@@ -16,6 +19,10 @@
     /** Names what the value replaces. */
     public val slot: String
 
+    /** How long after its publication the value holds. A member that stands by it publishes it again before that. */
+    public val lifetime: Duration
+        get() = Duration.INFINITE
+
     /** Whether the value is to be passed on at once rather than with the next exchange. */
     public val urgent: Boolean
         get() = false
@@ -56,6 +63,9 @@
     ) : GossipValue {
         override val slot: String
             get() = "upstream $upstream"
+
+        override val lifetime: Duration
+            get() = 1.minutes
     }
 
     /**
@@ -72,6 +82,9 @@
         override val slot: String
             get() = "leaving $address"
 
+        override val lifetime: Duration
+            get() = 10.minutes
+
         override val urgent: Boolean
             get() = true
     }
@@ -89,6 +102,9 @@
     ) : GossipValue {
         override val slot: String
             get() = "demand $part"
+
+        override val lifetime: Duration
+            get() = 3.minutes
     }
 
     /** What the member knows against one fingerprint. */
@@ -100,6 +116,9 @@
         override val slot: String
             get() = "quarantine ${entry.fingerprint}"
 
+        override val lifetime: Duration
+            get() = entry.remainingMilliseconds.milliseconds
+
         override val urgent: Boolean
             get() = entry.quarantined
     }
@@ -116,5 +135,8 @@
     ) : GossipValue {
         override val slot: String
             get() = "sends"
+
+        override val lifetime: Duration
+            get() = 1.minutes
     }
 }
--- a/library/src/main/kotlin/plantainturn/process/membership/Membership.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/Membership.kt
@@ -16,7 +16,7 @@
     /** Returns the nodes believed to be present, this one included, ordered by identifier. */
     public fun members(): PersistentList<Member>
 
-    /** Tells the others [value]. An equal value published before is not sent again. */
+    /** Tells the others [value]. An equal value is sent again only to keep it from expiring. */
     public fun publish(value: GossipValue): PublishResult
 
     /** Returns the values of type [kind] of all members present, this one included. */
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/membership/QuarantineGossip.kt
@@ -0,0 +1,55 @@
+package plantainturn.process.membership
+
+import plantainturn.process.time.TimerService
+import plantainturn.process.time.TimerSubscription
+import plantainturn.request.quarantine.QuarantineEntry
+import plantainturn.request.quarantine.QuarantineExchange
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Tells the others what this node holds against fingerprints, and takes over what they hold. */
+public class QuarantineGossip(
+    private val membership: Membership,
+    private val timer: TimerService,
+    private val quarantine: QuarantineExchange,
+    private val period: Duration = DEFAULT_PERIOD,
+) : AutoCloseable {
+    private var subscription: TimerSubscription? = null
+
+    /** Begins to tell the others and to listen to them. */
+    public fun start() {
+        membership.subscribe(
+            object : MembershipListener {
+                override fun onHeard(heard: HeardValue<GossipValue>): Unit = take(heard)
+            },
+        )
+        subscription = timer.subscribe(period, ::publish)
+    }
+
+    override fun close() {
+        subscription?.cancel()
+    }
+
+    private fun publish() {
+        val told = membership.values(GossipValue.Quarantine::class).map { evidenceOf(it.value.entry) }.toSet()
+        quarantine
+            .snapshot()
+            .filterNot { evidenceOf(it) in told }
+            .forEach { membership.publish(GossipValue.Quarantine(it)) }
+    }
+
+    private fun take(heard: HeardValue<GossipValue>) {
+        val value = heard.value as? GossipValue.Quarantine ?: return
+        if (heard.member == membership.self) return
+        val age = (timer.now() - heard.publishedAt).inWholeMilliseconds
+        val remaining = value.entry.remainingMilliseconds - age
+        if (remaining > 0) quarantine.merge(listOf(value.entry.copy(remainingMilliseconds = remaining)))
+    }
+
+    /** What matters of an entry: the rest of its time changes by itself. */
+    private fun evidenceOf(entry: QuarantineEntry): QuarantineEntry = entry.copy(remainingMilliseconds = 0)
+
+    private companion object {
+        val DEFAULT_PERIOD = 200.milliseconds
+    }
+}
--- a/library/src/main/kotlin/plantainturn/process/membership/internal/GossipTable.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/internal/GossipTable.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.toPersistentList
 import plantainturn.process.membership.GossipEntry
 import plantainturn.process.membership.GossipJson
+import plantainturn.process.membership.GossipValue
 import plantainturn.process.membership.KnownVersion
 import plantainturn.process.membership.MemberIdentifier
 import plantainturn.process.membership.SyncRequest
@@ -23,7 +24,9 @@
         val entry: GossipEntry,
         val publishedAt: Moment,
         val bytes: Int,
-    )
+    ) {
+        fun isOver(now: Moment): Boolean = entry is GossipEntry.Published && now - publishedAt > entry.value.lifetime
+    }
 
     private val lock = ReentrantLock()
     private val held = TreeMap<String, Held>()
@@ -63,6 +66,25 @@
         }
     }
 
+    /** Drops the values whose lifetime has passed. */
+    fun expire(now: Moment) {
+        lock.withLock {
+            val over = held.values.filter { it.isOver(now) }
+            over.forEach { drop(it.entry.key) }
+        }
+    }
+
+    /** Returns the value that was published under [key] not longer than half its lifetime ago. */
+    fun fresh(
+        key: String,
+        now: Moment,
+    ): GossipValue? =
+        lock.withLock {
+            val found = held[key] ?: return null
+            val value = (found.entry as? GossipEntry.Published)?.value ?: return null
+            value.takeIf { now - found.publishedAt <= it.lifetime / 2 }
+        }
+
     /** Takes the entries that are next to be sent and fit in [bytes]. */
     fun nextToSend(
         bytes: Int,
--- a/library/src/main/kotlin/plantainturn/process/membership/internal/PeerChoice.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/internal/PeerChoice.kt
@@ -24,6 +24,10 @@
             others[round.removeFirst()]
         }
 
+    /** Returns one of [members] other than this node at random, or null if there is none. */
+    fun any(members: List<Member>): Member? =
+        lock.withLock { members.filter { it.identifier != self }.randomOrNull(random) }
+
     /** Returns up to [count] members at random, without this node and [except]. */
     fun several(
         members: List<Member>,
--- a/library/src/main/kotlin/plantainturn/process/membership/internal/Suspicions.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/internal/Suspicions.kt
@@ -5,7 +5,6 @@
 import plantainturn.process.time.Moment
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
-import kotlin.time.Duration
 
 /** The members under suspicion and those that are gone, with the moments at which that ends. */
 internal class Suspicions {
@@ -42,9 +41,9 @@
         }
     }
 
-    /** Gives all suspected members [more] time. */
-    fun extend(more: Duration) {
-        lock.withLock { suspected.values.forEach { it.deadline += more } }
+    /** Gives all suspected members until [deadline]. */
+    fun restart(deadline: Moment) {
+        lock.withLock { suspected.values.forEach { it.deadline = deadline } }
     }
 
     /** Returns and forgets the suspicions whose time has passed. */
--- a/library/src/test/kotlin/plantainturn/process/membership/GossipMembershipTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/membership/GossipMembershipTest.kt
@@ -85,18 +85,34 @@
     }
 
     @Test
-    fun `a member that was paused does not bury those that it could not hear`() {
+    fun `a member that was paused does not bury those that it suspected before`() {
         settled(6)
-        val frozen = address(2)
-        val removals = watchRemovals(address(4))
-        peers.frozen += frozen
+        val paused = peers.running.getValue(address(2))
+        val removed = watchRemovals(address(4))
+        peers.slow[address(4)] = 300.milliseconds
+        while (paused.members().none { it.suspected }) timer.advance(100.milliseconds)
+        peers.slow.clear()
+        peers.frozen += address(2)
         timer.advance(15.seconds)
         peers.frozen.clear()
         timer.advance(30.seconds)
-        assertFalse(removals())
+        assertFalse(removed())
         assertTrue(peers.agree(), "${peers.views()}")
     }
 
+    @Test
+    fun `a value ends with its lifetime unless its member stands by it`() {
+        settled(3)
+        val (first, second) = peers.running.values.toList()
+        val standing = timer.subscribe(10.seconds) { second.publish(sends("b")) }
+        first.publish(sends("a"))
+        timer.advance(90.seconds)
+        standing.cancel()
+        for (member in peers.running.values) {
+            assertEquals(listOf(sends("b")), member.values(GossipValue.RecentSends::class).map { it.value })
+        }
+    }
+
     @Test
     fun `all members start again at once`() {
         settled(8)
@@ -246,6 +262,8 @@
 
     private fun allHeard() = peers.running.values.all { it.values(GossipValue.LeavingVm::class).isNotEmpty() }
 
+    private fun sends(upstream: String) = GossipValue.RecentSends(persistentMapOf(UpstreamName(upstream) to 1))
+
     private fun quarantine(number: Int): GossipValue {
         val fingerprint =
             RequestFingerprint(number.toLong())
@@ -254,7 +272,7 @@
                 fingerprint,
                 persistentListOf(),
                 false,
-                1_000,
+                3_600_000,
             )
         return GossipValue.Quarantine(entry)
     }
