--- a/daemon/src/main/kotlin/plantainturn/daemon/node/ControlPart.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/node/ControlPart.kt
@@ -1,5 +1,6 @@
 package plantainturn.daemon.node
 
+import plantainturn.connection.engine.FenceNumber
 import plantainturn.connection.upstream.UpstreamDirectory
 import plantainturn.daemon.settings.NodeSettings
 import plantainturn.process.control.controller.Controller
@@ -7,6 +8,7 @@
 import plantainturn.process.control.lease.HolderIdentifier
 import plantainturn.process.control.lease.LeaseKeeper
 import plantainturn.process.control.lease.LeaseSettings
+import plantainturn.process.membership.MemberRanking
 import plantainturn.process.time.TimerService
 import plantainturn.version.configuration.ConfigurationSource
 import plantainturn.version.placement.DemandPlanner
@@ -26,13 +28,14 @@
     configuration: ConfigurationSource,
     directory: UpstreamDirectory,
     demand: DemandSource,
+    private val ranking: MemberRanking,
 ) {
     private val executor =
         ThreadPoolExecutor(0, MAXIMUM_THREADS, IDLE_SECONDS, TimeUnit.SECONDS, SynchronousQueue()) { work ->
             Thread(work, "control").apply { isDaemon = true }
         }
     private val keeper =
-        LeaseKeeper(platform.log, settings.shard, HolderIdentifier(incarnation), timer, leaseSettings())
+        LeaseKeeper(platform.log, settings.shard, HolderIdentifier(incarnation), timer, leaseSettings(), ::rank)
     val controller =
         Controller(
             keeper,
@@ -53,6 +56,8 @@
         released.await(RELEASE_SECONDS, TimeUnit.SECONDS)
     }
 
+    private fun rank(fence: FenceNumber): Int = ranking.rankOfSelf("lease ${settings.shard} $fence")
+
     private fun leaseSettings(): LeaseSettings {
         val term = settings.lease.termMilliseconds.milliseconds
         return LeaseSettings(
--- a/daemon/src/main/kotlin/plantainturn/daemon/node/Platform.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/node/Platform.kt
@@ -14,7 +14,7 @@
 internal class Platform(
     settings: NodeSettings,
 ) {
-    private val client =
+    val client =
         OkHttpClient
             .Builder()
             .connectTimeout(CONNECT_SECONDS, TimeUnit.SECONDS)
--- a/daemon/src/main/kotlin/plantainturn/daemon/node/VersionPart.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/node/VersionPart.kt
@@ -11,6 +11,11 @@
 import plantainturn.version.configuration.ConfigurationFold
 import plantainturn.version.configuration.ConfigurationFollower
 import plantainturn.version.configuration.ConfigurationSubmitter
+import plantainturn.version.configuration.ConfigurationVersion
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.ThreadPoolExecutor.DiscardPolicy
+import java.util.concurrent.TimeUnit
 
 /** What keeps this node at the configuration in force. */
 internal class VersionPart(
@@ -27,6 +32,8 @@
     val submitter = ConfigurationSubmitter(platform.log, follower, appender, timer)
     private val snapshots =
         SnapshotWriter(follower.stream, ConfigurationFold.rule, appender, timer, SnapshotSettings(), rank)
+    private val catchUp =
+        ThreadPoolExecutor(0, 1, IDLE_SECONDS, TimeUnit.SECONDS, ArrayBlockingQueue(1), ::daemonThread, DiscardPolicy())
     private val threads =
         listOf(
             follower.loop.thread("configuration-follow"),
@@ -37,7 +44,19 @@
         threads.forEach { it.start() }
     }
 
+    /** Catches up with [version], which another node is said to follow, without blocking the caller. */
+    fun hearOf(version: ConfigurationVersion) {
+        catchUp.execute { follower.hearOf(version) }
+    }
+
     override fun close() {
+        catchUp.shutdownNow()
         threads.forEach { it.close() }
     }
+
+    private fun daemonThread(work: Runnable) = Thread(work, "configuration-catch-up").apply { isDaemon = true }
+
+    private companion object {
+        const val IDLE_SECONDS = 10L
+    }
 }
--- a/daemon/src/main/kotlin/plantainturn/daemon/peer/HttpPeerRecordSource.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/peer/HttpPeerRecordSource.kt
@@ -56,8 +56,7 @@
             .build()
     }
 
-    private fun decode(text: String): ReadResult =
-        Json.decodeFromString(PeerRecords.serializer(), text).toReadResult()
+    private fun decode(text: String): ReadResult = Json.decodeFromString(PeerRecords.serializer(), text).toReadResult()
 
     private fun unavailable(reason: String) = ReadResult.Unavailable("$address: $reason")
 
