--- a/daemon/src/main/kotlin/plantainturn/daemon/caller/CallerApi.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/caller/CallerApi.kt
@@ -151,7 +151,14 @@
         const val HTTP_NOT_FOUND = 404
         val RETRY_AFTER_BUSY = with(kotlin.time.Duration) { 1.seconds }
         val SERVICE_METHODS =
-            listOf(HandlerType.GET, HandlerType.HEAD, HandlerType.POST, HandlerType.PUT, HandlerType.PATCH, HandlerType.DELETE)
+            listOf(
+                HandlerType.GET,
+                HandlerType.HEAD,
+                HandlerType.POST,
+                HandlerType.PUT,
+                HandlerType.PATCH,
+                HandlerType.DELETE,
+            )
         val SERVICE_PATHS = listOf("/services/{name}", "/services/{name}/<path>")
     }
 }
--- a/daemon/src/main/kotlin/plantainturn/daemon/caller/CompletionParser.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/caller/CompletionParser.kt
@@ -78,7 +78,8 @@
 
     private fun readStream(root: JsonObject): Boolean {
         val element = root["stream"] ?: return false
-        return (element as? JsonPrimitive)?.takeIf { !it.isString }?.booleanOrNull ?: fail("stream must be true or false")
+        return (element as? JsonPrimitive)?.takeIf { !it.isString }?.booleanOrNull
+            ?: fail("stream must be true or false")
     }
 
     private fun readPriority(root: JsonObject): RequestPriority {
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/ConfigurationPatchCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/ConfigurationPatchCommand.kt
@@ -53,7 +53,8 @@
         return report(client.patch(patch, version, identifier))
     }
 
-    private fun versionOf(client: OperatorClient): Long? = (client.get("/configuration") as? OperatorAnswer.Answered)?.version
+    private fun versionOf(client: OperatorClient): Long? =
+        (client.get("/configuration") as? OperatorAnswer.Answered)?.version
 
     private fun report(answer: OperatorAnswer): Int {
         val status = AnswerPrinter.print(answer)
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/EngineStandInCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/EngineStandInCommand.kt
@@ -12,5 +12,6 @@
     @Mixin
     private lateinit var runner: StandInRunner
 
-    override fun call(): Int = runner.run(EngineStandInSettings.serializer()) { settings -> EngineStandIn(settings).start() }
+    override fun call(): Int =
+        runner.run(EngineStandInSettings.serializer()) { settings -> EngineStandIn(settings).start() }
 }
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/LogStandInCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/LogStandInCommand.kt
@@ -7,7 +7,11 @@
 import java.util.concurrent.Callable
 
 /** Runs the stand-in of the platform's append-only log. */
-@Command(name = "log", description = ["Runs a stand-in of the platform's append-only log."], mixinStandardHelpOptions = true)
+@Command(
+    name = "log",
+    description = ["Runs a stand-in of the platform's append-only log."],
+    mixinStandardHelpOptions = true,
+)
 internal class LogStandInCommand : Callable<Int> {
     @Mixin
     private lateinit var runner: StandInRunner
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/OperatorClient.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/OperatorClient.kt
@@ -44,7 +44,11 @@
     private fun execute(request: Request): OperatorAnswer =
         try {
             client.newCall(request).execute().use { response ->
-                OperatorAnswer.Answered(response.code, response.header("ETag")?.trim('"')?.toLongOrNull(), response.body.string())
+                OperatorAnswer.Answered(
+                    response.code,
+                    response.header("ETag")?.trim('"')?.toLongOrNull(),
+                    response.body.string(),
+                )
             }
         } catch (exception: IOException) {
             OperatorAnswer.Unanswered("$node does not answer: ${exception.message}")
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/ReplayCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/ReplayCommand.kt
@@ -53,7 +53,11 @@
     )
     private var faults: FaultSelection = FaultSelection.NONE
 
-    @Option(names = ["--trace"], paramLabel = "FILE", description = ["A recorded trace, JSON lines; see docs/TRACES.md."])
+    @Option(
+        names = ["--trace"],
+        paramLabel = "FILE",
+        description = ["A recorded trace, JSON lines; see docs/TRACES.md."],
+    )
     private var trace: Path? = null
 
     @Option(
@@ -111,6 +115,8 @@
             value: String,
         ): T =
             entries.firstOrNull { argumentOf(it) == value }
-                ?: throw TypeConversionException("expected one of ${entries.joinToString { argumentOf(it) }}, not $value")
+                ?: throw TypeConversionException(
+                    "expected one of ${entries.joinToString { argumentOf(it) }}, not $value",
+                )
     }
 }
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/ServiceStandInCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/ServiceStandInCommand.kt
@@ -12,5 +12,6 @@
     @Mixin
     private lateinit var runner: StandInRunner
 
-    override fun call(): Int = runner.run(ServiceStandInSettings.serializer()) { settings -> ServiceStandIn(settings).start() }
+    override fun call(): Int =
+        runner.run(ServiceStandInSettings.serializer()) { settings -> ServiceStandIn(settings).start() }
 }
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/VmListStandInCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/VmListStandInCommand.kt
@@ -12,5 +12,6 @@
     @Mixin
     private lateinit var runner: StandInRunner
 
-    override fun call(): Int = runner.run(VmListStandInSettings.serializer()) { settings -> VmListStandIn(settings).start() }
+    override fun call(): Int =
+        runner.run(VmListStandInSettings.serializer()) { settings -> VmListStandIn(settings).start() }
 }
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/WeightStoreStandInCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/WeightStoreStandInCommand.kt
@@ -12,5 +12,6 @@
     @Mixin
     private lateinit var runner: StandInRunner
 
-    override fun call(): Int = runner.run(WeightStoreStandInSettings.serializer()) { settings -> WeightStoreStandIn(settings).start() }
+    override fun call(): Int =
+        runner.run(WeightStoreStandInSettings.serializer()) { settings -> WeightStoreStandIn(settings).start() }
 }
--- a/daemon/src/main/kotlin/plantainturn/daemon/node/Node.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/node/Node.kt
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
+import plantainturn.connection.log.TimerPause
 import plantainturn.daemon.caller.RequestExecutor
 import plantainturn.daemon.caller.RequestIdentifiers
 import plantainturn.daemon.http.HttpLimits
@@ -11,7 +12,6 @@
 import plantainturn.daemon.operator.ConfigurationEndpoint
 import plantainturn.daemon.operator.DumpSource
 import plantainturn.daemon.operator.OperatorApi
-import plantainturn.connection.log.TimerPause
 import plantainturn.daemon.settings.NodeSettings
 import plantainturn.process.control.controller.ControllerState
 import plantainturn.process.time.SystemTimerService
@@ -104,8 +104,7 @@
         LogManager.shutdown()
     }
 
-    private fun callerLimits() =
-        HttpLimits(CALLER_THREADS, settings.limits.bodyBytes, settings.limits.bodyMilliseconds)
+    private fun callerLimits() = HttpLimits(CALLER_THREADS, settings.limits.bodyBytes, settings.limits.bodyMilliseconds)
 
     private fun controlLimits() = HttpLimits(CONTROL_THREADS, CONTROL_BODY_BYTES, settings.limits.bodyMilliseconds)
 
--- a/daemon/src/main/kotlin/plantainturn/daemon/operator/ConfigurationEndpoint.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/operator/ConfigurationEndpoint.kt
@@ -60,14 +60,20 @@
         }
         val document = documentOf(context)
         if (document == null) {
-            ResultWriter.writeError(context, identifier, ResultCode.MALFORMED_REQUEST, "the patch must be a JSON object")
+            ResultWriter.writeError(
+                context,
+                identifier,
+                ResultCode.MALFORMED_REQUEST,
+                "the patch must be a JSON object",
+            )
             return
         }
         val name = context.header(PATCH_IDENTIFIER_HEADER) ?: identifier.value
         val operator = context.header(OPERATOR_HEADER) ?: "operator"
         val patch = ConfigurationPatch(PatchIdentifier(name), version, document, operator)
         context.future {
-            executor.submit { writeResult(context, identifier, submitter.submit(patch)) } ?: refuseBusy(context, identifier)
+            executor.submit { writeResult(context, identifier, submitter.submit(patch)) }
+                ?: refuseBusy(context, identifier)
         }
     }
 
--- a/daemon/src/main/kotlin/plantainturn/daemon/settings/NodeSettingsReader.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/settings/NodeSettingsReader.kt
@@ -69,7 +69,11 @@
         root.text("failureDomain", NAME, "a name of letters, digits, '.', '_' and '-'")
         root.text("region", NAME, "a name of letters, digits, '.', '_' and '-'")
         root.text("shard", NAME, "a name of letters, digits, '.', '_' and '-'")
-        root.text("operatorTokenSha256", SHA256, "the SHA-256 of the operators' token, 64 lower-case hexadecimal digits")
+        root.text(
+            "operatorTokenSha256",
+            SHA256,
+            "the SHA-256 of the operators' token, 64 lower-case hexadecimal digits",
+        )
         root.text("peerToken", TOKEN, "a token of 16 to 256 characters without spaces")
     }
 
--- a/daemon/src/test/kotlin/plantainturn/daemon/settings/NodeSettingsReaderTest.kt
+++ b/daemon/src/test/kotlin/plantainturn/daemon/settings/NodeSettingsReaderTest.kt
@@ -28,7 +28,8 @@
         val paths = result.faults.map { it.path }
         val missing = listOf("failureDomain", "region", "shard", "operatorTokenSha256", "peerToken")
         assertEquals(
-            listOf("$.name") + missing.map { "$.$it" } + listOf("$.callers", "$.control", "$.log", "$.vmList", "$.colour"),
+            listOf("$.name") + missing.map { "$.$it" } +
+                listOf("$.callers", "$.control", "$.log", "$.vmList", "$.colour"),
             paths,
         )
     }
--- a/library/src/main/kotlin/plantainturn/version/placement/DemandPlanner.kt
+++ b/library/src/main/kotlin/plantainturn/version/placement/DemandPlanner.kt
@@ -41,7 +41,7 @@
         val eviction = Eviction(board, estimate, history, input.now)
         draft.dropUnknown(board)
         FloorPlanner(board, draft, eviction, estimate).plan()
-        AdapterPlanner(board, draft, input.configuration.objective, settings).plan()
+        AdapterPlanner(board, draft, eviction, input.configuration.objective, settings).plan()
         ReplicaPlanner(board, draft, eviction, estimate, input.configuration.objective, settings).plan()
         return PlacementPlan(draft.moves.toPersistentList(), explain(board))
     }
--- a/library/src/main/kotlin/plantainturn/version/placement/internal/AdapterPlanner.kt
+++ b/library/src/main/kotlin/plantainturn/version/placement/internal/AdapterPlanner.kt
@@ -12,6 +12,7 @@
 internal class AdapterPlanner(
     private val board: PlacementBoard,
     private val draft: MoveDraft,
+    private val eviction: Eviction,
     private val objective: Objective,
     private val settings: PlannerSettings,
 ) {
@@ -22,26 +23,44 @@
     }
 
     private fun floor(adapter: BoardModel) {
-        while (adapter.live.size < FLOOR_COPIES) {
-            val target = nextTarget(adapter) ?: return
+        repeat(FLOOR_COPIES) {
+            if (adapter.liveDomains.size >= FLOOR_COPIES) return
+            val places = places(adapter).filter { it.domain !in adapter.liveDomains }
+            val target = places.firstOrNull { it.fits(adapter.memoryMegabytes) } ?: return makeRoom(adapter, places)
             val emergency = adapter.live.isEmpty()
-            val reason = if (emergency) "No usable upstream holds it." else "It has only one copy."
+            val reason = if (emergency) "No usable upstream holds it." else "It is in one failure domain only."
             draft.loadAdapter(adapter, target, reason, emergency)
         }
     }
 
-    private fun nextTarget(adapter: BoardModel): BoardUpstream? {
-        val taken = adapter.liveDomains
-        return candidates(adapter).minWithOrNull(
-            compareBy({ it.domain in taken }, { -it.freeMegabytes }, { it.name }),
-        )
+    /** Unloads surplus beside the base model, or for a first copy anything that is not the last, for a later plan. */
+    private fun makeRoom(
+        adapter: BoardModel,
+        places: List<BoardUpstream>,
+    ) {
+        if (places.any { it.willFit(adapter.memoryMegabytes) }) return
+        for (place in places) {
+            val victims = victims(adapter, place) ?: continue
+            val others = victims.models.filter { it.name != adapter.baseModel }
+            if (others.size < victims.models.size) continue
+            others.forEach { draft.unload(it, place, "Makes room for ${adapter.name}, which lacks its floor.") }
+            return
+        }
     }
 
-    private fun candidates(adapter: BoardModel): List<BoardUpstream> {
+    private fun victims(
+        adapter: BoardModel,
+        place: BoardUpstream,
+    ): Victims? =
+        eviction.surplus(place, adapter.memoryMegabytes)
+            ?: if (adapter.live.isEmpty()) eviction.notLast(place, adapter.memoryMegabytes) else null
+
+    private fun places(adapter: BoardModel): List<BoardUpstream> {
         val base = board.find(checkNotNull(adapter.baseModel)) ?: return emptyList()
-        return base.live.filter {
-            it.acceptsOrders && base.isReadyOn(it) && !it.has(adapter) && it.fits(adapter.memoryMegabytes)
-        }
+        return base.live
+            .filter {
+                it.acceptsOrders && base.isReadyOn(it) && !it.has(adapter)
+            }.sortedWith(compareBy({ -it.freeMegabytes }, { it.name }))
     }
 
     private fun isWorthReplicas(adapter: BoardModel): Boolean {
@@ -51,7 +70,7 @@
     }
 
     private fun follow(adapter: BoardModel) {
-        candidates(adapter).forEach { target ->
+        places(adapter).filter { it.fits(adapter.memoryMegabytes) }.forEach { target ->
             draft.loadAdapter(adapter, target, "Its demand is worth a copy beside its base model.", emergency = false)
         }
     }
--- a/library/src/main/kotlin/plantainturn/version/placement/internal/FloorPlanner.kt
+++ b/library/src/main/kotlin/plantainturn/version/placement/internal/FloorPlanner.kt
@@ -97,7 +97,7 @@
     ): Boolean {
         val (target, victims) =
             targets
-                .mapNotNull { upstream -> choose(upstream, model.memoryMegabytes)?.let { upstream to it } }
+                .mapNotNull { upstream -> choose(upstream, model.groupMegabytes)?.let { upstream to it } }
                 .minWithOrNull(compareBy({ it.second.lostTokensPerSecond }, { it.second.moves }, { it.first.name }))
                 ?: return false
         victims.models.forEach { draft.unload(it, target, "Makes room for ${model.name}, which lacks its floor.") }
--- a/library/src/main/kotlin/plantainturn/version/placement/internal/ReplicaPlanner.kt
+++ b/library/src/main/kotlin/plantainturn/version/placement/internal/ReplicaPlanner.kt
@@ -85,9 +85,9 @@
         target: BoardUpstream,
     ): Victims? =
         when {
-            target.fits(model.memoryMegabytes) -> Victims.NONE
-            target.willFit(model.memoryMegabytes) -> Victims.NONE
-            else -> eviction.settledSurplus(target, model.memoryMegabytes)
+            target.fits(model.groupMegabytes) -> Victims.NONE
+            target.willFit(model.groupMegabytes) -> Victims.NONE
+            else -> eviction.settledSurplus(target, model.groupMegabytes)
         }
 
     private fun worth(
