--- a/daemon/src/main/kotlin/plantainturn/daemon/command/EngineStandInCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/EngineStandInCommand.kt
@@ -1,5 +1,6 @@
 package plantainturn.daemon.command
 
+import kotlinx.serialization.serializer
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import plantainturn.standins.EngineStandIn
@@ -13,5 +14,5 @@
     private lateinit var runner: StandInRunner
 
     override fun call(): Int =
-        runner.run(EngineStandInSettings.serializer()) { settings -> EngineStandIn(settings).start() }
+        runner.run(serializer<EngineStandInSettings>()) { settings -> EngineStandIn(settings).start() }
 }
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/LogStandInCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/LogStandInCommand.kt
@@ -1,5 +1,6 @@
 package plantainturn.daemon.command
 
+import kotlinx.serialization.serializer
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import plantainturn.standins.LogStandIn
@@ -16,5 +17,5 @@
     @Mixin
     private lateinit var runner: StandInRunner
 
-    override fun call(): Int = runner.run(LogStandInSettings.serializer()) { settings -> LogStandIn(settings).start() }
+    override fun call(): Int = runner.run(serializer<LogStandInSettings>()) { settings -> LogStandIn(settings).start() }
 }
