--- a/library/src/test/kotlin/plantainturn/request/claim/LogClaimServiceTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/claim/LogClaimServiceTest.kt
@@ -135,6 +135,20 @@
         assertIs<ClaimResult.Granted>(second.claim(key))
     }
 
+    @Test
+    fun `a claim that arrives after more releases than are kept is released again`() {
+        log.appendsToLose = Int.MAX_VALUE
+        assertIs<ClaimResult.Unavailable>(first.decided(first.service.claimLater(key, "content")))
+        log.appendsToLose = 0
+        repeat(2) { first.service.step() }
+        first.timer.advance(1.seconds)
+        repeat(2) { first.service.step() }
+        append("releases", List(ClaimState.RELEASED_KEPT) { ClaimEntry.Release(RecordIdentifier("c$it"), key) })
+        arriveLate("a/0/claim/1")
+        repeat(2) { first.service.step() }
+        assertIs<ClaimResult.Granted>(second.claim(key))
+    }
+
     @Test
     fun `a claim that arrives after its node died is unknown in the end and never granted`() {
         arriveLate("dead/0/claim/1")
@@ -194,8 +208,14 @@
     }
 
     private fun arriveLate(claim: String) {
-        val request: ClaimEntry = ClaimEntry.Request(RecordIdentifier(claim), key, "content")
-        val entry = Json.encodeToJsonElement(ClaimEntry.serializer(), request)
-        log.append(stream, LogRecord(RecordIdentifier("late"), RecordCodec.encodeEntries(1, listOf(entry))))
+        append("late", listOf(ClaimEntry.Request(RecordIdentifier(claim), key, "content")))
+    }
+
+    private fun append(
+        record: String,
+        entries: List<ClaimEntry>,
+    ) {
+        val elements = entries.map { Json.encodeToJsonElement(ClaimEntry.serializer(), it) }
+        log.append(stream, LogRecord(RecordIdentifier(record), RecordCodec.encodeEntries(1, elements)))
     }
 }
