--- a/library/src/main/kotlin/plantainturn/version/placement/internal/FloorPlanner.kt
+++ b/library/src/main/kotlin/plantainturn/version/placement/internal/FloorPlanner.kt
@@ -40,7 +40,8 @@
     private fun restore(model: BoardModel) {
         val targets = targets(model) { true }
         val reason = "No usable upstream holds it."
-        if (placeInFree(model, targets, reason, emergency = true)) return
+        if (placeInFree(model, targets, model.groupMegabytes, reason, emergency = true)) return
+        if (placeInFree(model, targets, model.memoryMegabytes, reason, emergency = true)) return
         displace(model, targets, reason, emergency = true) { upstream, megabytes ->
             eviction.surplus(upstream, megabytes) ?: eviction.notLast(upstream, megabytes)
         }
@@ -50,9 +51,10 @@
         val taken = model.liveDomains
         val targets = targets(model) { domainCount < FLOOR_COPIES || it.domain !in taken }
         val reason = "Its only copy is in ${taken.first()}."
-        if (placeInFree(model, targets, reason, emergency = false)) return
+        if (placeInFree(model, targets, model.groupMegabytes, reason, emergency = false)) return
         if (displace(model, targets, reason, emergency = false, eviction::surplus)) return
-        relocate(model, targets)
+        if (relocate(model, targets)) return
+        placeInFree(model, targets, model.memoryMegabytes, reason, emergency = false)
     }
 
     private inline fun targets(
@@ -66,13 +68,13 @@
     private fun placeInFree(
         model: BoardModel,
         targets: List<BoardUpstream>,
+        megabytes: Long,
         reason: String,
         emergency: Boolean,
     ): Boolean {
         val target =
-            targets.firstOrNull { it.fits(model.groupMegabytes) }
-                ?: targets.firstOrNull { it.fits(model.memoryMegabytes) }
-                ?: targets.firstOrNull { it.willFit(model.memoryMegabytes) }
+            targets.firstOrNull { it.fits(megabytes) }
+                ?: targets.firstOrNull { it.willFit(megabytes) }
                 ?: return false
         place(model, target, reason, emergency)
         return true
@@ -109,24 +111,25 @@
     private fun relocate(
         model: BoardModel,
         targets: List<BoardUpstream>,
-    ) {
+    ): Boolean {
         for (target in targets) {
-            val missing = model.memoryMegabytes - target.freeMegabytes - target.arrivingMegabytes
+            val missing = model.groupMegabytes - target.freeMegabytes - target.arrivingMegabytes
             val inTheWay =
                 target.states.keys
                     .mapNotNull { board.find(it) }
                     .filter { blocks(it, target, missing) }
             for (other in inTheWay) {
-                if (moveAside(other, target, model)) return
+                if (moveAside(other, target, model)) return true
             }
         }
+        return false
     }
 
     private fun blocks(
         model: BoardModel,
         upstream: BoardUpstream,
         missing: Long,
-    ): Boolean = model.baseModel == null && model.isReadyOn(upstream) && model.memoryMegabytes >= missing
+    ): Boolean = model.baseModel == null && model.isReadyOn(upstream) && model.groupMegabytes >= missing
 
     private fun moveAside(
         model: BoardModel,
