--- a/library/src/main/kotlin/plantainturn/connection/upstream/SendPermit.kt
+++ b/library/src/main/kotlin/plantainturn/connection/upstream/SendPermit.kt
@@ -34,11 +34,14 @@
      * Gives the permit back at [now]. Only the first call counts.
      *
      * @param failed whether the upstream refused the attempt, could not be reached or broke it
+     * @param slow whether the answer is whole and its tokens came later than the target allows; null if that is not
+     *   known
      */
     public fun end(
         now: Moment,
         failed: Boolean,
+        slow: Boolean? = null,
     ) {
-        if (ended.compareAndSet(false, true)) usage.end(begun, now, failed)
+        if (ended.compareAndSet(false, true)) usage.end(begun, now, failed, slow)
     }
 }
--- a/library/src/main/kotlin/plantainturn/connection/upstream/SingleUpstreamUsage.kt
+++ b/library/src/main/kotlin/plantainturn/connection/upstream/SingleUpstreamUsage.kt
@@ -14,6 +14,7 @@
 ) {
     private val lock = ReentrantLock()
     private val limit = ConcurrencyLimit(expected)
+    private val loadLimit = LoadLimit(expected)
     private val history = SendHistory()
     private var inFlight = 0
     private var firstToken = DEFAULT_FIRST_TOKEN
@@ -49,8 +50,10 @@
         begun: Moment,
         now: Moment,
         failed: Boolean,
+        slow: Boolean?,
     ): Unit =
         lock.withLock {
+            if (slow != null) loadLimit.observe(slow)
             if (failed) limit.observe(inTime = false, inFlight) else hold += (now - begun - hold) * SMOOTHING
             inFlight -= 1
             history.ended(now)
@@ -70,6 +73,7 @@
                 netSince = if (since == null) inFlight else history.netSince(since),
                 firstToken = rememberedFirstToken(now),
                 hold = hold,
+                loadLimit = loadLimit.value,
             )
         }
 
@@ -79,6 +83,7 @@
         if (value == expected) return
         expected = value
         limit.expect(value)
+        loadLimit.expect(value)
     }
 
     /** Returns to the default as the last observation ages, so that an upstream that was slow is tried again. */
--- a/library/src/main/kotlin/plantainturn/connection/upstream/UpstreamUse.kt
+++ b/library/src/main/kotlin/plantainturn/connection/upstream/UpstreamUse.kt
@@ -9,6 +9,7 @@
  * @property limit attempts that this node allows itself there
  * @property netSince attempts that this node has begun since the moment asked for, less those that have ended since
  * @property firstToken the smoothed time to the first token that an idle upstream would take
+ * @property loadLimit requests of all nodes at which the upstream still answers at the wanted pace
  * @property hold the smoothed time that an attempt takes from begin to end
  */
 public data class UpstreamUse(
@@ -17,6 +18,7 @@
     val netSince: Int,
     val firstToken: Duration,
     val hold: Duration,
+    val loadLimit: Int = Int.MAX_VALUE,
 ) {
     /** Whether one more attempt may begin. */
     public val hasRoom: Boolean get() = inFlight < limit
--- a/library/src/main/kotlin/plantainturn/request/routing/Router.kt
+++ b/library/src/main/kotlin/plantainturn/request/routing/Router.kt
@@ -71,7 +71,11 @@
     private fun candidateWithRoom(
         view: UpstreamView,
         now: Moment,
-    ): Candidate? = estimate.useOf(view, now).takeIf { it.hasRoom }?.let { Candidate(view, it) }
+    ): Candidate? =
+        estimate
+            .useOf(view, now)
+            .takeIf { it.hasRoom && estimate.load(view, it) < it.loadLimit }
+            ?.let { Candidate(view, it) }
 
     private fun draw(
         roomy: List<Candidate>,
--- a/replay/src/main/kotlin/plantainturn/replay/world/ReplayWorld.kt
+++ b/replay/src/main/kotlin/plantainturn/replay/world/ReplayWorld.kt
@@ -9,6 +9,7 @@
 import plantainturn.replay.engine.WeightStore
 import plantainturn.replay.fault.FaultSchedule
 import plantainturn.replay.measure.Measures
+import plantainturn.replay.policy.CoreRouting
 import plantainturn.replay.policy.ExpectedWaitRouting
 import plantainturn.replay.policy.FixedPlacement
 import plantainturn.replay.policy.LeastLoadedRouting
@@ -164,6 +165,7 @@
         val choices = Random(random.nextLong())
         return when (policy) {
             PolicyName.PLANTAINTURN -> {
+                return CoreRouting(configuration, deployment.nodes, dispatcher, upstreams, timer, choices)
                 val nodes = List(deployment.nodes) { RoutingNode(upstreams) }
                 ExpectedWaitRouting(nodes, dispatcher, upstreams, timer, choices)
             }
