--- a/daemon/src/main/kotlin/plantainturn/daemon/command/ServiceStandInCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/ServiceStandInCommand.kt
@@ -1,5 +1,6 @@
 package plantainturn.daemon.command
 
+import kotlinx.serialization.serializer
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import plantainturn.standins.ServiceStandIn
@@ -13,5 +14,5 @@
     private lateinit var runner: StandInRunner
 
     override fun call(): Int =
-        runner.run(ServiceStandInSettings.serializer()) { settings -> ServiceStandIn(settings).start() }
+        runner.run(serializer<ServiceStandInSettings>()) { settings -> ServiceStandIn(settings).start() }
 }
--- a/daemon/src/main/kotlin/plantainturn/daemon/command/VmListStandInCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/VmListStandInCommand.kt
@@ -1,5 +1,6 @@
 package plantainturn.daemon.command
 
+import kotlinx.serialization.serializer
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
 import plantainturn.standins.VmListStandIn
@@ -13,5 +14,5 @@
     private lateinit var runner: StandInRunner
 
     override fun call(): Int =
-        runner.run(VmListStandInSettings.serializer()) { settings -> VmListStandIn(settings).start() }
+        runner.run(serializer<VmListStandInSettings>()) { settings -> VmListStandIn(settings).start() }
 }
