--- a/library/src/main/kotlin/plantainturn/request/admission/TeamRotation.kt
+++ b/library/src/main/kotlin/plantainturn/request/admission/TeamRotation.kt
@@ -31,7 +31,6 @@
         first: Boolean,
     ) {
         val waiting = teams.getOrPut(team) { Waiting(virtualTime, share) }
-        if (waiting.entries.isEmpty()) waiting.start = maxOf(waiting.start, virtualTime)
         waiting.share = share.coerceAtLeast(1)
         if (first) waiting.entries.addFirst(entry) else waiting.entries.addLast(entry)
         size += 1
--- a/library/src/main/kotlin/plantainturn/request/routing/RoutingIndex.kt
+++ b/library/src/main/kotlin/plantainturn/request/routing/RoutingIndex.kt
@@ -31,8 +31,10 @@
     /** Returns the index of [snapshot]. The cost grows with the number of upstreams whose view has changed. */
     public fun updated(snapshot: PersistentMap<UpstreamName, UpstreamView>): RoutingIndex {
         if (views === snapshot) return this
-        val before = views.values.filter { snapshot[it.name] !== it }
         val after = snapshot.values.filter { views[it.name] !== it }
+        val replaced = after.mapNotNull { views[it.name] }
+        val removed = removedFrom(snapshot, added = after.size - replaced.size)
+        val before = replaced + removed
         return RoutingIndex(
             views = snapshot,
             ready = ready.mutate { replaceReady(it, before, after) },
@@ -40,6 +42,14 @@
         )
     }
 
+    private fun removedFrom(
+        snapshot: PersistentMap<UpstreamName, UpstreamView>,
+        added: Int,
+    ): List<UpstreamView> {
+        val removed = views.size + added - snapshot.size
+        return if (removed == 0) emptyList() else views.values.filter { it.name !in snapshot }
+    }
+
     private fun replaceReady(
         lists: MutableMap<ModelName, List<UpstreamView>>,
         before: List<UpstreamView>,
