--- a/library/src/main/kotlin/plantainturn/connection/upstream/SendPermit.kt
+++ b/library/src/main/kotlin/plantainturn/connection/upstream/SendPermit.kt
@@ -2,21 +2,23 @@
 
 import plantainturn.process.time.Moment
 import plantainturn.version.configuration.UpstreamName
-import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 
 /**
  * The right to have one attempt in flight at [upstream].
  *
- * It must be ended, whatever becomes of the attempt.
+ * It must be ended, whatever becomes of the attempt. Safe for use by several threads.
  */
 public class SendPermit internal constructor(
     public val upstream: UpstreamName,
     private val usage: SingleUpstreamUsage,
-    private val begun: Moment,
+    internal val begun: Moment,
 ) {
-    private val started = AtomicBoolean()
-    private val ended = AtomicBoolean()
+    /** Guarded by the lock of the usage. */
+    internal var firstTokenSeen: Boolean = false
+
+    /** Guarded by the lock of the usage. */
+    internal var ended: Boolean = false
 
     /**
      * Records that the attempt's first token came at [now]. Only the first call counts.
@@ -26,9 +28,7 @@
     public fun firstToken(
         now: Moment,
         target: Duration,
-    ) {
-        if (started.compareAndSet(false, true)) usage.firstToken(now - begun, target, now)
-    }
+    ): Unit = usage.firstToken(this, now, target)
 
     /**
      * Gives the permit back at [now]. Only the first call counts.
@@ -38,7 +38,5 @@
     public fun end(
         now: Moment,
         failed: Boolean,
-    ) {
-        if (ended.compareAndSet(false, true)) usage.end(begun, now, failed)
-    }
+    ): Unit = usage.end(this, now, failed)
 }
--- a/library/src/main/kotlin/plantainturn/connection/upstream/SingleUpstreamUsage.kt
+++ b/library/src/main/kotlin/plantainturn/connection/upstream/SingleUpstreamUsage.kt
@@ -33,25 +33,32 @@
             true
         }
 
+    /** Takes the first token of [permit] into account, once. */
     fun firstToken(
-        latency: Duration,
-        target: Duration,
+        permit: SendPermit,
         now: Moment,
+        target: Duration,
     ): Unit =
         lock.withLock {
+            if (permit.firstTokenSeen) return
+            permit.firstTokenSeen = true
+            val latency = now - permit.begun
             limit.observe(latency <= target, inFlight)
             val unloaded = latency / (1.0 + inFlight.toDouble() / expected.coerceAtLeast(1))
             firstToken += (unloaded - firstToken) * SMOOTHING
             firstTokenSeenAt = now
         }
 
+    /** Takes [permit] back, once. */
     fun end(
-        begun: Moment,
+        permit: SendPermit,
         now: Moment,
         failed: Boolean,
     ): Unit =
         lock.withLock {
-            if (failed) limit.observe(inTime = false, inFlight) else hold += (now - begun - hold) * SMOOTHING
+            if (permit.ended) return
+            permit.ended = true
+            if (failed) limit.observe(inTime = false, inFlight) else hold += (now - permit.begun - hold) * SMOOTHING
             inFlight -= 1
             history.ended(now)
         }
