Prove the upstream directory and tighten the membership proofs

Round trips and report ages count from the moment at which a poll begins, not from the tick that queued it: the slowness test showed that a poll that waited for a thread made its upstream look slow.

--- a/library/src/main/kotlin/plantainturn/connection/upstream/PollingUpstreamDirectory.kt
+++ b/library/src/main/kotlin/plantainturn/connection/upstream/PollingUpstreamDirectory.kt
@@ -94,7 +94,7 @@
         for ((name, record) in records.get()) {
             val watchers = RendezvousHash.nodesOf(name.value, nodes, settings.watchersPerUpstream)
             if (exchange.self in watchers) {
-                poll(record, now)
+                poll(record)
                 if (watchers.size < nodes.size) record.takeToPublish(now)?.let(exchange::publish)
             } else {
                 observations[name]?.let(record::hear)
@@ -117,12 +117,10 @@
     private fun vmListPeriod(): Duration =
         maxOf(settings.vmListPeriod, 1.seconds * exchange.nodes().size / settings.vmListReadsPerSecond)
 
-    private fun poll(
-        record: UpstreamRecord,
-        now: Moment,
-    ) {
-        if (!record.beginPoll(now)) return
+    private fun poll(record: UpstreamRecord) {
+        if (!record.queuePoll()) return
         run(record::abandonPoll) {
+            record.beginPoll(timer.now())
             if (record.specification.kind == UpstreamKind.ENGINE) readReport(record) else probe(record)
             refresh()
         }
--- a/library/src/main/kotlin/plantainturn/connection/upstream/internal/UpstreamRecord.kt
+++ b/library/src/main/kotlin/plantainturn/connection/upstream/internal/UpstreamRecord.kt
@@ -20,6 +20,7 @@
 ) {
     private val lock = ReentrantLock()
     private var observed: ObservedReport? = null
+    private var pollQueued = false
     private var pollBegan: Moment? = null
     private var failedPolls = 0
     private var roundTrip: Duration? = null
@@ -27,17 +28,22 @@
     private var weighedAt: Moment? = null
     private var publishedAt: Moment? = null
 
-    /** Returns whether a poll may begin, which it may not while one is in flight. */
-    fun beginPoll(now: Moment): Boolean =
+    /** Returns whether a poll may be queued, which it may not while one is queued or in flight. */
+    fun queuePoll(): Boolean =
         lock.withLock {
-            if (pollBegan != null) return false
-            pollBegan = now
+            if (pollQueued) return false
+            pollQueued = true
             true
         }
 
-    /** Ends a poll that could not be begun after all. */
+    /** Takes back a poll that found no thread. */
     fun abandonPoll() {
-        lock.withLock { pollBegan = null }
+        lock.withLock { pollQueued = false }
+    }
+
+    /** Begins the queued poll. */
+    fun beginPoll(now: Moment) {
+        lock.withLock { pollBegan = now }
     }
 
     /** Ends the poll; [report] is null for a plain service that answered. */
@@ -47,7 +53,7 @@
     ) {
         lock.withLock {
             val began = pollBegan ?: now
-            pollBegan = null
+            endPoll()
             failedPolls = 0
             val taken = now - began
             roundTrip = roundTrip?.let { it + (taken - it) * SMOOTHING } ?: taken
@@ -57,7 +63,7 @@
 
     fun pollFailed() {
         lock.withLock {
-            pollBegan = null
+            endPoll()
             failedPolls++
         }
     }
@@ -120,7 +126,7 @@
         return usual != null && own > settings.slowFloor && own > usual * settings.slowFactor
     }
 
-    /** Reports of one incarnation may arrive out of order; the same report again can only be taken later than thought. */
+    /** Keeps what is newer; the same report again can only have been taken later than was thought. */
     private fun keep(read: ObservedReport) {
         val present = observed
         val sameProcess = present != null && present.report.incarnation == read.report.incarnation
@@ -131,6 +137,11 @@
         }
     }
 
+    private fun endPoll() {
+        pollBegan = null
+        pollQueued = false
+    }
+
     private fun decay(now: Moment) {
         val since = weighedAt
         if (since != null) failureWeight *= HALF.pow((now - since) / settings.failureHalfLife)
--- a/library/src/main/kotlin/plantainturn/process/membership/internal/GossipTable.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/internal/GossipTable.kt
@@ -144,11 +144,7 @@
     ): List<GossipEntry> {
         val taken = mutableListOf<GossipEntry>()
         for (key in queue.keys.toList()) {
-            val entry = held[key]
-            if (entry == null) {
-                queue.remove(key)
-                continue
-            }
+            val entry = held.getValue(key)
             if (!budget.take(entry.bytes)) break
             taken += aged(entry, now)
             val left = (queue.remove(key) ?: 1) - 1
--- a/library/src/test/kotlin/plantainturn/process/membership/GossipMembershipTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/membership/GossipMembershipTest.kt
@@ -148,18 +148,18 @@
         val before = peers.running.getValue(address(2)).self
         peers.kill(address(2))
         peers.start(address(2))
-        timer.advance(6.seconds)
+        timer.advance(3_500.milliseconds)
         assertTrue(peers.running.values.none { member -> member.members().any { it.identifier == before } })
     }
 
     @Test
     fun `a member that leaves is gone without being suspected`() {
         settled(6)
-        val leaving = peers.running.getValue(address(3))
-        leaving.leave()
-        timer.advance(100.milliseconds)
+        timer.advance(500.milliseconds)
+        peers.running.getValue(address(3)).leave()
+        timer.advance(10.milliseconds)
         peers.kill(address(3))
-        timer.advance(4.seconds)
+        timer.advance(3.seconds)
         assertTrue(peers.agree(), "${peers.views()}")
     }
 
@@ -185,6 +185,18 @@
         }
     }
 
+    @Test
+    fun `a member that joins late gets by synchronisation what is no longer passed on`() {
+        settled(4)
+        for (member in peers.running.values) {
+            repeat(10) { member.publish(quarantine(it)) }
+        }
+        timer.advance(2.minutes)
+        val late = peers.start(address(9))
+        timer.advance(30.seconds)
+        assertEquals(40, late.values(GossipValue.Quarantine::class).size)
+    }
+
     @Test
     fun `a value that no message can carry is refused`() {
         val member = peers.start(InMemoryPeers.FIRST)
