Blame a request only for crashes of upstreams that answered right before it

Cause: bin/prove-failures 1 found that after two engines crashed, harmless requests broke off at both while they were down and were quarantined at every node, so the model was refused for minutes (210 refusals with code 3006). Change: a request that broke off once is tried elsewhere only where the engine answers right before; a quarantine is told to the others at once. The unit test failed first with OUTCOME_UNKNOWN in place of ANSWERED. Conclusion: the second piece of evidence is now a crash that the request can have caused.

--- a/bin/lib/proofs.sh
+++ b/bin/lib/proofs.sh
@@ -1,5 +1,8 @@
 # The proofs of bin/prove-failures, one function each. Source it after deployment.sh.
 
+# The time that a quarantine may take to reach every node.
+QUARANTINE_SPREAD_SECONDS=2
+
 random_node() {
   local all=($nodes)
   echo "${all[$((RANDOM % ${#all[@]}))]}"
@@ -181,6 +184,7 @@
   before="$(crashes)"
   quarantined_at "${all[0]}"
   until_true 20 quarantined_at "${all[0]}"
+  sleep "$QUARANTINE_SPREAD_SECONDS"
   for name in $nodes; do
     check "$name refuses a request that crashed two upstreams" until_true 5 quarantined_at "$name"
   done
--- a/library/src/main/kotlin/plantainturn/process/membership/QuarantineGossip.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/QuarantineGossip.kt
@@ -23,6 +23,7 @@
                 override fun onHeard(heard: HeardValue<GossipValue>): Unit = take(heard)
             },
         )
+        quarantine.subscribe(::publish)
         subscription = timer.subscribe(period, ::publish)
     }
 
--- a/library/src/main/kotlin/plantainturn/request/completion/internal/AttemptRunner.kt
+++ b/library/src/main/kotlin/plantainturn/request/completion/internal/AttemptRunner.kt
@@ -10,7 +10,6 @@
 import plantainturn.request.completion.EngineConnections
 import plantainturn.request.completion.StreamAssembler
 import plantainturn.request.quarantine.CrashEvidence
-import plantainturn.request.quarantine.CrashProbe
 import plantainturn.request.quarantine.QuarantineRegister
 import plantainturn.request.quarantine.RequestFingerprint
 import kotlin.time.Duration
@@ -20,7 +19,7 @@
     private val directory: UpstreamDirectory,
     private val engines: EngineConnections,
     private val quarantine: QuarantineRegister,
-    private val probe: CrashProbe,
+    private val probe: EngineProbe,
     private val timer: TimerService,
     private val settings: CompletionSettings,
 ) {
@@ -36,7 +35,12 @@
         val begun = timer.now()
         var end: GenerationEnd = GenerationEnd.Broken("the attempt failed in this node")
         try {
-            end = truthful(generate(request, attempt, firstTokenTarget, start, assembler), assembler)
+            end =
+                if (quarantine.isSuspect(fingerprint) && !probe.answers(start.view)) {
+                    GenerationEnd.Unreachable("the engine did not answer before the attempt")
+                } else {
+                    truthful(generate(request, attempt, firstTokenTarget, start, assembler), assembler)
+                }
         } finally {
             assembler.endAttempt()
             val now = timer.now()
--- a/library/src/main/kotlin/plantainturn/request/completion/internal/EngineProbe.kt
+++ b/library/src/main/kotlin/plantainturn/request/completion/internal/EngineProbe.kt
@@ -2,6 +2,7 @@
 
 import plantainturn.connection.engine.EngineReportResult
 import plantainturn.connection.upstream.UpstreamDirectory
+import plantainturn.connection.upstream.UpstreamView
 import plantainturn.request.completion.EngineConnections
 import plantainturn.request.quarantine.CrashEvidence
 import plantainturn.request.quarantine.CrashProbe
@@ -11,6 +12,10 @@
     private val directory: UpstreamDirectory,
     private val engines: EngineConnections,
 ) : CrashProbe {
+    /** Returns whether the engine of [view] answers now. Blocks up to the timeout of a report. */
+    fun answers(view: UpstreamView): Boolean =
+        engines.connect(view.name, view.specification).report() is EngineReportResult.Reported
+
     override fun isConfirmed(evidence: CrashEvidence): Boolean {
         val view = directory.views()[evidence.upstream] ?: return true
         return when (val result = engines.connect(view.name, view.specification).report()) {
--- a/library/src/main/kotlin/plantainturn/request/quarantine/QuarantineExchange.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/QuarantineExchange.kt
@@ -9,4 +9,7 @@
 
     /** Takes over what another node knows. */
     public fun merge(entries: List<QuarantineEntry>)
+
+    /** Calls [listener] whenever this node quarantines a fingerprint, on the thread that did so. */
+    public fun subscribe(listener: () -> Unit)
 }
--- a/library/src/main/kotlin/plantainturn/request/quarantine/QuarantineRegister.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/QuarantineRegister.kt
@@ -9,6 +9,7 @@
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.version.configuration.UpstreamName
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlin.time.Duration
@@ -37,12 +38,22 @@
     private val lock = ReentrantLock()
     private val cases = LinkedHashMap<RequestFingerprint, Case>()
     private val inFlight = HashMap<UpstreamName, HashMap<RequestFingerprint, Int>>()
+    private val listeners = CopyOnWriteArrayList<() -> Unit>()
     private val episodes = CrashEpisodes(settings.episodeDuration)
 
     /** Returns whether requests with [fingerprint] are not run. */
     public fun isQuarantined(fingerprint: RequestFingerprint): Boolean =
         lock.withLock { caseOf(fingerprint)?.quarantined ?: false }
 
+    /**
+     * Returns whether a request with [fingerprint] broke off at an upstream before.
+     *
+     * Its next attempt should only be made where the upstream answers right before, so that a crash that came earlier
+     * is not held against it.
+     */
+    public fun isSuspect(fingerprint: RequestFingerprint): Boolean =
+        lock.withLock { caseOf(fingerprint)?.crashes?.isNotEmpty() ?: false }
+
     /** Returns upstreams that a request with [fingerprint] had better avoid, so that blame stays narrow. */
     public fun upstreamsToAvoid(fingerprint: RequestFingerprint): PersistentSet<UpstreamName> =
         lock.withLock {
@@ -90,7 +101,13 @@
         val crashes = lock.withLock { recordBreak(fingerprint, evidence) }
         if (crashes.size < QUARANTINE_CRASHES) return isQuarantined(fingerprint)
         val (confirmed, refuted) = crashes.partition(probe::isConfirmed)
-        return lock.withLock { decide(fingerprint, evidence.upstream, confirmed, refuted) }
+        val quarantined = lock.withLock { decide(fingerprint, evidence.upstream, confirmed, refuted) }
+        if (quarantined) listeners.forEach { it() }
+        return quarantined
+    }
+
+    override fun subscribe(listener: () -> Unit) {
+        listeners += listener
     }
 
     override fun snapshot(): PersistentList<QuarantineEntry> =
--- a/library/src/test/kotlin/plantainturn/request/completion/CompletionCoordinatorTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/completion/CompletionCoordinatorTest.kt
@@ -37,6 +37,7 @@
     private val attempts = mutableListOf<Pair<UpstreamName, GenerationRequest>>()
     private val answer = mutableListOf<String>()
     private val identifier = RequestIdentifier("r")
+    private val crashed = mutableSetOf<UpstreamName>()
 
     @Property(seed = "43", tries = 3_000)
     fun `an answer is whole and what is told as not run did not run`(
@@ -76,12 +77,35 @@
 
     @Test
     fun `a request that crashes its upstreams takes down two at most, however often it is sent`() {
-        val coordinator = coordinator(engines = 5) { _, _, _ -> GenerationEnd.Broken("crash") }
+        val coordinator =
+            coordinator(engines = 5) { name, _, _ ->
+                crashed += name
+                GenerationEnd.Broken("crash")
+            }
         val codes = List(4) { coordinator.handle(request(), ::take).code }
         assertEquals(listOf(ResultCode.OUTCOME_UNKNOWN) + List(3) { ResultCode.QUARANTINED }, codes)
         assertEquals(2, attempts.map { it.first }.toSet().size)
     }
 
+    @Test
+    fun `a request that comes to upstreams which crashed before it is answered by another and is not blamed`() {
+        crashed += listOf(Samples.engineName(1), Samples.engineName(2))
+        val coordinator =
+            coordinator(engines = 3) { name, request, receiver ->
+                if (name in crashed) {
+                    GenerationEnd.Broken("the connection broke")
+                } else {
+                    (request.resumePosition..1).forEach { receiver.receive(chunk(request, it)) }
+                    GenerationEnd.Finished(2, "stop")
+                }
+            }
+        repeat(20) {
+            answer.clear()
+            assertEquals(ResultCode.ANSWERED, coordinator.handle(request(), ::take).code)
+        }
+        assertEquals(emptyList(), resources.quarantine.snapshot().filter { it.quarantined })
+    }
+
     @Test
     fun `refusals before the run have their codes`() {
         val none = coordinator(engines = 0) { _, _, _ -> error("not called") }
@@ -185,7 +209,14 @@
             attempt: AttemptNumber,
         ) = Unit
 
-        override fun report() = EngineReportResult.Unavailable("crashed")
+        override fun report(): EngineReportResult =
+            if (name in
+                crashed
+            ) {
+                EngineReportResult.Unavailable("crashed")
+            } else {
+                EngineReportResult.Reported(Samples.report())
+            }
 
         override fun order(order: EngineOrder): OrderResult = OrderResult.Unknown("not used")
 
