--- a/library/src/main/kotlin/plantainturn/connection/upstream/SingleUpstreamUsage.kt
+++ b/library/src/main/kotlin/plantainturn/connection/upstream/SingleUpstreamUsage.kt
@@ -14,6 +14,7 @@
 ) {
     private val lock = ReentrantLock()
     private val limit = ConcurrencyLimit(expected)
+    private val loadLimit = LoadLimit(expected)
     private val history = SendHistory()
     private var inFlight = 0
     private var firstToken = DEFAULT_FIRST_TOKEN
@@ -33,25 +34,34 @@
             true
         }
 
+    /** Takes the first token of [permit] into account, once. */
     fun firstToken(
-        latency: Duration,
-        target: Duration,
+        permit: SendPermit,
         now: Moment,
+        target: Duration,
     ): Unit =
         lock.withLock {
+            if (permit.firstTokenSeen) return
+            permit.firstTokenSeen = true
+            val latency = now - permit.begun
             limit.observe(latency <= target, inFlight)
             val unloaded = latency / (1.0 + inFlight.toDouble() / expected.coerceAtLeast(1))
             firstToken += (unloaded - firstToken) * SMOOTHING
             firstTokenSeenAt = now
         }
 
+    /** Takes [permit] back, once. */
     fun end(
-        begun: Moment,
+        permit: SendPermit,
         now: Moment,
         failed: Boolean,
+        slow: Boolean?,
     ): Unit =
         lock.withLock {
-            if (failed) limit.observe(inTime = false, inFlight) else hold += (now - begun - hold) * SMOOTHING
+            if (permit.ended) return
+            permit.ended = true
+            if (slow != null) loadLimit.observe(slow)
+            if (failed) limit.observe(inTime = false, inFlight) else hold += (now - permit.begun - hold) * SMOOTHING
             inFlight -= 1
             history.ended(now)
         }
@@ -70,6 +80,7 @@
                 netSince = if (since == null) inFlight else history.netSince(since),
                 firstToken = rememberedFirstToken(now),
                 hold = hold,
+                loadLimit = loadLimit.value,
             )
         }
 
@@ -79,6 +90,7 @@
         if (value == expected) return
         expected = value
         limit.expect(value)
+        loadLimit.expect(value)
     }
 
     /** Returns to the default as the last observation ages, so that an upstream that was slow is tried again. */
