--- a/library/src/main/kotlin/plantainturn/process/control/lease/ControlFollower.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/ControlFollower.kt
@@ -14,11 +14,13 @@
 /**
  * Reads a control stream and folds it. It is used by one thread at a time.
  *
+ * @param started told when the reader began at a snapshot or after a gap instead of at the next record
  * @param listener told of each entry that was folded, with its verdict, in order
  */
 internal class ControlFollower(
     private val log: LogService,
     private val stream: StreamName,
+    private val started: () -> Unit,
     private val listener: (StoredRecord, ControlEntry, LeaseVerdict) -> Unit,
 ) {
     private val logger = LogManager.getLogger(ControlFollower::class.java)
@@ -102,6 +104,7 @@
         state = scan.state
         next = scan.next
         silentFrom = null
+        started()
         return ControlStatus.BEHIND
     }
 
--- a/library/src/main/kotlin/plantainturn/process/control/lease/LeaseKeeper.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/LeaseKeeper.kt
@@ -37,7 +37,7 @@
 ) {
     private val logger = LogManager.getLogger(LeaseKeeper::class.java)
     private val stream = StreamName.control(shard)
-    private val follower = ControlFollower(log, stream, ::observe)
+    private val follower = ControlFollower(log, stream, ::noteCounted, ::observe)
     private val renewalsSent = LinkedHashMap<RecordIdentifier, Moment>()
     private var claimSent: SentClaim? = null
     private var countedReadAt: Moment = timer.now()
@@ -162,13 +162,17 @@
         when (entry) {
             is ControlEntry.Claim -> observeGrant(stored)
             is ControlEntry.Renewal -> observeRenewal(stored, entry)
-            is ControlEntry.Release -> countedReadAt = timer.now()
+            is ControlEntry.Release -> noteCounted()
             else -> Unit
         }
     }
 
-    private fun observeGrant(stored: StoredRecord) {
+    private fun noteCounted() {
         countedReadAt = timer.now()
+    }
+
+    private fun observeGrant(stored: StoredRecord) {
+        noteCounted()
         val sent = claimSent?.takeIf { it.identifier == stored.record.identifier } ?: return
         val fence = FenceNumber(stored.offset.value)
         guard.grant(Lease(fence, countedReadAt, sent.sentAt + settings.term))
@@ -183,7 +187,7 @@
         stored: StoredRecord,
         renewal: ControlEntry.Renewal,
     ) {
-        countedReadAt = timer.now()
+        noteCounted()
         val sentAt = renewalsSent.remove(stored.record.identifier) ?: return
         guard.prolong(renewal.fence, sentAt + settings.term)
     }
