--- a/library/src/main/kotlin/plantainturn/process/membership/GossipEntry.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/GossipEntry.kt
@@ -10,7 +10,7 @@
     /** The member that the entry is about. */
     public val member: MemberIdentifier
 
-    /** What the entry replaces. */
+    /** What the entry replaces. The keys of members precede those of values, so that they are synchronised first. */
     public val key: String
 
     /** Grows with each entry of the same key. */
@@ -31,7 +31,7 @@
         val failureDomain: FailureDomain,
     ) : GossipEntry {
         override val key: String
-            get() = member.value
+            get() = keyOf(member)
 
         override val version: Long
             get() = incarnation * MemberState.entries.size + state.ordinal
@@ -52,9 +52,14 @@
         val ageMilliseconds: Long = 0,
     ) : GossipEntry {
         override val key: String
-            get() = "$member ${value.slot}"
+            get() = "value $member ${value.slot}"
 
         override val version: Long
             get() = counter
     }
+
+    public companion object {
+        /** Returns the key of the entry that tells what is believed of [member]. */
+        public fun keyOf(member: MemberIdentifier): String = "member $member"
+    }
 }
--- a/library/src/main/kotlin/plantainturn/process/membership/GossipMembership.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/GossipMembership.kt
@@ -4,9 +4,11 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.toPersistentList
 import plantainturn.process.membership.internal.GossipTable
+import plantainturn.process.membership.internal.MemberProber
 import plantainturn.process.membership.internal.MessageComposer
 import plantainturn.process.membership.internal.OwnEntry
 import plantainturn.process.membership.internal.PeerChoice
+import plantainturn.process.membership.internal.PeerLink
 import plantainturn.process.membership.internal.Suspicions
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
@@ -37,11 +39,11 @@
  */
 public class GossipMembership(
     private val settings: MembershipSettings,
-    private val transport: PeerTransport,
+    transport: PeerTransport,
     private val timer: TimerService,
     random: Random,
     private val addresses: () -> List<String> = { emptyList() },
-    private val configurationVersion: () -> ConfigurationVersion = { ConfigurationVersion.NONE },
+    configurationVersion: () -> ConfigurationVersion = { ConfigurationVersion.NONE },
     process: Long = random.nextLong(),
 ) : Membership,
     AutoCloseable {
@@ -51,20 +53,18 @@
         OwnEntry(GossipEntry.Membership(self, 1, MemberState.ALIVE, settings.address, settings.failureDomain))
     private val table = GossipTable()
     private val composer = MessageComposer(table, timer, settings.messageBytes)
+    private val link = PeerLink(transport, composer, own, configurationVersion, settings.probeTimeout, ::take)
     private val suspicions = Suspicions()
     private val choice = PeerChoice(self, random)
+    private val prober = MemberProber(settings, link, table, choice, ::members, ::merge)
     private val listeners = CopyOnWriteArrayList<MembershipListener>()
     private val present = AtomicReference<PersistentList<Member>>(persistentListOf())
     private val highestVersion = AtomicReference(ConfigurationVersion.NONE)
-    private val syncFrom = AtomicReference("")
     private val urgentLeft = AtomicInteger(URGENT_BURST)
     private var lastTick = timer.now()
     private var ticks = 0
     private var subscription: TimerSubscription? = null
 
-    @Volatile
-    private var syncDue = true
-
     @Volatile
     private var closed = false
 
@@ -82,12 +82,13 @@
     public fun leave() {
         val entry = own.leave()
         merge(entry)
-        choice.several(members(), settings.urgentFanOut, self).forEach { exchange(it.address, base(it.identifier)) {} }
+        tellSome()
     }
 
     /** Ends all activity. Members that did not hear of [leave] will suspect this node. */
     override fun close() {
         closed = true
+        link.close()
         subscription?.cancel()
     }
 
@@ -127,11 +128,9 @@
         take(message)
         val probe = message.probe
         if (probe == null) {
-            onAnswer(answerTo(message, null))
-            return
-        }
-        transport.exchange(probe.address, base(probe.member), settings.probeTimeout) { result ->
-            onAnswer(answerTo(message, answeredBy(probe.member, result)))
+            onAnswer(link.answerTo(message, null))
+        } else {
+            prober.probeFor(probe) { onAnswer(link.answerTo(message, it)) }
         }
     }
 
@@ -141,54 +140,20 @@
         val gap = now - lastTick - settings.period
         lastTick = now
         ticks++
+        link.beginPeriod()
         urgentLeft.updateAndGet { (it + 1).coerceAtMost(URGENT_BURST) }
         if (gap > settings.period * PAUSE_PERIODS) suspicions.restart(now + suspicionTime()) else bury(now)
         table.expire(now)
         suspicions.forgotten(now).forEach { table.forget(it, wholly = true) }
-        if (ticks % settings.syncPeriods == 0) syncDue = true
-        val member = nextToProbe()
-        if (member != null) probe(member)
-        if (member == null || ticks % settings.contactPeriods == 0) contact()
-    }
-
-    /** Every other time a suspected member, so that it hears soon what it has to contradict. */
-    private fun nextToProbe(): Member? {
-        val suspected = if (ticks % 2 == 0) members().filter { it.suspected } else emptyList()
-        return choice.any(suspected) ?: choice.next(members())
+        if (ticks % settings.syncPeriods == 0) link.syncDue = true
+        val probed = prober.probeNext(suspectedFirst = ticks % 2 == 0)
+        if (!probed || ticks % settings.contactPeriods == 0) contact()
     }
 
     private fun bury(now: Moment) {
         suspicions.expired(now).forEach { merge(it.copy(state = MemberState.DEAD)) }
     }
 
-    private fun probe(member: Member) {
-        exchange(member.address, request(member.identifier)) { result ->
-            if (!answeredBy(member.identifier, result)) probeThroughOthers(member)
-        }
-    }
-
-    private fun probeThroughOthers(member: Member) {
-        val helpers = choice.several(members(), settings.helpers, member.identifier)
-        if (helpers.isEmpty()) {
-            suspect(member.identifier)
-            return
-        }
-        val silent = AtomicInteger(helpers.size)
-        val probe = ProbeRequest(member.identifier, member.address)
-        for (helper in helpers) {
-            val message = base(helper.identifier).copy(probe = probe)
-            exchange(helper.address, message, settings.probeTimeout * 2) { result ->
-                val reached = (result as? PeerResult.Answered)?.message?.probed == true
-                if (!reached && silent.decrementAndGet() == 0) suspect(member.identifier)
-            }
-        }
-    }
-
-    private fun suspect(member: MemberIdentifier) {
-        val entry = table.get(member.value) as? GossipEntry.Membership ?: return
-        if (entry.state == MemberState.ALIVE) merge(entry.copy(state = MemberState.SUSPECT))
-    }
-
     /** Tries an address at which no member is believed to be. */
     private fun contact() {
         val taken = members().map { it.address }.toSet()
@@ -200,55 +165,7 @@
                 .map { it.address }
         val candidates = (settings.seeds + addresses() + gone).distinct() - taken
         val address = choice.one(candidates) ?: return
-        exchange(address, request(null)) {}
-    }
-
-    private fun request(receiver: MemberIdentifier?): GossipMessage {
-        val from = if (syncDue) syncFrom.get() else null
-        syncDue = false
-        return composer.request(bare(receiver), from)
-    }
-
-    private fun base(receiver: MemberIdentifier?): GossipMessage = composer.request(bare(receiver), null)
-
-    private fun bare(receiver: MemberIdentifier?): GossipMessage =
-        GossipMessage(own.current(), receiver, configurationVersion())
-
-    private fun answerTo(
-        message: GossipMessage,
-        probed: Boolean?,
-    ): GossipMessage = composer.answer(bare(message.sender.member).copy(probed = probed), message.sync)
-
-    private fun exchange(
-        address: String,
-        message: GossipMessage,
-        timeout: Duration = settings.probeTimeout,
-        onResult: (PeerResult) -> Unit,
-    ) {
-        transport.exchange(address, message, timeout) { result ->
-            if (closed) return@exchange
-            if (result is PeerResult.Answered) take(result.message)
-            if (result is PeerResult.Answered && message.sync != null) synced(result.message)
-            onResult(result)
-        }
-    }
-
-    /** Goes on with the next part of the keys at once as long as the peer has something to send. */
-    private fun synced(answer: GossipMessage) {
-        syncFrom.set(answer.syncedTo.orEmpty())
-        if (answer.syncedTo != null && answer.entries.isNotEmpty()) syncDue = true
-    }
-
-    /** Returns whether [member] itself answered. Another process at its address shows that it is gone. */
-    private fun answeredBy(
-        member: MemberIdentifier,
-        result: PeerResult,
-    ): Boolean {
-        if (result !is PeerResult.Answered) return false
-        if (result.message.sender.member == member) return true
-        val entry = table.get(member.value) as? GossipEntry.Membership
-        if (entry != null && entry.state.present) merge(entry.copy(state = MemberState.DEAD))
-        return false
+        link.exchange(address, link.request(null)) {}
     }
 
     private fun take(message: GossipMessage) {
@@ -289,7 +206,7 @@
     }
 
     private fun mergeValue(entry: GossipEntry.Published) {
-        val member = table.get(entry.member.value) as? GossipEntry.Membership
+        val member = table.get(GossipEntry.keyOf(entry.member)) as? GossipEntry.Membership
         if (member == null || !member.state.present) return
         val now = timer.now()
         if (!table.merge(entry, repeats(), now)) return
@@ -301,7 +218,12 @@
 
     private fun passOn() {
         if (urgentLeft.getAndUpdate { (it - 1).coerceAtLeast(0) } == 0) return
-        choice.several(members(), settings.urgentFanOut, self).forEach { exchange(it.address, base(it.identifier)) {} }
+        tellSome()
+    }
+
+    private fun tellSome() {
+        val some = choice.several(members(), settings.urgentFanOut, self)
+        some.forEach { link.exchange(it.address, link.news(it.identifier)) {} }
     }
 
     private fun presentMembers(): PersistentList<Member> =
@@ -324,7 +246,8 @@
         return HeardValue(published.member, published.value as V, publishedAt)
     }
 
-    private fun repeats(): Int = ceil(ln(members().size + 2.0) / ln(2.0)).toInt() + EXTRA_REPEATS
+    /** A node that has just joined knows few members and must not conclude that there are few. */
+    private fun repeats(): Int = ceil(ln(maxOf(members().size, FEWEST_MEMBERS) + 2.0) / ln(2.0)).toInt() + EXTRA_REPEATS
 
     private fun suspicionTime(): Duration =
         settings.period * settings.suspicionPeriods * maxOf(1.0, log10(members().size.toDouble()))
@@ -333,5 +256,6 @@
         const val URGENT_BURST = 4
         const val EXTRA_REPEATS = 2
         const val PAUSE_PERIODS = 3
+        const val FEWEST_MEMBERS = 14
     }
 }
--- a/library/src/main/kotlin/plantainturn/process/membership/internal/MessageComposer.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/internal/MessageComposer.kt
@@ -54,7 +54,7 @@
 
     /** The receiver has to hear what it is to contradict. */
     private fun doubtAbout(receiver: MemberIdentifier?): List<GossipEntry> {
-        val entry = receiver?.let { table.get(it.value) } as? GossipEntry.Membership
+        val entry = receiver?.let { table.get(GossipEntry.keyOf(it)) } as? GossipEntry.Membership
         return listOfNotNull(entry?.takeIf { it.state != MemberState.ALIVE })
     }
 
