--- a/library/src/main/kotlin/plantainturn/version/placement/internal/AdapterPlanner.kt
+++ b/library/src/main/kotlin/plantainturn/version/placement/internal/AdapterPlanner.kt
@@ -39,21 +39,20 @@
         places: List<BoardUpstream>,
     ) {
         if (places.any { it.willFit(adapter.memoryMegabytes) }) return
-        for (place in places) {
-            val victims = victims(adapter, place) ?: continue
-            val others = victims.models.filter { it.name != adapter.baseModel }
-            if (others.size < victims.models.size) continue
-            others.forEach { draft.unload(it, place, "Makes room for ${adapter.name}, which lacks its floor.") }
-            return
-        }
+        val (place, victims) =
+            places.firstNotNullOfOrNull { place -> victims(adapter, place)?.let { place to it } } ?: return
+        victims.models.forEach { draft.unload(it, place, "Makes room for ${adapter.name}, which lacks its floor.") }
     }
 
     private fun victims(
         adapter: BoardModel,
         place: BoardUpstream,
-    ): Victims? =
-        eviction.surplus(place, adapter.memoryMegabytes)
-            ?: if (adapter.live.isEmpty()) eviction.notLast(place, adapter.memoryMegabytes) else null
+    ): Victims? {
+        val victims =
+            eviction.surplus(place, adapter.memoryMegabytes)
+                ?: if (adapter.live.isEmpty()) eviction.notLast(place, adapter.memoryMegabytes) else null
+        return victims?.takeIf { found -> found.models.none { it.name == adapter.baseModel } }
+    }
 
     private fun places(adapter: BoardModel): List<BoardUpstream> {
         val base = board.find(checkNotNull(adapter.baseModel)) ?: return emptyList()
