--- a/library/src/main/kotlin/plantainturn/connection/upstream/SendPermit.kt
+++ b/library/src/main/kotlin/plantainturn/connection/upstream/SendPermit.kt
@@ -34,8 +34,6 @@
      * Gives the permit back at [now]. Only the first call counts.
      *
      * @param failed whether the upstream refused the attempt, could not be reached or broke it
-     * @param slow whether the answer is whole and its tokens came later than the target allows; null if that is not
-     *   known
      */
     public fun end(
         now: Moment,
--- a/library/src/main/kotlin/plantainturn/request/completion/internal/AttemptRunner.kt
+++ b/library/src/main/kotlin/plantainturn/request/completion/internal/AttemptRunner.kt
@@ -5,6 +5,7 @@
 import plantainturn.connection.upstream.UpstreamDirectory
 import plantainturn.process.time.TimerService
 import plantainturn.request.AttemptNumber
+import plantainturn.request.RequestPriority
 import plantainturn.request.completion.CompletionRequest
 import plantainturn.request.completion.CompletionSettings
 import plantainturn.request.completion.EngineConnections
@@ -12,7 +13,6 @@
 import plantainturn.request.quarantine.CrashEvidence
 import plantainturn.request.quarantine.QuarantineRegister
 import plantainturn.request.quarantine.RequestFingerprint
-import kotlin.time.Duration
 
 /** Runs one attempt on one engine and settles its accounts, whatever becomes of it. */
 internal class AttemptRunner(
@@ -27,25 +27,26 @@
     fun run(
         request: CompletionRequest,
         fingerprint: RequestFingerprint,
-        firstTokenTarget: Duration,
+        target: CompletionTarget,
         attempt: AttemptNumber,
         start: AttemptStart.Started,
         assembler: StreamAssembler,
     ): GenerationEnd {
         val begun = timer.now()
+        val pace = TokenPace(target.tokenTarget)
         var end: GenerationEnd = GenerationEnd.Broken("the attempt failed in this node")
         try {
             end =
                 if (quarantine.isSuspect(fingerprint) && !probe.answers(start.view)) {
                     GenerationEnd.Unreachable("the engine did not answer before the attempt")
                 } else {
-                    truthful(generate(request, attempt, firstTokenTarget, start, assembler), assembler)
+                    truthful(generate(request, attempt, target, start, assembler, pace), assembler)
                 }
         } finally {
             assembler.endAttempt()
             val now = timer.now()
-            val cutShort = now >= request.deadline && now - begun < firstTokenTarget
-            start.permit.end(now, failed = isUpstreamFailure(end) && !cutShort)
+            val cutShort = now >= request.deadline && now - begun < target.firstTokenTarget
+            start.permit.end(now, isUpstreamFailure(end) && !cutShort, slowness(request, end, pace))
             settle(end, fingerprint, start, cutShort)
         }
         return end
@@ -54,9 +55,10 @@
     private fun generate(
         request: CompletionRequest,
         attempt: AttemptNumber,
-        firstTokenTarget: Duration,
+        target: CompletionTarget,
         start: AttemptStart.Started,
         assembler: StreamAssembler,
+        pace: TokenPace,
     ): GenerationEnd {
         assembler.beginAttempt(attempt)
         val generation =
@@ -74,11 +76,22 @@
         val silenceLimit = minOf(settings.silenceLimit, request.deadline - timer.now())
         return engine.generate(generation, silenceLimit) { chunk ->
             val now = timer.now()
-            start.permit.firstToken(now, firstTokenTarget)
+            pace.token(now)
+            start.permit.firstToken(now, target.firstTokenTarget)
             assembler.receive(chunk) && now < request.deadline
         }
     }
 
+    /** Batches may be slow, and an answer that is not whole says nothing. */
+    private fun slowness(
+        request: CompletionRequest,
+        end: GenerationEnd,
+        pace: TokenPace,
+    ): Boolean? {
+        val tells = end is GenerationEnd.Finished && request.priority == RequestPriority.INTERACTIVE
+        return if (tells) pace.isSlow else null
+    }
+
     private fun truthful(
         end: GenerationEnd,
         assembler: StreamAssembler,
--- a/replay/src/main/kotlin/plantainturn/replay/world/ReplayWorld.kt
+++ b/replay/src/main/kotlin/plantainturn/replay/world/ReplayWorld.kt
@@ -10,13 +10,11 @@
 import plantainturn.replay.fault.FaultSchedule
 import plantainturn.replay.measure.Measures
 import plantainturn.replay.policy.CoreRouting
-import plantainturn.replay.policy.ExpectedWaitRouting
 import plantainturn.replay.policy.FixedPlacement
 import plantainturn.replay.policy.LeastLoadedRouting
 import plantainturn.replay.policy.OnDemandPlacement
 import plantainturn.replay.policy.PlacementPolicy
 import plantainturn.replay.policy.PlannedPlacement
-import plantainturn.replay.policy.RoutingNode
 import plantainturn.replay.policy.RoutingPolicy
 import plantainturn.replay.trace.TraceRecord
 import plantainturn.request.RequestPriority
@@ -164,11 +162,8 @@
     private fun routing(policy: PolicyName): RoutingPolicy {
         val choices = Random(random.nextLong())
         return when (policy) {
-            PolicyName.PLANTAINTURN -> {
-                return CoreRouting(configuration, deployment.nodes, dispatcher, upstreams, timer, choices)
-                val nodes = List(deployment.nodes) { RoutingNode(upstreams) }
-                ExpectedWaitRouting(nodes, dispatcher, upstreams, timer, choices)
-            }
+            PolicyName.PLANTAINTURN ->
+                CoreRouting(configuration, deployment.nodes, dispatcher, upstreams, timer, choices)
 
             PolicyName.NAIVE -> {
                 val listener = placement as OnDemandPlacement
