--- a/library/src/main/kotlin/plantainturn/connection/upstream/SingleUpstreamUsage.kt
+++ b/library/src/main/kotlin/plantainturn/connection/upstream/SingleUpstreamUsage.kt
@@ -14,6 +14,7 @@
 ) {
     private val lock = ReentrantLock()
     private val limit = ConcurrencyLimit(expected)
+    private val loadLimit = LoadLimit(expected)
     private val history = SendHistory()
     private var inFlight = 0
     private var firstToken = DEFAULT_FIRST_TOKEN
@@ -54,10 +55,12 @@
         permit: SendPermit,
         now: Moment,
         failed: Boolean,
+        slow: Boolean?,
     ): Unit =
         lock.withLock {
             if (permit.ended) return
             permit.ended = true
+            if (slow != null) loadLimit.observe(slow)
             if (failed) limit.observe(inTime = false, inFlight) else hold += (now - permit.begun - hold) * SMOOTHING
             inFlight -= 1
             history.ended(now)
@@ -77,6 +80,7 @@
                 netSince = if (since == null) inFlight else history.netSince(since),
                 firstToken = rememberedFirstToken(now),
                 hold = hold,
+                loadLimit = loadLimit.value,
             )
         }
 
@@ -86,6 +90,7 @@
         if (value == expected) return
         expected = value
         limit.expect(value)
+        loadLimit.expect(value)
     }
 
     /** Returns to the default as the last observation ages, so that an upstream that was slow is tried again. */
--- a/library/src/main/kotlin/plantainturn/request/routing/Router.kt
+++ b/library/src/main/kotlin/plantainturn/request/routing/Router.kt
@@ -35,7 +35,9 @@
     ): RouteDecision {
         val holders = index.holders(query.target)
         if (holders.isEmpty()) return withoutHolder(index, query.target, baseModel)
-        val preferred = bestRank(holders, query)
+        val permitted = if (query.confinedTo.isEmpty()) holders else holders.filter { it.name in query.confinedTo }
+        if (permitted.isEmpty()) return RouteDecision.NoneHolds
+        val preferred = bestRank(permitted, query)
         val roomy = preferred.mapNotNull { candidateWithRoom(it, now) }
         if (roomy.isEmpty()) return RouteDecision.Busy
         return choose(draw(roomy, query), query, now)
@@ -71,7 +73,11 @@
     private fun candidateWithRoom(
         view: UpstreamView,
         now: Moment,
-    ): Candidate? = estimate.useOf(view, now).takeIf { it.hasRoom }?.let { Candidate(view, it) }
+    ): Candidate? =
+        estimate
+            .useOf(view, now)
+            .takeIf { it.hasRoom && estimate.load(view, it) < it.loadLimit }
+            ?.let { Candidate(view, it) }
 
     private fun draw(
         roomy: List<Candidate>,
