--- a/library/src/main/kotlin/plantainturn/process/membership/GossipMembership.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/GossipMembership.kt
@@ -53,7 +53,11 @@
         OwnEntry(GossipEntry.Membership(self, 1, MemberState.ALIVE, settings.address, settings.failureDomain))
     private val table = GossipTable()
     private val composer = MessageComposer(table, timer, settings.messageBytes)
-    private val link = PeerLink(transport, composer, own, configurationVersion, settings.probeTimeout, ::take)
+    private val link =
+        PeerLink(transport, composer, own, configurationVersion, settings.probeTimeout, ::take) {
+            table.get(it) !=
+                null
+        }
     private val suspicions = Suspicions()
     private val choice = PeerChoice(self, random)
     private val prober = MemberProber(settings, link, table, choice, ::members, ::merge)
--- a/library/src/main/kotlin/plantainturn/process/membership/internal/PeerLink.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/internal/PeerLink.kt
@@ -15,6 +15,7 @@
  *
  * @param timeout the time that a peer has to answer
  * @param take takes what a peer sent
+ * @param isHeld tells whether this node holds an entry of that key
  */
 internal class PeerLink(
     private val transport: PeerTransport,
@@ -23,6 +24,7 @@
     private val configurationVersion: () -> ConfigurationVersion,
     private val timeout: Duration,
     private val take: (GossipMessage) -> Unit,
+    private val isHeld: (key: String) -> Boolean,
 ) {
     private val syncFrom = AtomicReference("")
     private val followUpsLeft = AtomicInteger(FOLLOW_UPS_IN_A_PERIOD)
@@ -67,25 +69,34 @@
     ) {
         transport.exchange(address, message, limit) { result ->
             if (closed) return@exchange
-            if (result is PeerResult.Answered) take(result.message)
-            if (result is PeerResult.Answered && message.sync != null) synced(address, result.message)
+            if (result is PeerResult.Answered) taken(address, message, result.message)
             onResult(result)
         }
     }
 
+    private fun taken(
+        address: String,
+        message: GossipMessage,
+        answer: GossipMessage,
+    ) {
+        val bringsMembers = answer.entries.any { it is GossipEntry.Membership && !isHeld(it.key) }
+        take(answer)
+        if (message.sync != null) synced(address, answer, bringsMembers)
+    }
+
     /**
      * Goes on with the next part of the keys as long as the peer has something to send: in the next period, or at once
-     * while it sends members, so that a node that joins soon knows the others.
+     * while it brings members that were not known, so that a node that joins soon knows the others.
      */
     private fun synced(
         address: String,
         answer: GossipMessage,
+        bringsMembers: Boolean,
     ) {
         syncFrom.set(answer.syncedTo.orEmpty())
         if (answer.syncedTo == null || answer.entries.isEmpty()) return
         syncDue = true
-        val sendsMembers = answer.entries.any { it is GossipEntry.Membership }
-        if (sendsMembers && followUpsLeft.getAndDecrement() > 0) {
+        if (bringsMembers && followUpsLeft.getAndDecrement() > 0) {
             exchange(address, request(answer.sender.member)) {}
         }
     }
