--- a/library/src/main/kotlin/plantainturn/request/completion/internal/CompletionTarget.kt
+++ b/library/src/main/kotlin/plantainturn/request/completion/internal/CompletionTarget.kt
@@ -12,11 +12,13 @@
  *
  * @property baseModel the base model if the target is an adapter
  * @property firstTokenTarget the wanted time to the first token
+ * @property tokenTarget the wanted time between tokens
  * @property prefixes the hashes of the prompt's prefixes
  */
 internal class CompletionTarget(
     val baseModel: ModelName?,
     val firstTokenTarget: Duration,
+    val tokenTarget: Duration,
     val prefixes: List<Long>,
 ) {
     companion object {
@@ -30,6 +32,7 @@
             return CompletionTarget(
                 baseModel = adapter?.baseModel,
                 firstTokenTarget = model.firstTokenMilliseconds.milliseconds,
+                tokenTarget = model.tokenMilliseconds.milliseconds,
                 prefixes = prefixesOf(request),
             )
         }
