--- a/replay/src/main/kotlin/plantainturn/replay/ReplayRunner.kt
+++ b/replay/src/main/kotlin/plantainturn/replay/ReplayRunner.kt
@@ -5,11 +5,13 @@
 import plantainturn.replay.deployment.DeploymentCatalogue
 import plantainturn.replay.deployment.ReplayDeployment
 import plantainturn.replay.fault.FaultSchedule
+import plantainturn.replay.measure.ReplayPlot
 import plantainturn.replay.trace.TraceFile
 import plantainturn.replay.trace.TraceGenerator
 import plantainturn.replay.trace.TraceReadResult
 import plantainturn.replay.trace.TraceRecord
 import plantainturn.replay.world.ReplayWorld
+import java.nio.file.Files
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -74,6 +76,7 @@
         val schedule = FaultSchedule.draw(options.faults, deployment.configuration, length(records), faultRandom)
         val world = ReplayWorld(deployment, options.policy, schedule, random, everythingEverywhere)
         world.run(records)
+        options.plotFile?.let { Files.writeString(it, plot(options, world)) }
         return ReplayResult.Completed(
             report = world.measures.report(deployment.accelerators, options.seed),
             minutes = world.measures.minutes().toPersistentList(),
@@ -81,6 +84,14 @@
         )
     }
 
+    private fun plot(
+        options: ReplayOptions,
+        world: ReplayWorld,
+    ): String {
+        val names = "${options.deployment.argument}, ${options.policy.argument}, faults ${options.faults.argument}"
+        return ReplayPlot("$names, seed ${options.seed}", world.measures.minutes()).svg()
+    }
+
     private fun length(records: PersistentList<TraceRecord>): Duration =
         maxOf(1.minutes, (records.lastOrNull()?.atMilliseconds ?: 0).milliseconds)
 
