--- a/library/src/main/kotlin/plantainturn/connection/upstream/SendPermit.kt
+++ b/library/src/main/kotlin/plantainturn/connection/upstream/SendPermit.kt
@@ -38,17 +38,6 @@
     public fun end(
         now: Moment,
         failed: Boolean,
-    ): Unit = usage.end(this, now, failed, slow = null)
-
-    /**
-     * Gives the permit back at [now]. Only the first call counts.
-     *
-     * @param failed whether the upstream refused the attempt, could not be reached or broke it
-     * @param slow whether the answer is whole and its tokens came later than the target allows; null if not known
-     */
-    public fun end(
-        now: Moment,
-        failed: Boolean,
-        slow: Boolean?,
+        slow: Boolean? = null,
     ): Unit = usage.end(this, now, failed, slow)
 }
