--- a/library/src/main/kotlin/plantainturn/request/completion/internal/CompletionRun.kt
+++ b/library/src/main/kotlin/plantainturn/request/completion/internal/CompletionRun.kt
@@ -52,7 +52,7 @@
 
     private fun attempt(start: AttemptStart.Started): GenerationEnd {
         tried = tried.add(start.view.name)
-        val end = runner.run(request, fingerprint, target.firstTokenTarget, attempt, start, assembler)
+        val end = runner.run(request, fingerprint, target, attempt, start, assembler)
         resources.admission.pump()
         val provablyNotRun = end is GenerationEnd.RefusedNotRun || end is GenerationEnd.Unreachable
         if (!provablyNotRun) mayHaveRun = true
--- a/library/src/test/kotlin/plantainturn/request/routing/RouterTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/routing/RouterTest.kt
@@ -82,8 +82,8 @@
                 Samples.engineView(it, report, suspected = random.nextInt(4) == 0, leaving = random.nextInt(8) == 0)
             }
         val usable = views.filter { !it.leaving }
-        val preferred = usable.filter { !it.suspected }.ifEmpty { usable }
-        val best = preferred.filter { naiveLoad(it) < it.specification.concurrency }.minByOrNull(::naiveLoad)
+        val ranked = usable.filter { !it.suspected }.ifEmpty { usable }
+        val best = ranked.filter { naiveLoad(it) < it.specification.concurrency }.minByOrNull(::naiveLoad)
         when (val decision = route(views, query)) {
             is RouteDecision.Chosen -> assertEquals(best?.let(::naiveLoad), naiveLoad(decision.upstream))
             else -> assertEquals(null, best)
