Synchronise what protects upstreams before other values

Ruled out: urgent news not spreading (the four settled nodes had it). Change: keys of quarantines and leaving VMs sort before other values. The unit test failed first: expected 1, was 0 after 3 s. Conclusion: a node that joins has them with the first parts.

--- a/library/src/main/kotlin/plantainturn/process/membership/GossipEntry.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/GossipEntry.kt
@@ -10,7 +10,12 @@
     /** The member that the entry is about. */
     public val member: MemberIdentifier
 
-    /** What the entry replaces. The keys of members precede those of values, so that they are synchronised first. */
+    /**
+     * What the entry replaces.
+     *
+     * The keys of members precede those of protective values, and these all others, so that they are synchronised in
+     * that order.
+     */
     public val key: String
 
     /** Grows with each entry of the same key. */
@@ -52,7 +57,7 @@
         val ageMilliseconds: Long = 0,
     ) : GossipEntry {
         override val key: String
-            get() = "value $member ${value.slot}"
+            get() = "${if (value.protective) "protection" else "value"} $member ${value.slot}"
 
         override val version: Long
             get() = counter
--- a/library/src/main/kotlin/plantainturn/process/membership/GossipValue.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/GossipValue.kt
@@ -27,6 +27,10 @@
     public val urgent: Boolean
         get() = false
 
+    /** Whether the value keeps harm from upstreams or requests, so that a node that joins needs it before others. */
+    public val protective: Boolean
+        get() = false
+
     /**
      * The state of the node itself.
      *
@@ -87,6 +91,9 @@
 
         override val urgent: Boolean
             get() = true
+
+        override val protective: Boolean
+            get() = true
     }
 
     /**
@@ -121,6 +128,9 @@
 
         override val urgent: Boolean
             get() = entry.quarantined
+
+        override val protective: Boolean
+            get() = true
     }
 
     /**
--- a/library/src/test/kotlin/plantainturn/process/membership/GossipMembershipTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/membership/GossipMembershipTest.kt
@@ -8,7 +8,9 @@
 import plantainturn.request.quarantine.RequestFingerprint
 import plantainturn.version.configuration.ConfigurationVersion
 import plantainturn.version.configuration.FailureDomain
+import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.UpstreamName
+import plantainturn.version.placement.ModelDemand
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -197,6 +199,20 @@
         assertEquals(40, late.values(GossipValue.Quarantine::class).size)
     }
 
+    @Test
+    fun `a member that joins late gets what protects upstreams before other values`() {
+        settled(4)
+        for (member in peers.running.values) {
+            repeat(60) { member.publish(GossipValue.Demand(it, persistentMapOf(ModelName("m") to ModelDemand(1.0)))) }
+        }
+        val keeper = peers.running.values.last()
+        keeper.publish(quarantine(1))
+        timer.advance(2.minutes)
+        val late = peers.start(address(9))
+        timer.advance(3.seconds)
+        assertEquals(1, late.values(GossipValue.Quarantine::class).size)
+    }
+
     @Test
     fun `a value that no message can carry is refused`() {
         val member = peers.start(InMemoryPeers.FIRST)
