--- a/library/src/test/kotlin/plantainturn/process/control/controller/internal/SerialWorkerTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/control/controller/internal/SerialWorkerTest.kt
@@ -3,6 +3,8 @@
 import org.junit.jupiter.api.Test
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
+import java.util.concurrent.RejectedExecutionException
+import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
@@ -28,4 +30,17 @@
         next.await()
         assertTrue(executor.shutdownNow().isEmpty())
     }
+
+    @Test
+    fun `work that finds no thread is done in a later round`() {
+        var full = true
+        var done = 0
+        val worker = SerialWorker { if (full) throw RejectedExecutionException("full") else it.run() }
+        worker.submit { done++ }
+        full = false
+        worker.submitIfIdle { done++ }
+        assertEquals(1, done)
+        assertTrue(worker.submitIfIdle { done++ })
+        assertEquals(2, done)
+    }
 }
