Tell the planner which engines may not be ordered, and add the load command

Cause: in a log outage an engine that ignores fences was planned as unusable, so its frozen copies looked lost and emergency loads followed elsewhere. Change: the controller passes acceptsOrders apart from usable; a move to such an engine is deferred as ORDERS_NOT_PERMITTED. The tests' floor planner follows the same contract. Conclusion: copies that can't be ordered still count as resident.

--- a/daemon/src/main/kotlin/plantainturn/daemon/command/PlantainturnCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/PlantainturnCommand.kt
@@ -17,6 +17,7 @@
         DumpCommand::class,
         CodesCommand::class,
         ReplayCommand::class,
+        LoadCommand::class,
     ],
     footer = [
         "",
--- a/library/src/main/kotlin/plantainturn/process/control/controller/Controller.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/controller/Controller.kt
@@ -26,6 +26,7 @@
 import plantainturn.version.placement.DemandSource
 import plantainturn.version.placement.PlacementMove
 import plantainturn.version.placement.PlacementPlan
+import plantainturn.version.placement.PlannedUpstream
 import plantainturn.version.placement.Planner
 import plantainturn.version.placement.PlanningInput
 import java.util.concurrent.ConcurrentHashMap
@@ -211,18 +212,25 @@
                 val fresh = timer.now() - ledger.reportedAt <= settings.reportStaleness
                 val leaving = views[upstream]?.leaving ?: false
                 val permitted = keeper.permits(ledger.fence, ledger.refusesOldFences)
-                upstream to ledger.toPlanned(specification, usable = fresh && !leaving && permitted)
+                upstream to ledger.toPlanned(specification, usable = fresh && !leaving, acceptsOrders = permitted)
             }
         return PlanningInput(timer.now(), known, planned.toMap().toPersistentMap(), demand.demand())
     }
 
+    private fun obstacleTo(upstream: PlannedUpstream?): String? =
+        when {
+            upstream?.usable != true -> "UPSTREAM_NOT_USABLE"
+            !upstream.acceptsOrders -> "ORDERS_NOT_PERMITTED"
+            else -> null
+        }
+
     private fun reserve(
         current: ControlSession,
         move: PlacementMove,
         known: Configuration,
         input: PlanningInput,
     ): MoveResult {
-        if (input.upstreams[move.upstream]?.usable != true) return MoveResult.Deferred("UPSTREAM_NOT_USABLE")
+        obstacleTo(input.upstreams[move.upstream])?.let { return MoveResult.Deferred(it) }
         val action = actionFor(move, known) ?: return MoveResult.Deferred("NOT_CONFIGURED")
         if (!current.budget.admits(action, isEmergency(move), current.ledger, known.weightStore)) {
             return MoveResult.Deferred("WEIGHT_STORE_LIMIT")
--- a/library/src/main/kotlin/plantainturn/process/control/ledger/PlannedView.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/ledger/PlannedView.kt
@@ -12,11 +12,13 @@
 /**
  * Returns this state as the planner sees it.
  *
- * @param usable whether the engine answers, is not leaving and may be given orders
+ * @param usable whether the engine answers and is not leaving
+ * @param acceptsOrders whether this holder may give it orders now
  */
 public fun UpstreamLedger.toPlanned(
     specification: UpstreamSpecification,
     usable: Boolean,
+    acceptsOrders: Boolean = true,
 ): PlannedUpstream =
     PlannedUpstream(
         failureDomain = specification.failureDomain,
@@ -25,6 +27,7 @@
         freeMegabytes = freeMegabytes,
         concurrency = specification.concurrency,
         usable = usable && established,
+        acceptsOrders = acceptsOrders,
         role = report?.role ?: EngineRole.MIXED,
         placements = placements(),
         tokensPerSecond = report?.tokensPerSecond ?: 0.0,
--- a/library/src/test/kotlin/plantainturn/process/control/ControlBench.kt
+++ b/library/src/test/kotlin/plantainturn/process/control/ControlBench.kt
@@ -15,7 +15,6 @@
 import plantainturn.process.control.controller.Controller
 import plantainturn.process.control.controller.ControllerSettings
 import plantainturn.process.control.controller.EngineDirectory
-import plantainturn.process.control.controller.FloorPlanner
 import plantainturn.process.control.lease.HolderIdentifier
 import plantainturn.process.control.lease.LeaseKeeper
 import plantainturn.process.control.lease.LeaseSettings
--- a/library/src/test/kotlin/plantainturn/process/control/FaultyRun.kt
+++ b/library/src/test/kotlin/plantainturn/process/control/FaultyRun.kt
@@ -5,7 +5,6 @@
 import plantainturn.connection.engine.FenceNumber
 import plantainturn.connection.log.StreamName
 import plantainturn.process.control.controller.ControllerSettings
-import plantainturn.process.control.controller.FloorPlanner
 import plantainturn.process.control.lease.ControlState
 import plantainturn.process.control.lease.LeaseFold
 import plantainturn.process.control.lease.LeaseSettings
--- a/library/src/main/kotlin/plantainturn/process/control/controller/FloorPlanner.kt
+++ b/library/src/test/kotlin/plantainturn/process/control/FloorPlanner.kt
@@ -1,4 +1,4 @@
-package plantainturn.process.control.controller
+package plantainturn.process.control
 
 import kotlinx.collections.immutable.toPersistentList
 import plantainturn.version.configuration.ModelName
@@ -14,11 +14,11 @@
  *
  * It never unloads.
  */
-public class FloorPlanner : Planner {
+class FloorPlanner : Planner {
     override fun plan(input: PlanningInput): PlacementPlan {
         val free =
             input.upstreams
-                .filterValues { it.usable }
+                .filterValues { it.usable && it.acceptsOrders }
                 .mapValues { it.value.freeMegabytes }
                 .toMutableMap()
         val models =
