--- a/daemon/src/main/kotlin/plantainturn/daemon/node/MembershipPart.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/node/MembershipPart.kt
@@ -21,7 +21,7 @@
     address: String,
     private val platform: Platform,
     private val timer: TimerService,
-    random: Random,
+    private val random: Random,
     configurationVersion: () -> ConfigurationVersion,
 ) {
     @Volatile
@@ -49,7 +49,7 @@
         val addresses = members.ifEmpty { settings.peers + listedNodes }
         return addresses
             .distinct()
-            .shuffled()
+            .shuffled(random)
             .take(RECORD_SOURCES)
             .map { HttpPeerRecordSource(platform.client, it, stream, settings.peerToken) }
     }
--- a/daemon/src/main/kotlin/plantainturn/daemon/settings/NodeSettingsReader.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/settings/NodeSettingsReader.kt
@@ -6,7 +6,9 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
-import plantainturn.daemon.settings.internal.ObjectChecker
+import plantainturn.version.document.DocumentFault
+import plantainturn.version.document.FaultCollector
+import plantainturn.version.document.ObjectChecker
 
 /** Reads and checks the settings of a node. */
 public object NodeSettingsReader {
@@ -20,7 +22,8 @@
     private val DRIFT_MILLISECONDS = 10L..60_000L
     private val DELAY_MILLISECONDS = 0L..600_000L
     private val STOP_MILLISECONDS = 0L..3_600_000L
-    private const val MILLISECONDS = "ms"
+    private const val MILLISECONDS = "milliseconds"
+    private const val URL_FORM = "a URL such as http://10.0.0.1:8000, with an IP number"
     private val NAME = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
     private val IP_ADDRESS = Regex("[0-9]{1,3}(\\.[0-9]{1,3}){3}|[0-9A-Fa-f:]*:[0-9A-Fa-f:.]*")
     private val URL = Regex("https?://([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9A-Fa-f:.]+])(:[0-9]{1,5})?/?")
@@ -44,7 +47,7 @@
     private fun invalid(
         path: String,
         problem: String,
-    ) = SettingsResult.Invalid(persistentListOf(SettingsFault(path, problem)))
+    ) = SettingsResult.Invalid(persistentListOf(DocumentFault(path, problem)))
 
     private fun decode(element: JsonElement): SettingsResult =
         try {
@@ -53,51 +56,54 @@
             invalid("$", exception.message ?: "cannot be read")
         }
 
-    private fun check(root: JsonObject): List<SettingsFault> {
-        val checker = ObjectChecker.ofRoot(root)
+    private fun check(root: JsonObject): List<DocumentFault> {
+        val faults = FaultCollector()
+        val checker = ObjectChecker("$", root, faults)
         checkIdentity(checker)
         checkListeners(checker)
-        checkPlatform(checker)
+        checkPlatform(checker, faults)
         checkLimits(checker)
         checkLease(checker)
         checkStop(checker)
-        return checker.finish()
+        checker.noteUnknown()
+        return faults.faults
     }
 
     private fun checkIdentity(root: ObjectChecker) {
-        root.text("name", NAME, "a name of letters, digits, '.', '_' and '-'")
-        root.text("failureDomain", NAME, "a name of letters, digits, '.', '_' and '-'")
-        root.text("region", NAME, "a name of letters, digits, '.', '_' and '-'")
-        root.text("shard", NAME, "a name of letters, digits, '.', '_' and '-'")
-        root.text(
-            "operatorTokenSha256",
-            SHA256,
-            "the SHA-256 of the operators' token, 64 lower-case hexadecimal digits",
-        )
-        root.text("peerToken", TOKEN, "a token of 16 to 256 characters without spaces")
+        root.text("name", NAME, "a name of letters, digits, '.', '_' and '-'", required = true)
+        root.text("failureDomain", NAME, "a name of letters, digits, '.', '_' and '-'", required = true)
+        root.text("region", NAME, "a name of letters, digits, '.', '_' and '-'", required = true)
+        root.text("shard", NAME, "a name of letters, digits, '.', '_' and '-'", required = true)
+        root.text("operatorTokenSha256", SHA256, "a SHA-256 of 64 lower-case hexadecimal digits", required = true)
+        root.text("peerToken", TOKEN, "a token of 16 to 256 characters without spaces", required = true)
     }
 
     private fun checkListeners(root: ObjectChecker) {
         for (name in listOf("callers", "control")) {
-            root.child(name, required = true) { listener ->
-                listener.text("address", IP_ADDRESS, "an IP number")
-                listener.integer("port", PORTS, "TCP port", required = true)
+            root.nested(name, required = true) { listener ->
+                listener.text("address", IP_ADDRESS, "an IP number", required = true)
+                listener.integer("port", PORTS, "TCP ports", required = true)
             }
         }
     }
 
-    private fun checkPlatform(root: ObjectChecker) {
+    private fun checkPlatform(
+        root: ObjectChecker,
+        faults: FaultCollector,
+    ) {
         for (name in listOf("log", "vmList")) {
-            root.child(name, required = true) { platform ->
-                platform.text("url", URL, "a URL such as http://10.0.0.1:8000, with an IP number")
+            root.nested(name, required = true) { platform ->
+                platform.text("url", URL, URL_FORM, required = true)
                 platform.integer("timeoutMilliseconds", TIMEOUT_MILLISECONDS, MILLISECONDS)
             }
         }
-        root.texts("peers", URL, "a URL such as http://10.0.0.1:8000, with an IP number")
+        root.texts("peers", required = false) { path, peer ->
+            if (!URL.matches(peer)) faults.add(path, "must be $URL_FORM, is \"$peer\"")
+        }
     }
 
     private fun checkLimits(root: ObjectChecker) {
-        root.child("limits") { limits ->
+        root.nested("limits") { limits ->
             limits.integer("bodyBytes", BODY_BYTES, "bytes")
             limits.integer("bodyMilliseconds", BODY_MILLISECONDS, MILLISECONDS)
             limits.integer("requestsInFlight", REQUESTS, "requests")
@@ -106,7 +112,7 @@
     }
 
     private fun checkLease(root: ObjectChecker) {
-        root.child("lease") { lease ->
+        root.nested("lease") { lease ->
             lease.integer("termMilliseconds", TERM_MILLISECONDS, MILLISECONDS)
             lease.integer("driftMarginMilliseconds", DRIFT_MILLISECONDS, MILLISECONDS)
             lease.integer("orderDelayBoundMilliseconds", DELAY_MILLISECONDS, MILLISECONDS)
@@ -114,7 +120,7 @@
     }
 
     private fun checkStop(root: ObjectChecker) {
-        root.child("stop") { stop ->
+        root.nested("stop") { stop ->
             stop.integer("balancerLagMilliseconds", STOP_MILLISECONDS, MILLISECONDS)
             stop.integer("limitMilliseconds", STOP_MILLISECONDS, MILLISECONDS)
         }
--- a/daemon/src/main/kotlin/plantainturn/daemon/settings/SettingsResult.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/settings/SettingsResult.kt
@@ -1,6 +1,7 @@
 package plantainturn.daemon.settings
 
 import kotlinx.collections.immutable.PersistentList
+import plantainturn.version.document.DocumentFault
 
 /** What reading a settings file gave. */
 public sealed interface SettingsResult {
@@ -11,6 +12,6 @@
 
     /** The settings can't be used; [faults] names everything that is wrong. */
     public data class Invalid(
-        val faults: PersistentList<SettingsFault>,
+        val faults: PersistentList<DocumentFault>,
     ) : SettingsResult
 }
--- a/daemon/src/test/kotlin/plantainturn/daemon/settings/NodeSettingsReaderTest.kt
+++ b/daemon/src/test/kotlin/plantainturn/daemon/settings/NodeSettingsReaderTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import plantainturn.version.document.DocumentFault
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 
@@ -38,12 +39,14 @@
     @CsvSource(
         delimiter = '|',
         value = [
-            "\"port\": 9000 | \"port\": 70000 | $.control.port | must be a whole number from 0 to 65535 (TCP port)",
-            "\"port\": 9000 | \"port\": \"9000\" | $.control.port | must be a whole number from 0 to 65535 (TCP port)",
+            "\"port\": 9000 | \"port\": 70000 | $.control.port |" +
+                " must be a whole number of TCP ports from 0 to 65535, is 70000",
+            "\"port\": 9000 | \"port\": \"9000\" | $.control.port |" +
+                " must be a whole number of TCP ports from 0 to 65535, is \"9000\"",
             "http://127.0.0.1:1 | http://log.example | $.log.url |" +
-                " must be a URL such as http://10.0.0.1:8000, with an IP number",
+                " must be a URL such as http://10.0.0.1:8000, with an IP number, is \"http://log.example\"",
             "\"peerToken\": \"0123456789abcdef\" | \"peerToken\": \"short\" | $.peerToken |" +
-                " must be a token of 16 to 256 characters without spaces",
+                " must be a token of 16 to 256 characters without spaces, is \"short\"",
         ],
     )
     fun `a wrong value is named with its path and what is expected`(
@@ -53,7 +56,7 @@
         problem: String,
     ) {
         val result = assertIs<SettingsResult.Invalid>(NodeSettingsReader.read(valid.replace(original, replacement)))
-        assertEquals(listOf(SettingsFault(path, problem)), result.faults.toList())
+        assertEquals(listOf(DocumentFault(path, problem)), result.faults.toList())
     }
 
     @ParameterizedTest
--- a/library/src/main/kotlin/plantainturn/version/configuration/ConfigurationCheck.kt
+++ b/library/src/main/kotlin/plantainturn/version/configuration/ConfigurationCheck.kt
@@ -1,6 +1,7 @@
 package plantainturn.version.configuration
 
 import kotlinx.collections.immutable.PersistentList
+import plantainturn.version.document.DocumentFault
 
 /** What the checks of a configuration found. */
 public sealed interface ConfigurationCheck {
@@ -11,6 +12,6 @@
 
     /** The document has these [faults], at least one. */
     public data class Faulty(
-        val faults: PersistentList<ConfigurationFault>,
+        val faults: PersistentList<DocumentFault>,
     ) : ConfigurationCheck
 }
--- a/library/src/main/kotlin/plantainturn/version/configuration/ConfigurationChecks.kt
+++ b/library/src/main/kotlin/plantainturn/version/configuration/ConfigurationChecks.kt
@@ -4,9 +4,10 @@
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.json.JsonObject
 import plantainturn.version.configuration.internal.CrossChecks
-import plantainturn.version.configuration.internal.FaultCollector
 import plantainturn.version.configuration.internal.FieldChecks
-import plantainturn.version.configuration.internal.ObjectChecker
+import plantainturn.version.document.DocumentFault
+import plantainturn.version.document.FaultCollector
+import plantainturn.version.document.ObjectChecker
 
 /** Checks whole configurations and names every fault in one pass. The checks are pure. */
 public object ConfigurationChecks {
@@ -25,6 +26,6 @@
         try {
             ConfigurationCheck.Passed(ConfigurationJson.decode(document))
         } catch (exception: IllegalArgumentException) {
-            ConfigurationCheck.Faulty(persistentListOf(ConfigurationFault(ROOT, exception.message.orEmpty())))
+            ConfigurationCheck.Faulty(persistentListOf(DocumentFault(ROOT, exception.message.orEmpty())))
         }
 }
--- a/library/src/main/kotlin/plantainturn/version/configuration/ConfigurationFold.kt
+++ b/library/src/main/kotlin/plantainturn/version/configuration/ConfigurationFold.kt
@@ -10,6 +10,7 @@
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.log.StreamFold
 import plantainturn.process.ResultCode
+import plantainturn.version.document.DocumentFault
 
 /**
  * The rules by which patches make versions.
@@ -83,7 +84,7 @@
         state: ConfigurationState,
         patch: ConfigurationPatch,
         code: ResultCode,
-        faults: List<ConfigurationFault> = emptyList(),
+        faults: List<DocumentFault> = emptyList(),
     ): ConfigurationState {
         val first = faults.take(FAULTS_KEPT).toPersistentList()
         return state.note(patch.identifier, PatchFate.Refused(code.number, state.current.version, first))
--- a/library/src/main/kotlin/plantainturn/version/configuration/PatchFate.kt
+++ b/library/src/main/kotlin/plantainturn/version/configuration/PatchFate.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import plantainturn.version.document.DocumentFault
 
 /** What the stream's order made of a patch. It never changes. */
 @Serializable
@@ -26,6 +27,6 @@
     public data class Refused(
         val resultCode: Int,
         val current: ConfigurationVersion,
-        val faults: SerializableList<ConfigurationFault> = persistentListOf(),
+        val faults: SerializableList<DocumentFault> = persistentListOf(),
     ) : PatchFate
 }
--- a/library/src/main/kotlin/plantainturn/version/configuration/PatchResult.kt
+++ b/library/src/main/kotlin/plantainturn/version/configuration/PatchResult.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentList
 import plantainturn.process.ResultCode
+import plantainturn.version.document.DocumentFault
 
 /** What an operator is told about a patch. */
 public sealed interface PatchResult {
@@ -19,7 +20,7 @@
      */
     public data class Refused(
         val code: ResultCode,
-        val faults: PersistentList<ConfigurationFault>,
+        val faults: PersistentList<DocumentFault>,
         val current: ConfigurationVersion,
     ) : PatchResult
 
--- a/library/src/main/kotlin/plantainturn/version/configuration/internal/CrossChecks.kt
+++ b/library/src/main/kotlin/plantainturn/version/configuration/internal/CrossChecks.kt
@@ -1,6 +1,7 @@
 package plantainturn.version.configuration.internal
 
 import plantainturn.version.configuration.UpstreamKind
+import plantainturn.version.document.FaultCollector
 
 /** Checks the parts of a configuration against each other. */
 internal class CrossChecks(
--- a/library/src/main/kotlin/plantainturn/version/configuration/internal/FieldChecks.kt
+++ b/library/src/main/kotlin/plantainturn/version/configuration/internal/FieldChecks.kt
@@ -1,6 +1,8 @@
 package plantainturn.version.configuration.internal
 
 import plantainturn.version.configuration.UpstreamKind
+import plantainturn.version.document.FaultCollector
+import plantainturn.version.document.ObjectChecker
 
 /** Checks the fields of each part of a configuration by themselves and gathers what the cross checks need. */
 internal class FieldChecks(
@@ -15,8 +17,8 @@
         root.eachNamed("upstreams") { name, fields -> upstream(name, fields) }
         root.eachNamed("services") { name, fields -> service(name, fields) }
         root.eachNamed("teams") { name, fields -> team(name, fields) }
-        root.nested("weightStore", ::weightStore)
-        root.nested("objective", ::objective)
+        root.nested("weightStore", check = ::weightStore)
+        root.nested("objective", check = ::objective)
         root.noteUnknown()
         return gathered
     }
--- a/library/src/main/kotlin/plantainturn/version/configuration/internal/ObjectChecker.kt
+++ b/library/src/main/kotlin/plantainturn/version/document/ObjectChecker.kt
@@ -1,4 +1,4 @@
-package plantainturn.version.configuration.internal
+package plantainturn.version.document
 
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
@@ -12,25 +12,27 @@
  * Checks the fields of one JSON object and notes every fault with its path.
  *
  * A check returns the field's value, or null if it is absent or faulty. Fields that no check asked for are unknown.
+ *
+ * @property path the JSON path of the object
  */
-internal class ObjectChecker(
-    val path: String,
+public class ObjectChecker(
+    public val path: String,
     private val fields: JsonObject,
     private val faults: FaultCollector,
 ) {
     private val asked = mutableSetOf<String>()
 
     /** Returns the path of the field [name]. */
-    fun pathOf(name: String): String = "$path.$name"
+    public fun pathOf(name: String): String = "$path.$name"
 
     /** Notes a problem of the field [name]. */
-    fun fault(
+    public fun fault(
         name: String,
         problem: String,
-    ) = faults.add(pathOf(name), problem)
+    ): Unit = faults.add(pathOf(name), problem)
 
     /** Checks a whole number in [range], counted in [unit]. */
-    fun integer(
+    public fun integer(
         name: String,
         range: LongRange,
         unit: String,
@@ -46,7 +48,7 @@
     }
 
     /** Checks a number in [range], counted in [unit]. */
-    fun decimal(
+    public fun decimal(
         name: String,
         range: ClosedFloatingPointRange<Double>,
         unit: String,
@@ -61,7 +63,7 @@
     }
 
     /** Checks a text that matches [pattern], which [form] puts into words. */
-    fun text(
+    public fun text(
         name: String,
         pattern: Regex,
         form: String,
@@ -77,7 +79,7 @@
     }
 
     /** Checks true or false. */
-    fun boolean(name: String): Boolean? {
+    public fun boolean(name: String): Boolean? {
         val element = field(name, false) ?: return null
         val value = numberText(element)?.booleanOrNull
         if (value == null) fault(name, "must be true or false, is $element")
@@ -85,7 +87,7 @@
     }
 
     /** Checks a list of texts, each given to [check] with its path. */
-    fun texts(
+    public fun texts(
         name: String,
         required: Boolean,
         check: (String, String) -> Unit,
@@ -99,16 +101,17 @@
     }
 
     /** Checks an object field by [check]. */
-    fun nested(
+    public fun nested(
         name: String,
+        required: Boolean = false,
         check: (ObjectChecker) -> Unit,
     ) {
-        val element = field(name, false) ?: return
+        val element = field(name, required) ?: return
         checkObject(pathOf(name), element, check)
     }
 
     /** Checks each named object of the object field [name] by [check]. */
-    fun eachNamed(
+    public fun eachNamed(
         name: String,
         check: (String, ObjectChecker) -> Unit,
     ) {
@@ -135,7 +138,7 @@
     }
 
     /** Notes each field that no check asked for. */
-    fun noteUnknown() {
+    public fun noteUnknown() {
         for (name in fields.keys - asked) {
             fault(name, "is not a known field; known are ${asked.sorted().joinToString()}")
         }
