--- a/daemon/src/main/kotlin/plantainturn/daemon/command/PlantainturnCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/PlantainturnCommand.kt
@@ -12,6 +12,7 @@
     version = ["plantainturn 0.1.0"],
     subcommands = [
         NodeCommand::class,
+        RelayCommand::class,
         StandInCommand::class,
         ConfigurationCommand::class,
         DumpCommand::class,
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/connection/store/RecordStore.kt
@@ -0,0 +1,39 @@
+package plantainturn.connection.store
+
+import plantainturn.connection.log.LogOffset
+import kotlin.time.Duration
+
+/**
+ * The platform's store, as topics of keyed records with conditional appends.
+ *
+ * Calls return at once and later call back exactly once, on the thread of the node's event loop. They throw nothing;
+ * every failure is a result. Each call is priced by the platform.
+ */
+public interface RecordStore {
+    /**
+     * Appends a record for [key].
+     *
+     * @param at if given, the record is appended only if the topic ends there
+     */
+    public fun append(
+        topic: TopicName,
+        key: String,
+        value: ByteArray,
+        at: LogOffset?,
+        done: (StoreAppendResult) -> Unit,
+    )
+
+    /** Reads the newest record of each key; the result's records are in no particular order. */
+    public fun readNewest(
+        topic: TopicName,
+        done: (StoreReadResult) -> Unit,
+    )
+
+    /** Reads the records from [from] on, and waits up to [wait] for one if there is none yet. */
+    public fun read(
+        topic: TopicName,
+        from: LogOffset,
+        wait: Duration,
+        done: (StoreReadResult) -> Unit,
+    )
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
@@ -0,0 +1,296 @@
+package plantainturn.process.control.lease
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.apache.logging.log4j.LogManager
+import plantainturn.connection.engine.FenceNumber
+import plantainturn.connection.log.LogOffset
+import plantainturn.connection.store.KeyedRecord
+import plantainturn.connection.store.RecordStore
+import plantainturn.connection.store.StoreAppendResult
+import plantainturn.connection.store.StoreReadResult
+import plantainturn.connection.store.TopicName
+import plantainturn.process.time.Moment
+import plantainturn.process.time.TimerService
+
+/**
+ * A lease on a store that appends only where a topic is expected to end.
+ *
+ * Each append names the end that its writer has seen, so of two writers one is refused. The fence is the offset of the
+ * holder's first record. The holder counts its term from when it sent a renewal, a contender from when it read the
+ * last record, and waits longer than any term; no time of day decides anything. A jump of [civilClock] against the
+ * monotonic clock tells that this VM was suspended: the lease then counts as lapsed until a renewal that was sent
+ * afterwards is confirmed.
+ *
+ * Confined to the thread of the node's event loop.
+ *
+ * @param address where peers reach this node, for its record
+ * @param civilClock Unix milliseconds
+ */
+public class StoreLease(
+    private val store: RecordStore,
+    private val holder: HolderIdentifier,
+    private val address: String,
+    private val timer: TimerService,
+    private val civilClock: () -> Long,
+    private val settings: StoreLeaseSettings = StoreLeaseSettings(),
+) {
+    private val logger = LogManager.getLogger(StoreLease::class.java)
+    private var observed: Observation? = null
+    private var held: Held? = null
+    private var calling = false
+    private var stopping = false
+
+    /** The holder's record as this node last read or wrote it, null if it has read none. */
+    public var holderRecord: HolderRecord? = null
+        private set
+
+    /** The fence under which this node holds the lease, or null if it does not hold it. */
+    public val fence: FenceNumber?
+        get() = held?.fence
+
+    /** Returns whether this node may issue orders now. */
+    public fun permitsOrders(): Boolean {
+        val current = held ?: return false
+        val now = timer.now()
+        return !stopping && now < current.validUntil && now >= current.ordersFrom && !wasSuspended(current)
+    }
+
+    /** Looks at the lease: renews it if it is held and due, and otherwise competes for it if [mayContend]. */
+    public fun step(mayContend: Boolean) {
+        if (calling) return
+        val current = held
+        when {
+            current != null -> renewWhenDue(current)
+            stopping || !mayContend -> Unit
+            else -> contend()
+        }
+    }
+
+    /** Reads who holds the lease, however long ago it was last read. */
+    public fun look() {
+        if (!calling && held == null) read()
+    }
+
+    /** Gives the lease back, if it is held, and competes for it no more. */
+    public fun release() {
+        stopping = true
+        val current = held ?: return
+        lose("released")
+        val record = HolderRecord(NOBODY, "", current.fence.value)
+        append(record, current.end) { logger.info("event=lease-release fence={} result={}", current.fence, it) }
+    }
+
+    /** Notes that an engine has refused this node's fence for a later one. */
+    public fun observeLaterFence(later: FenceNumber) {
+        val current = held ?: return
+        if (later > current.fence) lose("an engine has seen fence $later")
+    }
+
+    private fun wasSuspended(current: Held): Boolean {
+        val drift = clockDifference() - current.clockDifference
+        return drift > settings.suspensionTolerance.inWholeMilliseconds ||
+            drift < -settings.suspensionTolerance.inWholeMilliseconds
+    }
+
+    private fun clockDifference(): Long = civilClock() - timer.now().nanoseconds / NANOSECONDS_PER_MILLISECOND
+
+    private fun renewWhenDue(current: Held) {
+        val now = timer.now()
+        val suspended = wasSuspended(current)
+        if (now < current.renewedAt + settings.renewalPeriod && !suspended) return
+        val difference = clockDifference()
+        val record = HolderRecord(holder.value, address, current.fence.value)
+        append(record, current.end) { result -> renewed(result, now, difference) }
+    }
+
+    private fun renewed(
+        result: StoreAppendResult,
+        sentAt: Moment,
+        difference: Long,
+    ) {
+        val current = held ?: return
+        when (result) {
+            is StoreAppendResult.Appended ->
+                held =
+                    current.copy(
+                        end = result.offset.next(),
+                        renewedAt = sentAt,
+                        validUntil = sentAt + settings.term,
+                        clockDifference = difference,
+                    )
+            is StoreAppendResult.Conflict -> confirmAfterConflict(current, sentAt, difference)
+            is StoreAppendResult.Refused, is StoreAppendResult.Unknown -> {
+                logger.warn("event=lease-renewal-failed fence={} result={}", current.fence, result)
+                if (timer.now() > current.validUntil + settings.contenderWait) lose("not renewed for too long")
+            }
+        }
+    }
+
+    /** The record that stands in the way may be an earlier renewal of this node's whose answer was lost. */
+    private fun confirmAfterConflict(
+        current: Held,
+        sentAt: Moment,
+        difference: Long,
+    ) {
+        calling = true
+        store.readNewest(TOPIC) { result ->
+            calling = false
+            if (result is StoreReadResult.Records && held === current) {
+                val newest = newest(result)
+                if (newest?.holder == holder.value && newest.fence == current.fence.value) {
+                    held =
+                        current.copy(
+                            end = result.next,
+                            renewedAt = sentAt,
+                            validUntil = sentAt + settings.term,
+                            clockDifference = difference,
+                        )
+                } else {
+                    lose("held by ${newest?.holder}")
+                    observe(result)
+                }
+            }
+        }
+    }
+
+    private fun contend() {
+        val seen = observed
+        when {
+            seen == null || timer.now() >= seen.mayClaimAt(settings) && !seen.checkedTwice -> read()
+            timer.now() >= seen.mayClaimAt(settings) -> claim(seen)
+        }
+    }
+
+    private fun read() {
+        calling = true
+        store.readNewest(TOPIC) { result ->
+            calling = false
+            if (result is StoreReadResult.Records) observe(result)
+        }
+    }
+
+    private fun observe(result: StoreReadResult.Records) {
+        val record = newest(result)
+        holderRecord = record
+        val before = observed
+        observed =
+            if (before != null && before.end == result.next) {
+                before.copy(checkedTwice = true)
+            } else {
+                Observation(result.next, record, timer.now(), checkedTwice = record == null)
+            }
+    }
+
+    private fun claim(seen: Observation) {
+        val sentAt = timer.now()
+        val difference = clockDifference()
+        val record = HolderRecord(holder.value, address, seen.end.value)
+        append(record, seen.end) { result ->
+            when (result) {
+                is StoreAppendResult.Appended -> granted(result.offset, seen, sentAt, difference)
+                is StoreAppendResult.Conflict, is StoreAppendResult.Unknown -> observed = null
+                is StoreAppendResult.Refused -> logger.debug("event=lease-claim-refused result={}", result)
+            }
+        }
+    }
+
+    private fun granted(
+        offset: LogOffset,
+        seen: Observation,
+        sentAt: Moment,
+        difference: Long,
+    ) {
+        observed = null
+        val ordersFrom = maxOf(sentAt, seen.ordersFrom(settings))
+        held =
+            Held(
+                fence = FenceNumber(offset.value),
+                end = offset.next(),
+                renewedAt = sentAt,
+                validUntil = sentAt + settings.term,
+                ordersFrom = ordersFrom,
+                clockDifference = difference,
+            )
+        holderRecord = HolderRecord(holder.value, address, offset.value)
+        logger.info("event=lease-granted fence={} previous={} ordersIn={}", offset, seen.record, ordersFrom - sentAt)
+    }
+
+    private fun append(
+        record: HolderRecord,
+        at: LogOffset,
+        done: (StoreAppendResult) -> Unit,
+    ) {
+        calling = true
+        store.append(TOPIC, KEY, Json.encodeToString(record).toByteArray(), at) { result ->
+            calling = false
+            done(result)
+        }
+    }
+
+    private fun newest(result: StoreReadResult.Records): HolderRecord? =
+        result.records.firstOrNull { it.key == KEY }?.let(::decode)
+
+    private fun decode(record: KeyedRecord): HolderRecord? {
+        val text = record.value?.decodeToString() ?: return null
+        return try {
+            Json.decodeFromString(HolderRecord.serializer(), text)
+        } catch (exception: SerializationException) {
+            logger.error("event=lease-record-unreadable offset={} text={}", record.offset, text, exception)
+            HolderRecord(UNREADABLE, "", record.offset.value)
+        }
+    }
+
+    private fun lose(reason: String) {
+        val current = held ?: return
+        held = null
+        observed = null
+        logger.info("event=lease-lost fence={} reason=\"{}\"", current.fence, reason)
+    }
+
+    /** The holder's record in the store. */
+    @Serializable
+    public data class HolderRecord(
+        val holder: String,
+        val address: String,
+        val fence: Long,
+    )
+
+    private data class Held(
+        val fence: FenceNumber,
+        val end: LogOffset,
+        val renewedAt: Moment,
+        val validUntil: Moment,
+        val ordersFrom: Moment,
+        val clockDifference: Long,
+    )
+
+    private data class Observation(
+        val end: LogOffset,
+        val record: HolderRecord?,
+        val at: Moment,
+        val checkedTwice: Boolean,
+    ) {
+        fun mayClaimAt(settings: StoreLeaseSettings): Moment = if (isFree) at else at + settings.contenderWait
+
+        /** The previous holder's last order is at least [StoreLeaseSettings.handOverPause] older. */
+        fun ordersFrom(settings: StoreLeaseSettings): Moment =
+            when {
+                record == null -> at
+                isFree -> at + settings.handOverPause
+                else -> at + settings.term + settings.handOverPause
+            }
+
+        private val isFree: Boolean
+            get() = record == null || record.holder == NOBODY
+    }
+
+    private companion object {
+        val TOPIC = TopicName("control", keyed = true)
+        const val KEY = "issuer"
+        const val NOBODY = ""
+        const val UNREADABLE = "?"
+        const val NANOSECONDS_PER_MILLISECOND = 1_000_000
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/EngineLedger.kt
@@ -0,0 +1,266 @@
+package plantainturn.process.control.residence
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.minus
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.plus
+import plantainturn.connection.engine.FenceNumber
+import plantainturn.process.time.Moment
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.UpstreamName
+import plantainturn.version.route.EngineFleet
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * What one engine holds, as the holder of the lease must assume it, and the orders that it may be given.
+ *
+ * Every order names the sequence that the engine must have, so an order without an answer can act only in place of the
+ * next one, never beside it. Only a restart breaks this: the sequence starts anew and an old order may find its number
+ * again. What such orders would load stays reserved for [delayBound] after the restart.
+ *
+ * Confined to one thread.
+ *
+ * @param delayBound the longest time after which an order without an answer may still be carried out
+ */
+public class EngineLedger(
+    public val engine: UpstreamName,
+    private val delayBound: Duration = DEFAULT_DELAY_BOUND,
+) {
+    private var startedAt: Long? = null
+    private val doubtful = ArrayList<Doubt>()
+
+    /** Orders that this run of the engine has accepted, null until the engine has told. */
+    public var sequence: Long? = null
+        private set
+
+    /** Base models that can run requests, with their adapters. */
+    public var residents: PersistentMap<ModelName, PersistentSet<ModelName>> = persistentMapOf()
+        private set
+
+    /** The base model whose load was accepted and is not seen as complete yet. */
+    public var loading: ModelName? = null
+        private set
+
+    /** The base model whose unload was accepted and is not seen as complete yet. */
+    public var unloading: ModelName? = null
+        private set
+
+    /** When the order under way for a base model was accepted. */
+    public var orderedAt: Moment? = null
+        private set
+
+    /** Models whose weights lie in host memory. */
+    public var hostCopies: PersistentSet<ModelName> = persistentSetOf()
+        private set
+
+    /** Models whose weights lie on disk. */
+    public var diskCopies: PersistentSet<ModelName> = persistentSetOf()
+        private set
+
+    /** Whether a call with an order is open. */
+    public var calling: Boolean = false
+        private set
+
+    /** When the engine's last reading was asked for, null if there is none. */
+    public var readAt: Moment? = null
+        private set
+
+    /** Whether the engine is carrying out an order that this ledger knows nothing of, such as an earlier holder's. */
+    public var isBusyWithUnknown: Boolean = false
+        private set
+
+    /** Whether a base model is on its way in or out, so that no other base model can be ordered. */
+    public val isChanging: Boolean
+        get() = loading != null || unloading != null || isBusyWithUnknown
+
+    /** Whether the engine must be asked before the next order. */
+    public var needsReading: Boolean = true
+        private set
+
+    /** Takes in [reading], which was asked for at [askedAt]. */
+    public fun onReading(
+        reading: EngineReading,
+        askedAt: Moment,
+    ) {
+        if (startedAt != null && reading.startedAt != startedAt) restarted(askedAt)
+        startedAt = reading.startedAt
+        val known = sequence
+        if (known != null && reading.sequence < known) return
+        sequence = reading.sequence
+        readAt = askedAt
+        doubtful.removeAll { it.expected < reading.sequence && it.restartedAt == null }
+        hostCopies = reading.hostCopies
+        diskCopies = reading.diskCopies
+        residents =
+            reading.residents.mapValuesPersistent { model, adapters ->
+                adapters + reading.arrivingAdapters[model].orEmpty()
+            }
+        if (!reading.busy) {
+            loading = null
+            unloading = null
+            orderedAt = null
+        }
+        isBusyWithUnknown = reading.busy && loading == null && unloading == null
+        needsReading = false
+    }
+
+    /** Returns [action] as an order if the engine may be given it at [now], or null. */
+    public fun prepare(
+        action: ResidenceAction,
+        fleet: EngineFleet,
+        fence: FenceNumber,
+        now: Moment,
+    ): SequencedOrder? {
+        val expected = sequence
+        val known = !calling && !needsReading
+        if (!known || expected == null || !isAdmissible(action, fleet, now)) return null
+        calling = true
+        return SequencedOrder(engine, action, expected, fence)
+    }
+
+    /** Notes how [order], which was sent at [sentAt], was answered. */
+    public fun onResult(
+        order: SequencedOrder,
+        result: SequencedOrderResult,
+        sentAt: Moment,
+    ) {
+        calling = false
+        when (result) {
+            SequencedOrderResult.Accepted -> accepted(order, sentAt)
+            SequencedOrderResult.AlreadyHolds -> assume(order.action)
+            is SequencedOrderResult.Invalid -> Unit
+            SequencedOrderResult.OutOfStep, is SequencedOrderResult.StaleFence -> needsReading = true
+            is SequencedOrderResult.Unknown -> {
+                doubtful += Doubt(order.action, order.expectedSequence, restartedAt = null)
+                needsReading = true
+            }
+        }
+    }
+
+    /** Notes that the engine is believed to hold nothing more, such as after its restart. */
+    public fun onRestart(now: Moment) {
+        restarted(now)
+        startedAt = null
+    }
+
+    /** Returns the memory that is taken or may come to be taken, in megabytes. */
+    public fun committedMegabytes(
+        fleet: EngineFleet,
+        now: Moment,
+    ): Double {
+        forgetDoubts(now)
+        val held = residents.keys + listOfNotNull(loading) + doubtfulLoads()
+        val adapters = residents.entries.sumOf { (model, names) -> names.size * adapterSize(fleet, model) }
+        return held.sumOf { fleet.models[it]?.memoryMegabytes ?: 0.0 } + adapters
+    }
+
+    /** Returns the number of adapters that the engine holds. */
+    public fun adapterCount(): Int = residents.values.sumOf { it.size }
+
+    private fun isAdmissible(
+        action: ResidenceAction,
+        fleet: EngineFleet,
+        now: Moment,
+    ): Boolean {
+        val specification = fleet.models[action.model] ?: return false
+        return when (action.kind) {
+            ResidenceAction.Kind.UNLOAD -> !isChanging || action.adapter != null
+            ResidenceAction.Kind.LOAD ->
+                if (action.adapter != null) {
+                    action.model in residents &&
+                        unloading != action.model &&
+                        adapterCount() < fleet.adapterPlaces &&
+                        committedMegabytes(fleet, now) + specification.adapterMegabytes <= fleet.weightMegabytes
+                } else {
+                    !isChanging && action.model !in residents && fits(specification.memoryMegabytes, fleet, now)
+                }
+        }
+    }
+
+    /** Room for adapters in all places is kept free, so that a full engine can still take them. */
+    private fun fits(
+        megabytes: Double,
+        fleet: EngineFleet,
+        now: Moment,
+    ): Boolean = committedMegabytes(fleet, now) + megabytes <= fleet.weightMegabytes
+
+    private fun accepted(
+        order: SequencedOrder,
+        sentAt: Moment,
+    ) {
+        sequence = order.expectedSequence + 1
+        val action = order.action
+        when {
+            action.adapter != null -> assume(action)
+            action.kind == ResidenceAction.Kind.LOAD -> {
+                loading = action.model
+                orderedAt = sentAt
+            }
+            else -> {
+                unloading = action.model
+                orderedAt = sentAt
+            }
+        }
+    }
+
+    private fun assume(action: ResidenceAction) {
+        val adapter = action.adapter
+        val present = residents[action.model]
+        residents =
+            when {
+                adapter == null && action.kind == ResidenceAction.Kind.LOAD ->
+                    residents.put(action.model, present ?: persistentSetOf())
+                adapter == null -> residents.remove(action.model)
+                present == null -> residents
+                action.kind == ResidenceAction.Kind.LOAD -> residents.put(action.model, present + adapter)
+                else -> residents.put(action.model, present - adapter)
+            }
+    }
+
+    private fun restarted(now: Moment) {
+        doubtful.replaceAll { if (it.restartedAt == null) it.copy(restartedAt = now) else it }
+        sequence = null
+        residents = persistentMapOf()
+        loading = null
+        unloading = null
+        orderedAt = null
+        isBusyWithUnknown = false
+        hostCopies = persistentSetOf()
+        needsReading = true
+    }
+
+    private fun forgetDoubts(now: Moment) {
+        doubtful.removeAll { doubt -> doubt.restartedAt?.let { now > it + delayBound } ?: false }
+    }
+
+    private fun doubtfulLoads(): List<ModelName> =
+        doubtful
+            .filter {
+                it.restartedAt != null && it.action.kind == ResidenceAction.Kind.LOAD && it.action.adapter == null
+            }.map { it.action.model }
+
+    private fun adapterSize(
+        fleet: EngineFleet,
+        model: ModelName,
+    ): Double = fleet.models[model]?.adapterMegabytes ?: 0.0
+
+    private data class Doubt(
+        val action: ResidenceAction,
+        val expected: Long,
+        val restartedAt: Moment?,
+    )
+
+    private companion object {
+        /** The platform carries unanswered orders out within 12 s. */
+        val DEFAULT_DELAY_BOUND = 13.seconds
+
+        fun <K, V> PersistentMap<K, V>.mapValuesPersistent(transform: (K, V) -> V): PersistentMap<K, V> {
+            val builder = builder()
+            for ((key, value) in this) builder[key] = transform(key, value)
+            return builder.build()
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/ResidenceInput.kt
@@ -0,0 +1,19 @@
+package plantainturn.process.control.residence
+
+import plantainturn.process.time.Moment
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.route.EngineFleet
+
+/**
+ * What a plan of residence is made from.
+ *
+ * @property engines the engines of one service that may be given orders or count as holders
+ * @property storeLoadsLeft loads from the weight store that may begin now
+ */
+public data class ResidenceInput(
+    val fleet: EngineFleet,
+    val engines: List<EngineSituation>,
+    val pressure: Map<ModelName, ModelPressure>,
+    val storeLoadsLeft: Int,
+    val now: Moment,
+)
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/ResidenceSettings.kt
@@ -0,0 +1,26 @@
+package plantainturn.process.control.residence
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * How a [ResidencePlanner] weighs.
+ *
+ * @property minimumResidence how long a model stays at least, so that two models don't take turns; somewhat more than
+ *   a load from disk
+ * @property overloadedShare part of an engine's time that one copy may be wanted for before a second one pays
+ * @property protectedWorth worth a second from which on a model gets a second copy in place of a silent one
+ * @property waitingWorth worth a second that one waiting request counts for
+ * @property worthFactor how much more than a wanted model a missing one must be wanted to take its place
+ * @property loadSecondCost worth that one second of loading costs, in the choice of the engine
+ * @property utilisationCost worth that a fully used engine costs, in the choice of the engine
+ */
+public data class ResidenceSettings(
+    val minimumResidence: Duration = 3.seconds,
+    val overloadedShare: Double = 0.6,
+    val protectedWorth: Double = 1.0,
+    val waitingWorth: Double = 0.3,
+    val worthFactor: Double = 2.0,
+    val loadSecondCost: Double = 0.5,
+    val utilisationCost: Double = 3.0,
+)
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/SequencedOrder.kt
@@ -0,0 +1,17 @@
+package plantainturn.process.control.residence
+
+import plantainturn.connection.engine.FenceNumber
+import plantainturn.version.configuration.UpstreamName
+
+/**
+ * An order that its engine carries out only as its next one after [expectedSequence] others.
+ *
+ * Of several orders with one expected sequence an engine carries out one at most, also when one of them is delayed.
+ * Each must therefore fit what the engine holds after that many orders, and no more.
+ */
+public data class SequencedOrder(
+    val engine: UpstreamName,
+    val action: ResidenceAction,
+    val expectedSequence: Long,
+    val fence: FenceNumber,
+)
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/relay/DispatchCandidate.kt
@@ -0,0 +1,27 @@
+package plantainturn.request.relay
+
+import plantainturn.version.configuration.UpstreamName
+
+/**
+ * An instance that could take a request, as the decision sees it.
+ *
+ * @property concurrency requests that it runs at once
+ * @property running requests of all nodes that are there
+ * @property unreadTokens prompt tokens ahead of the request
+ * @property heldTokens cache tokens that are taken
+ * @property keptTokens tokens of the request's prompt that it has kept
+ * @property sameDomain whether it is in the failure domain of this node
+ * @property suspected whether requests should go elsewhere
+ * @property answerSeconds how long it takes for a whole answer, null if unknown
+ */
+public data class DispatchCandidate(
+    val name: UpstreamName,
+    val concurrency: Int,
+    val running: Int,
+    val unreadTokens: Int,
+    val heldTokens: Int,
+    val keptTokens: Int,
+    val sameDomain: Boolean,
+    val suspected: Boolean,
+    val answerSeconds: Double?,
+)
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/relay/DispatchDecision.kt
@@ -0,0 +1,28 @@
+package plantainturn.request.relay
+
+import plantainturn.version.configuration.UpstreamName
+import kotlin.time.Duration
+
+/** Where a request goes now. */
+public sealed interface DispatchDecision {
+    /**
+     * It is sent.
+     *
+     * @property rank its rank among the engine's requests; 0 goes first
+     * @property expected when its first event is expected, zero for a plain service
+     */
+    public data class Send(
+        val instance: UpstreamName,
+        val rank: Int,
+        val expected: Duration,
+    ) : DispatchDecision
+
+    /** It can't be answered in time; it is worth coming back after [comeBackAfter]. */
+    public data class TurnAway(
+        val comeBackAfter: Duration,
+        val expected: Duration,
+    ) : DispatchDecision
+
+    /** No instance can take it at all. */
+    public data object NoCandidate : DispatchDecision
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/relay/DispatchQuery.kt
@@ -0,0 +1,22 @@
+package plantainturn.request.relay
+
+import kotlin.time.Duration
+
+/**
+ * What is asked of a decision on dispatch.
+ *
+ * @property demand what the request asks of an engine, null for a plain service
+ * @property urgency rank of its route; 0 is the most urgent
+ * @property objectiveLeft time until its answer, or its first event, is late; negative if it is
+ * @property timeLeft time until nobody waits for it any more
+ * @property cacheTokens tokens that an engine's memory holds
+ * @property affinity a number that is equal for requests that share a prompt, to spread them alike at all nodes
+ */
+public data class DispatchQuery(
+    val demand: GenerationDemand?,
+    val urgency: Int,
+    val objectiveLeft: Duration,
+    val timeLeft: Duration,
+    val cacheTokens: Long,
+    val affinity: Long,
+)
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/relay/EnginePace.kt
@@ -0,0 +1,62 @@
+package plantainturn.request.relay
+
+import plantainturn.version.configuration.ModelName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+
+/**
+ * Learns how fast engines read prompts of each model, from the times to the first event that were seen.
+ *
+ * The estimate begins with [initial] and is corrected by the ratio of what was seen to what was expected.
+ */
+public class EnginePace(
+    private val initial: ReadingRate = ReadingRate(),
+) {
+    private val factors = HashMap<ModelName, Double>()
+
+    /** Returns the expected time to the first event of a request of [model] behind [unreadTokens] in all. */
+    public fun firstEvent(
+        model: ModelName,
+        unreadTokens: Int,
+    ): Duration = plain(unreadTokens) * (factors[model] ?: 1.0)
+
+    /** Returns engine time that a request takes: reading, and its share of the steps that generate. */
+    public fun engineTime(
+        model: ModelName,
+        unreadTokens: Int,
+        outputTokens: Int,
+    ): Duration = (initial.perToken * unreadTokens + initial.perOutputToken * outputTokens) * (factors[model] ?: 1.0)
+
+    /** Takes in that a request behind [unreadTokens] had its first event after [seen]. */
+    public fun learn(
+        model: ModelName,
+        unreadTokens: Int,
+        seen: Duration,
+    ) {
+        val ratio = (seen.toDouble(DurationUnit.SECONDS) / plain(unreadTokens).toDouble(DurationUnit.SECONDS))
+        val bounded = ratio.coerceIn(SMALLEST, LARGEST)
+        factors.merge(model, bounded) { before, now -> before * KEPT + now * (1.0 - KEPT) }
+    }
+
+    private fun plain(unreadTokens: Int): Duration = initial.base + initial.perToken * unreadTokens
+
+    /**
+     * How an engine reads prompts, for a model of full size.
+     *
+     * @property base from sending to the first event of an empty prompt
+     * @property perToken to read one prompt token
+     * @property perOutputToken engine time that one generated token takes beside others in its batch
+     */
+    public data class ReadingRate(
+        val base: Duration = 25.milliseconds,
+        val perToken: Duration = 0.026.milliseconds,
+        val perOutputToken: Duration = 0.6.milliseconds,
+    )
+
+    private companion object {
+        const val KEPT = 0.9
+        const val SMALLEST = 0.1
+        const val LARGEST = 4.0
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/relay/GenerationDemand.kt
@@ -0,0 +1,29 @@
+package plantainturn.request.relay
+
+import kotlinx.collections.immutable.PersistentList
+import plantainturn.version.configuration.ModelName
+
+/**
+ * What a request asks of a model engine.
+ *
+ * @property model the base model
+ * @property adapter the adapter of [model], null for the model itself
+ * @property promptTokens tokens of the whole prompt
+ * @property outputTokens tokens that may be generated at most
+ * @property parts the prompt's parts; the last belongs to the request or its session alone
+ */
+public data class GenerationDemand(
+    val model: ModelName,
+    val adapter: ModelName?,
+    val promptTokens: Int,
+    val outputTokens: Int,
+    val parts: PersistentList<PromptPart>,
+) {
+    /** Tokens of the parts that other requests may share. */
+    public val sharedTokens: Int
+        get() = parts.dropLast(1).sumOf { it.tokens }.coerceAtMost(promptTokens)
+
+    /** The identifier of the last part that other requests may share, null if there is none. */
+    public val lastSharedPart: String?
+        get() = parts.getOrNull(parts.size - 2)?.identifier
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/relay/InstanceHealth.kt
@@ -0,0 +1,85 @@
+package plantainturn.request.relay
+
+import plantainturn.process.time.Moment
+import kotlin.math.exp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/**
+ * What the outcomes of requests say about one instance; its own probe is not asked, as it may lie.
+ *
+ * Load pattern: an instance that fails part of its requests, or all, while it claims to be healthy. Failures add up and
+ * fade; at a sum of 1 the instance is suspected and gets no requests for a while that doubles each time. Then a single
+ * request tries it.
+ */
+public class InstanceHealth {
+    private var score = 0.0
+    private var scoredAt = Moment.ORIGIN
+    private var suspectedUntil: Moment? = null
+    private var pause = INITIAL_PAUSE
+    private var trialRunning = false
+
+    /** Returns whether requests should go elsewhere at [now]. */
+    public fun isSuspected(now: Moment): Boolean {
+        val until = suspectedUntil ?: return false
+        return now < until || trialRunning
+    }
+
+    /** Notes that a request is given to the instance. */
+    public fun onSend(now: Moment) {
+        val until = suspectedUntil
+        if (until != null && now >= until) trialRunning = true
+    }
+
+    /** Notes that a request was answered. */
+    public fun onSuccess(now: Moment) {
+        fade(now)
+        score *= SUCCESS_FACTOR
+        val wasTrial = trialRunning
+        trialRunning = false
+        if (suspectedUntil != null && (wasTrial || score < CLEARED)) {
+            suspectedUntil = null
+            pause = INITIAL_PAUSE
+        }
+    }
+
+    /** Notes that a request ended in a way that says nothing about the instance. */
+    public fun onNeutral() {
+        trialRunning = false
+    }
+
+    /** Notes that a request failed and returns whether that made the instance a suspect. */
+    public fun onFailure(
+        kind: FailureKind,
+        now: Moment,
+    ): Boolean {
+        fade(now)
+        score += kind.weight
+        val wasTrial = trialRunning
+        trialRunning = false
+        if (score < SUSPECT && !wasTrial) return false
+        val already = suspectedUntil?.let { now < it } ?: false
+        if (already) return false
+        suspectedUntil = now + pause
+        pause = minOf(pause * 2, LONGEST_PAUSE)
+        score = minOf(score, SUSPECT)
+        return true
+    }
+
+    private fun fade(now: Moment) {
+        val elapsed = (now - scoredAt).toDouble(DurationUnit.SECONDS)
+        score *= exp(-elapsed / FADING_SECONDS)
+        scoredAt = now
+    }
+
+    private companion object {
+        const val SUSPECT = 1.0
+        const val CLEARED = 0.3
+        const val SUCCESS_FACTOR = 0.6
+        const val FADING_SECONDS = 4.0
+        val INITIAL_PAUSE: Duration = 400.milliseconds
+        val LONGEST_PAUSE: Duration = 3.seconds
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/relay/InstanceStanding.kt
@@ -0,0 +1,96 @@
+package plantainturn.request.relay
+
+import plantainturn.process.time.Moment
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * What this node knows of the work at one instance: its own requests exactly, those of the other nodes as last told.
+ *
+ * @param startedAt Unix milliseconds of the run of the instance that this standing is about
+ */
+public class InstanceStanding(
+    public val startedAt: Long?,
+) {
+    /** What outcomes say about the instance. */
+    public val health: InstanceHealth = InstanceHealth()
+
+    /** Requests of this node that are there. */
+    public var ownRunning: Int = 0
+        private set
+
+    /** Prompt tokens of this node's requests that the instance has still to read, as estimated. */
+    public var ownUnread: Int = 0
+        private set
+
+    /** Cache tokens that this node's requests there take, as estimated. */
+    public var ownHeld: Int = 0
+        private set
+
+    /** The same of the other nodes together. */
+    public var others: WorkTotals = WorkTotals.NONE
+
+    private var reported: ReportedLoad? = null
+    private var reportedAt: Moment = Moment.ORIGIN
+
+    /** How long the instance takes for a whole answer, a fading average; null before the first. */
+    public var answerTime: Duration? = null
+        private set
+
+    /** Notes that a request was sent. */
+    public fun begin(work: RequestWork) {
+        ownRunning += 1
+        ownUnread += work.unreadTokens
+        ownHeld += work.heldTokens
+    }
+
+    /** Notes that the prompt of a request was read: its first event came. */
+    public fun onPromptRead(work: RequestWork) {
+        ownUnread -= work.unreadTokens
+    }
+
+    /** Notes that a request ended there. */
+    public fun end(
+        work: RequestWork,
+        promptWasRead: Boolean,
+    ) {
+        ownRunning -= 1
+        ownHeld -= work.heldTokens
+        if (!promptWasRead) ownUnread -= work.unreadTokens
+    }
+
+    /** Takes in what the instance said of its load. */
+    public fun onReportedLoad(
+        load: ReportedLoad,
+        now: Moment,
+    ) {
+        reported = load
+        reportedAt = now
+    }
+
+    /** Takes in the time of one whole answer. */
+    public fun onAnswerTime(time: Duration) {
+        val before = answerTime
+        answerTime = if (before == null) time else before * KEPT + time * (1.0 - KEPT)
+    }
+
+    /** Returns requests of all nodes there, as far as known: what was counted, or what it told if that is fresh. */
+    public fun running(now: Moment): Int {
+        val counted = ownRunning + others.running
+        val told = reported?.takeIf { now - reportedAt < REPORT_FRESHNESS } ?: return counted
+        return maxOf(counted, told.running + told.waiting)
+    }
+
+    /** Returns prompt tokens of all nodes' requests that are still to be read. */
+    public fun unread(): Int = ownUnread + others.unreadTokens
+
+    /** Returns cache tokens that all nodes' requests take. */
+    public fun held(): Int = ownHeld + others.heldTokens
+
+    private companion object {
+        const val KEPT = 0.8
+
+        /** An answer's load is that of its beginning; later it says little. */
+        val REPORT_FRESHNESS = 150.milliseconds
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/relay/ServiceDispatch.kt
@@ -0,0 +1,45 @@
+package plantainturn.request.relay
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+
+/**
+ * Chooses the instance of a plain service for a request.
+ *
+ * Load pattern: a few instances of uneven speed with few places each, of which some fail or turn slow. The one with the
+ * shortest expected answer is chosen; one in another failure domain must be clearly faster. Only when all instances
+ * have a full line is the request turned away.
+ */
+public class ServiceDispatch {
+    /** Returns where a request goes, of the [candidates] of its service. */
+    public fun decide(
+        query: DispatchQuery,
+        candidates: List<DispatchCandidate>,
+    ): DispatchDecision {
+        val usable = candidates.filter { !it.suspected }.ifEmpty { candidates }
+        val best = usable.minByOrNull { cost(it) } ?: return DispatchDecision.NoCandidate
+        val full = best.running >= best.concurrency * LINE_FACTOR
+        if (!full) return DispatchDecision.Send(best.name, query.urgency, Duration.ZERO)
+        val wait = (query.timeLeft / RETURN_PART).coerceAtMost(FULL_LINE_RETURN)
+        return DispatchDecision.TurnAway(wait, wait)
+    }
+
+    private fun cost(candidate: DispatchCandidate): Double {
+        val answer = candidate.answerSeconds ?: UNKNOWN_ANSWER_SECONDS
+        val line = (candidate.running + 1).toDouble() / candidate.concurrency.coerceAtLeast(1)
+        val elsewhere = if (candidate.sameDomain) 0.0 else ELSEWHERE.toDouble(DurationUnit.SECONDS)
+        return answer * (1.0 + line) + elsewhere
+    }
+
+    private companion object {
+        /** Requests for each place from which on an instance turns more away by itself. */
+        const val LINE_FACTOR = 3
+
+        /** Callers wait a third of the time they have left at most. */
+        const val RETURN_PART = 3
+        const val UNKNOWN_ANSWER_SECONDS = 0.02
+        val FULL_LINE_RETURN = 100.milliseconds
+        val ELSEWHERE = 4.milliseconds
+    }
+}
--- /dev/null
+++ b/library/src/test/kotlin/plantainturn/process/control/residence/EngineLedgerTest.kt
@@ -0,0 +1,166 @@
+package plantainturn.process.control.residence
+
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import org.junit.jupiter.api.Test
+import plantainturn.connection.engine.FenceNumber
+import plantainturn.process.time.Moment
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.UpstreamName
+import plantainturn.version.route.EngineFleet
+import plantainturn.version.route.ServedModel
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class EngineLedgerTest {
+    private val ledger = EngineLedger(UpstreamName("engine"))
+    private val fleet = fleet("a", "b", "c")
+    private val fence = FenceNumber(7)
+
+    @Test
+    fun `an engine is not ordered anything before it was read`() {
+        assertNull(ledger.prepare(load("a"), fleet, fence, at(0)))
+    }
+
+    @Test
+    fun `an order names the sequence that the engine told`() {
+        ledger.onReading(reading(sequence = 4), at(0))
+
+        assertEquals(4, ledger.prepare(load("a"), fleet, fence, at(1))?.expectedSequence)
+    }
+
+    @Test
+    fun `a model that does not fit beside the others is not loaded`() {
+        ledger.onReading(reading(sequence = 4, "a", "b"), at(0))
+
+        assertNull(ledger.prepare(load("c"), fleet, fence, at(1)))
+    }
+
+    @Test
+    fun `an engine that is busy with an earlier holder's order gets no base model`() {
+        ledger.onReading(reading(sequence = 4, "a", busy = true), at(0))
+
+        assertTrue(ledger.isBusyWithUnknown)
+        assertNull(ledger.prepare(load("b"), fleet, fence, at(1)))
+    }
+
+    @Test
+    fun `an engine that has finished an earlier holder's order gets the next one`() {
+        ledger.onReading(reading(sequence = 4, "a", busy = true), at(0))
+        ledger.onReading(reading(sequence = 4, "a"), at(500))
+
+        assertFalse(ledger.isBusyWithUnknown)
+        assertNotNull(ledger.prepare(load("b"), fleet, fence, at(501)))
+    }
+
+    @Test
+    fun `a reading from before the last order changes nothing`() {
+        ledger.onReading(reading(sequence = 4), at(0))
+        accept(load("a"), at(10))
+        ledger.onReading(reading(sequence = 4), at(20))
+
+        assertEquals(5, ledger.sequence)
+        assertEquals(ModelName("a"), ledger.loading)
+    }
+
+    @Test
+    fun `after an order without an answer the next one expects the same sequence`() {
+        ledger.onReading(reading(sequence = 4), at(0))
+        answer(load("a"), SequencedOrderResult.Unknown("time-out"), at(10))
+        assertNull(ledger.prepare(load("b"), fleet, fence, at(20)), "the engine must be asked first")
+        ledger.onReading(reading(sequence = 4), at(30))
+
+        assertEquals(4, ledger.prepare(load("b"), fleet, fence, at(40))?.expectedSequence)
+    }
+
+    @Test
+    fun `an order without an answer stays reserved after a restart until it can't act any more`() {
+        ledger.onReading(reading(sequence = 4), at(0))
+        answer(load("a"), SequencedOrderResult.Unknown("time-out"), at(10))
+        ledger.onRestart(at(1_000))
+        ledger.onReading(reading(sequence = 0, "b", startedAt = 2), at(1_100))
+
+        assertNull(ledger.prepare(load("c"), fleet, fence, at(1_200)), "a, b and c don't fit together")
+        assertNotNull(ledger.prepare(load("c"), fleet, fence, at(1_000) + 14.seconds))
+    }
+
+    @Test
+    fun `an adapter needs its base model and a free place`() {
+        ledger.onReading(reading(sequence = 4, "a"), at(0))
+
+        assertNull(ledger.prepare(load("b", "x"), fleet, fence, at(1)))
+        accept(load("a", "x"), at(2))
+        accept(load("a", "y"), at(3))
+        assertNull(ledger.prepare(load("a", "z"), fleet, fence, at(4)), "both places are taken")
+        accept(unload("a", "x"), at(5))
+        assertNotNull(ledger.prepare(load("a", "z"), fleet, fence, at(6)))
+    }
+
+    private fun accept(
+        action: ResidenceAction,
+        now: Moment,
+    ) = answer(action, SequencedOrderResult.Accepted, now)
+
+    private fun answer(
+        action: ResidenceAction,
+        result: SequencedOrderResult,
+        now: Moment,
+    ) {
+        val order = assertNotNull(ledger.prepare(action, fleet, fence, now))
+        ledger.onResult(order, result, now)
+    }
+
+    private companion object {
+        fun at(milliseconds: Int): Moment = Moment.ORIGIN + milliseconds.milliseconds
+
+        fun load(
+            model: String,
+            adapter: String? = null,
+        ) = ResidenceAction(ResidenceAction.Kind.LOAD, ModelName(model), adapter?.let(::ModelName))
+
+        fun unload(
+            model: String,
+            adapter: String? = null,
+        ) = ResidenceAction(ResidenceAction.Kind.UNLOAD, ModelName(model), adapter?.let(::ModelName))
+
+        fun reading(
+            sequence: Long,
+            vararg models: String,
+            busy: Boolean = false,
+            startedAt: Long = 1,
+        ) = EngineReading(
+            startedAt = startedAt,
+            sequence = sequence,
+            busy = busy,
+            residents =
+                models.fold(persistentMapOf()) { all, model ->
+                    all.put(ModelName(model), persistentSetOf())
+                },
+            arrivingAdapters = persistentMapOf(),
+            hostCopies = persistentSetOf(),
+            diskCopies = persistentSetOf(),
+        )
+
+        /** Room for two of the models, which take 70 MB each, and two adapters. */
+        fun fleet(vararg models: String) =
+            EngineFleet(
+                concurrency = 4,
+                cacheTokens = 1_000,
+                weightMegabytes = 150.0,
+                adapterPlaces = 2,
+                storeLoadsPerSecond = 1.0,
+                eventTokens = 4,
+                models =
+                    models.fold(persistentMapOf()) { all, model ->
+                        val name = ModelName(model)
+                        all.put(name, ServedModel(name, 70.0, 5.seconds, 1.seconds, Duration.ZERO, 3, 1.0))
+                    },
+            )
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/http/AnswerReceiver.kt
@@ -0,0 +1,25 @@
+package plantainturn.relay.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpResponse
+
+/** Receives the answer to one request on an [UpstreamConnection]. Exactly one of [onEnd] and [onBroken] ends it. */
+internal interface AnswerReceiver {
+    /** Returns whether [head] begins the answer to this request, and not a left-over one to another. */
+    fun accepts(head: HttpResponse): Boolean
+
+    /** The answer begins. */
+    fun onHead(head: HttpResponse)
+
+    /** More of the body; the receiver must not keep [content] without retaining it. */
+    fun onContent(content: ByteBuf)
+
+    /** All that has arrived together was given. */
+    fun onPause() {}
+
+    /** The answer is complete. */
+    fun onEnd()
+
+    /** The answer will not be complete. */
+    fun onBroken(reason: String)
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/http/CallerConnection.kt
@@ -0,0 +1,331 @@
+package plantainturn.relay.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.CompositeByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import io.netty.util.ReferenceCountUtil
+import org.apache.logging.log4j.LogManager
+import plantainturn.process.time.Moment
+import java.util.concurrent.TimeUnit
+
+/**
+ * One connection of a caller: reads its requests one after the other and writes their answers in that order.
+ *
+ * A request that arrives before the one ahead of it is answered waits, a bounded number of bytes of it.
+ */
+internal class CallerConnection(
+    private val server: CallerServer,
+) : ChannelInboundHandlerAdapter() {
+    private val logger = LogManager.getLogger(CallerConnection::class.java)
+    private val pipelined = ArrayDeque<Any>()
+    private lateinit var context: ChannelHandlerContext
+    private var head: HttpRequest? = null
+    private var headAt = Moment.ORIGIN
+    private var body: CompositeByteBuf? = null
+    private var reply: Reply? = null
+    private var watch: CallerWatch? = null
+    private var discarding = false
+    private var closing = false
+    private var readingSince: Moment? = null
+    private var quietSince = server.timer.now()
+
+    override fun channelActive(context: ChannelHandlerContext) {
+        this.context = context
+        server.onOpen(this)
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        server.onClosed(this)
+        body?.release()
+        body = null
+        pipelined.forEach { ReferenceCountUtil.release(it) }
+        pipelined.clear()
+        val gone = watch
+        watch = null
+        reply = null
+        gone?.onCallerGone()
+    }
+
+    override fun exceptionCaught(
+        context: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        logger.debug("event=caller-connection-failed cause={}", cause.toString())
+        context.close()
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        watch?.onWritable(context.channel().isWritable)
+    }
+
+    override fun channelRead(
+        context: ChannelHandlerContext,
+        message: Any,
+    ) {
+        if (discarding) {
+            ReferenceCountUtil.release(message)
+            return
+        }
+        if (reply != null) {
+            pipelined.addLast(message)
+            if (pipelined.size > MAXIMUM_PIPELINED) context.channel().config().isAutoRead = false
+            return
+        }
+        accept(message)
+    }
+
+    /** Notes that bytes arrived, before they are decoded. */
+    fun onBytes() {
+        if (reply == null && readingSince == null) readingSince = server.timer.now()
+    }
+
+    /** Closes the connection if the caller has been idle or slow for longer than the limits allow. */
+    fun checkTime(now: Moment) {
+        val since = readingSince
+        when {
+            closing || reply != null -> Unit
+            since != null && head == null && now - since > server.limits.headerTimeout ->
+                unreadable(HttpResponseStatus.REQUEST_TIMEOUT, "the head did not arrive in time")
+            since != null && head != null && now - headAt > server.limits.idleTimeout ->
+                unreadable(HttpResponseStatus.REQUEST_TIMEOUT, "the body did not arrive in time")
+            since == null && now - quietSince > server.limits.idleTimeout -> context.close()
+        }
+    }
+
+    /** Closes the connection as soon as no request is on it. */
+    fun closeWhenIdle() {
+        closing = true
+        if (reply == null && readingSince == null) context.close()
+    }
+
+    private fun accept(message: Any) {
+        try {
+            if (message is HttpRequest) begin(message)
+            if (message is HttpContent && head != null) append(message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun begin(request: HttpRequest) {
+        val failure = request.decoderResult().cause()
+        val fault = StrictRequestDecoder.framingFault(request)
+        when {
+            failure is TooLongHttpHeaderException || failure is TooLongHttpLineException ->
+                unreadable(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
+            failure != null -> unreadable(HttpResponseStatus.BAD_REQUEST, failure.message.orEmpty())
+            fault != null -> unreadable(HttpResponseStatus.BAD_REQUEST, fault)
+            request.protocolVersion() != HttpVersion.HTTP_1_1 ->
+                unreadable(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "not HTTP/1.1")
+            HttpUtil.getContentLength(request, 0L) > server.limits.bodyBytes -> tooLarge()
+            else -> {
+                head = request
+                headAt = server.timer.now()
+                body = context.alloc().compositeBuffer(MAXIMUM_BODY_PARTS)
+                if (HttpUtil.is100ContinueExpected(request)) {
+                    context.writeAndFlush(
+                        DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.CONTINUE,
+                            Unpooled.EMPTY_BUFFER,
+                        ),
+                    )
+                }
+            }
+        }
+    }
+
+    private fun append(content: HttpContent) {
+        val gathered = body ?: return
+        if (content.decoderResult().isFailure) {
+            unreadable(
+                HttpResponseStatus.BAD_REQUEST,
+                content
+                    .decoderResult()
+                    .cause()
+                    ?.message
+                    .orEmpty(),
+            )
+            return
+        }
+        if (gathered.readableBytes() + content.content().readableBytes() > server.limits.bodyBytes) {
+            tooLarge()
+            return
+        }
+        if (content.content().isReadable) gathered.addComponent(true, content.content().retain())
+        if (content is LastHttpContent) dispatch()
+    }
+
+    private fun dispatch() {
+        val request = head ?: return
+        val whole = body ?: return
+        head = null
+        body = null
+        readingSince = null
+        val answer = Reply(keepAlive = HttpUtil.isKeepAlive(request))
+        reply = answer
+        val heard = server.handler.handle(CallerRequest(request, whole, headAt), answer)
+        if (reply === answer) watch = heard
+    }
+
+    private fun tooLarge() {
+        unreadable(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large")
+    }
+
+    private fun unreadable(
+        status: HttpResponseStatus,
+        reason: String,
+    ) {
+        head = null
+        body?.release()
+        body = null
+        discarding = true
+        val answer = Reply(keepAlive = false)
+        reply = answer
+        server.handler.onUnreadable(answer, status.code(), reason)
+    }
+
+    private fun answered(keepAlive: Boolean) {
+        reply = null
+        watch = null
+        quietSince = server.timer.now()
+        if (!keepAlive) return
+        context.channel().config().isAutoRead = true
+        while (reply == null && pipelined.isNotEmpty()) accept(pipelined.removeFirst())
+    }
+
+    /** The caller's remaining bytes are read first: closing over unread bytes would reset the answer away. */
+    private fun closeSoon() {
+        discarding = true
+        context.executor().schedule({ context.close() }, LINGER_MILLISECONDS, TimeUnit.MILLISECONDS)
+    }
+
+    private inner class Reply(
+        private val keepAlive: Boolean,
+    ) : CallerReply {
+        private var chunked = false
+        private var began = false
+        private var ended = false
+
+        private val stays: Boolean
+            get() = keepAlive && !closing && !server.isClosing
+
+        override val isWritable: Boolean
+            get() = context.channel().isWritable
+
+        override fun send(
+            status: Int,
+            headers: HttpHeaders,
+            body: ByteBuf,
+        ) {
+            if (ended || began || reply !== this) {
+                body.release()
+                return
+            }
+            ended = true
+            val stay = stays
+            val response =
+                DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(status),
+                    body,
+                    headers,
+                    DefaultHttpHeaders(),
+                )
+            HttpUtil.setContentLength(response, body.readableBytes().toLong())
+            noteClose(response.headers(), stay)
+            val written = context.writeAndFlush(response)
+            end(stay, written)
+        }
+
+        override fun begin(
+            status: Int,
+            headers: HttpHeaders,
+            length: Long?,
+        ) {
+            if (ended || began || reply !== this) return
+            began = true
+            chunked = length == null
+            val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers)
+            if (length == null) {
+                headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+            } else {
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, length)
+            }
+            noteClose(headers, stays)
+            context.write(response)
+        }
+
+        override fun write(content: ByteBuf) {
+            if (ended || !began || reply !== this) {
+                content.release()
+                return
+            }
+            context.writeAndFlush(DefaultHttpContent(content))
+        }
+
+        override fun finish() {
+            if (ended || !began || reply !== this) return
+            ended = true
+            val stay = stays && announcedStay
+            end(stay, context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
+        }
+
+        override fun abort() {
+            if (ended || reply !== this) return
+            ended = true
+            reply = null
+            watch = null
+            context.close()
+        }
+
+        private var announcedStay = true
+
+        private fun noteClose(
+            headers: HttpHeaders,
+            stay: Boolean,
+        ) {
+            announcedStay = stay
+            if (!stay) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        }
+
+        private fun end(
+            stay: Boolean,
+            written: ChannelFuture,
+        ) {
+            if (!stay) {
+                discarding = true
+                written.addListener(
+                    ChannelFutureListener { if (it.isSuccess) closeSoon() else context.close() },
+                )
+            }
+            answered(stay)
+        }
+    }
+
+    private companion object {
+        /** Parts of a request that wait behind another one before reading stops. */
+        const val MAXIMUM_PIPELINED = 64
+        const val MAXIMUM_BODY_PARTS = 1_024
+        const val LINGER_MILLISECONDS = 100L
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/http/CallerServer.kt
@@ -0,0 +1,107 @@
+package plantainturn.relay.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBuf
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpResponseEncoder
+import plantainturn.connection.roster.SocketLocation
+import plantainturn.process.time.TimerService
+import plantainturn.version.route.CallerLimits
+import plantainturn.version.route.RoutingSource
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Listens for callers and keeps their connections within the configured limits. */
+public class CallerServer(
+    private val loop: EventLoop,
+    internal val timer: TimerService,
+    private val configuration: RoutingSource,
+    internal val handler: CallerHandler,
+) {
+    private val connections = HashSet<CallerConnection>()
+    private var listening: Channel? = null
+
+    /** The limits in force. */
+    internal val limits: CallerLimits
+        get() = configuration.current?.limits ?: CallerLimits.INITIAL
+
+    /** Whether connections are closed after the answer that is due on them. */
+    public var isClosing: Boolean = false
+        private set
+
+    /** Connections of callers that are open. */
+    public val size: Int
+        get() = connections.size
+
+    /** Listens at [location] and calls [done] with null, or with what went wrong. */
+    public fun listen(
+        location: SocketLocation,
+        done: (Throwable?) -> Unit,
+    ) {
+        timer.subscribe(TIME_CHECK_PERIOD) {
+            val now = timer.now()
+            connections.toList().forEach { it.checkTime(now) }
+        }
+        ServerBootstrap()
+            .group(loop, loop)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                object : ChannelInitializer<Channel>() {
+                    override fun initChannel(channel: Channel) {
+                        val connection = CallerConnection(this@CallerServer)
+                        channel.pipeline().addLast(
+                            ByteWatch(connection),
+                            StrictRequestDecoder(limits),
+                            HttpResponseEncoder(),
+                            connection,
+                        )
+                    }
+                },
+            ).bind(location.ip, location.port)
+            .addListener { future ->
+                listening = (future as ChannelFuture).channel()
+                done(future.cause())
+            }
+    }
+
+    /** Ends idle connections, and the others after the answer that is due on them. New ones are still accepted. */
+    public fun closeIdle() {
+        isClosing = true
+        connections.toList().forEach { it.closeWhenIdle() }
+    }
+
+    internal fun onOpen(connection: CallerConnection) {
+        connections += connection
+    }
+
+    internal fun onClosed(connection: CallerConnection) {
+        connections -= connection
+    }
+
+    private class ByteWatch(
+        private val connection: CallerConnection,
+    ) : ChannelInboundHandlerAdapter() {
+        override fun channelRead(
+            context: ChannelHandlerContext,
+            message: Any,
+        ) {
+            if (message is ByteBuf && message.isReadable) connection.onBytes()
+            context.fireChannelRead(message)
+        }
+    }
+
+    private companion object {
+        /** Callers that arrive together wait here; a full line costs them seconds. */
+        const val BACKLOG = 1_024
+        val TIME_CHECK_PERIOD = 250.milliseconds
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/http/HttpCaller.kt
@@ -0,0 +1,139 @@
+package plantainturn.relay.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpVersion
+import plantainturn.connection.roster.SocketLocation
+import plantainturn.process.time.TimerService
+import plantainturn.process.time.TimerSubscription
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Calls the store, engines' own interfaces and peers.
+ *
+ * Calls return at once and later call back exactly once, on the event loop.
+ */
+public class HttpCaller(
+    private val loop: EventLoop,
+    private val timer: TimerService,
+) {
+    private val pools = HashMap<SocketLocation, ConnectionPool>()
+
+    /** Makes [call] at [location] and gives up after [timeout]. */
+    public fun call(
+        location: SocketLocation,
+        call: HttpCall,
+        timeout: Duration,
+        done: (HttpCallResult) -> Unit,
+    ) {
+        val request =
+            DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                call.method,
+                call.target,
+                Unpooled.wrappedBuffer(call.body),
+            ).apply {
+                headers().set(HttpHeaderNames.HOST, location.toString())
+                if (call.body.isNotEmpty() || call.method == HttpMethod.POST) {
+                    headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
+                }
+                call.headers.forEach { (name, value) -> headers().set(name, value) }
+            }
+        Call(request, done).begin(location, timeout)
+    }
+
+    /** Closes idle connections to [location]. */
+    public fun forget(location: SocketLocation) {
+        pools.remove(location)?.close()
+    }
+
+    private inner class Call(
+        private val request: DefaultFullHttpRequest,
+        private val done: (HttpCallResult) -> Unit,
+    ) : AnswerReceiver {
+        private var connection: UpstreamConnection? = null
+        private var ended = false
+        private var limit: TimerSubscription? = null
+        private var head: HttpResponse? = null
+        private val body = ByteArrayOutputStream()
+
+        fun begin(
+            location: SocketLocation,
+            timeout: Duration,
+        ) {
+            limit = timer.schedule(timeout) { timeOut() }
+            pools
+                .getOrPut(location) { ConnectionPool(loop, location, timer) }
+                .acquire(REUSE) { result ->
+                    when (result) {
+                        is ConnectionResult.Failed -> {
+                            request.release()
+                            end(HttpCallResult.NotSent(result.reason))
+                        }
+                        is ConnectionResult.Ready -> start(result.connection)
+                    }
+                }
+        }
+
+        private fun start(ready: UpstreamConnection) {
+            if (ended) {
+                request.release()
+                ready.abandon()
+                return
+            }
+            connection = ready
+            ready.send(request, this)
+        }
+
+        private fun timeOut() {
+            if (ended) return
+            val sent = connection
+            sent?.abandon()
+            end(
+                if (sent ==
+                    null
+                ) {
+                    HttpCallResult.NotSent("no connection in time")
+                } else {
+                    HttpCallResult.NoAnswer("time-out")
+                },
+            )
+        }
+
+        override fun accepts(head: HttpResponse): Boolean = true
+
+        override fun onHead(head: HttpResponse) {
+            this.head = head
+        }
+
+        override fun onContent(content: ByteBuf) {
+            content.readBytes(body, content.readableBytes())
+        }
+
+        override fun onEnd() {
+            val answered = head ?: return end(HttpCallResult.NoAnswer("no head"))
+            end(HttpCallResult.Answered(answered.status().code(), answered.headers(), body.toByteArray()))
+        }
+
+        override fun onBroken(reason: String): Unit = end(HttpCallResult.NoAnswer(reason))
+
+        private fun end(result: HttpCallResult) {
+            if (ended) return
+            ended = true
+            limit?.cancel()
+            done(result)
+        }
+    }
+
+    private companion object {
+        /** Calls can be repeated or are settled by reading, so that any idle connection will do. */
+        val REUSE = 20.seconds
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/http/SmallServer.kt
@@ -0,0 +1,98 @@
+package plantainturn.relay.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpVersion
+import org.apache.logging.log4j.LogManager
+import plantainturn.connection.roster.SocketLocation
+
+/** Serves small whole requests: the balancer's probe, peers, metrics and dumps. */
+public class SmallServer(
+    private val loop: EventLoop,
+) {
+    private val logger = LogManager.getLogger(SmallServer::class.java)
+    private val handlers = HashMap<String, (ByteArray, (SmallAnswer) -> Unit) -> Unit>()
+
+    /** Lets [handler] answer requests whose method and path are [call], such as `GET /metrics`. */
+    public fun on(
+        call: String,
+        handler: (ByteArray, (SmallAnswer) -> Unit) -> Unit,
+    ) {
+        handlers[call] = handler
+    }
+
+    /** Listens at [location] and calls [done] with null, or with what went wrong. */
+    public fun listen(
+        location: SocketLocation,
+        done: (Throwable?) -> Unit,
+    ) {
+        ServerBootstrap()
+            .group(loop, loop)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                object : ChannelInitializer<Channel>() {
+                    override fun initChannel(channel: Channel) {
+                        channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_BYTES), Handler())
+                    }
+                },
+            ).bind(location.ip, location.port)
+            .addListener { done((it as ChannelFuture).cause()) }
+    }
+
+    private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(
+            context: ChannelHandlerContext,
+            request: FullHttpRequest,
+        ) {
+            val call = "${request.method()} ${request.uri().substringBefore('?')}"
+            val body = ByteArray(request.content().readableBytes()).also { request.content().readBytes(it) }
+            val handler = handlers[call] ?: { _, done -> done(SmallAnswer(NOT_FOUND)) }
+            handler(body) { answer -> write(context, answer) }
+        }
+
+        override fun exceptionCaught(
+            context: ChannelHandlerContext,
+            cause: Throwable,
+        ) {
+            logger.debug("event=small-server-connection-failed cause={}", cause.toString())
+            context.close()
+        }
+
+        private fun write(
+            context: ChannelHandlerContext,
+            answer: SmallAnswer,
+        ) {
+            val response =
+                DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(answer.status),
+                    Unpooled.wrappedBuffer(answer.body),
+                )
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body.size)
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
+            context.writeAndFlush(response)
+        }
+    }
+
+    private companion object {
+        /** The largest exchange between peers at hundreds of nodes stays below this. */
+        const val MAXIMUM_BYTES = 1_048_576
+        const val NOT_FOUND = 404
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
@@ -0,0 +1,189 @@
+package plantainturn.relay.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import plantainturn.process.time.Moment
+import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * One connection to a server, with one request on it at a time.
+ *
+ * Left-over answers to other requests are skipped. The connection is used again only after a complete answer with a
+ * length, with the request's body sent and no byte beyond the answer.
+ */
+internal class UpstreamConnection(
+    private val decoder: StrictResponseDecoder,
+    private val pool: ConnectionPool,
+) : ChannelInboundHandlerAdapter() {
+    private lateinit var context: ChannelHandlerContext
+    private var receiver: AnswerReceiver? = null
+    private var sending: ChannelFuture? = null
+    private var skipping = false
+    private var answering = false
+    private var reusable = true
+    private var failure: String? = null
+
+    /** When the connection last became idle. */
+    var idleSince: Moment = Moment.ORIGIN
+
+    /** How long the server keeps it open while it is idle, as far as it told. */
+    var idleLimit: Duration? = null
+        private set
+
+    val isOpen: Boolean
+        get() = context.channel().isActive
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        this.context = context
+    }
+
+    /** Sends [request] and gives its answer to [receiver]. Takes over [request]. */
+    fun send(
+        request: FullHttpRequest,
+        receiver: AnswerReceiver,
+    ) {
+        check(this.receiver == null) { "the connection is in use" }
+        this.receiver = receiver
+        decoder.method = request.method()
+        sending = context.writeAndFlush(request)
+    }
+
+    /** Ends the request, if there is one, without telling its receiver, and closes the connection. */
+    fun abandon() {
+        receiver = null
+        context.close()
+    }
+
+    /** Stops or goes on with reading, for a reader that can't keep up. */
+    fun setReading(reading: Boolean) {
+        context.channel().config().isAutoRead = reading
+    }
+
+    override fun channelRead(
+        context: ChannelHandlerContext,
+        message: Any,
+    ) {
+        try {
+            if (message is HttpResponse) onHead(message)
+            if (message is HttpContent) onContent(message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        receiver?.onPause()
+    }
+
+    override fun exceptionCaught(
+        context: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        fail(if (cause is IOException) "reset: ${cause.message}" else "undecodable: ${cause.message}")
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        pool.onClosed(this)
+        fail("closed by the server")
+    }
+
+    private fun onHead(head: HttpResponse) {
+        val current = receiver
+        when {
+            head.decoderResult().isFailure -> fail("not an answer: ${head.decoderResult().cause()?.message}")
+            current == null || answering -> fail("an answer that nobody waits for")
+            head.status().codeClass() == HttpStatusClass.INFORMATIONAL -> skipping = true
+            !current.accepts(head) -> {
+                skipping = true
+                reusable = false
+            }
+            else -> {
+                answering = true
+                noteReuse(head)
+                current.onHead(head)
+            }
+        }
+    }
+
+    private fun noteReuse(head: HttpResponse) {
+        val framed = HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head)
+        val early = sending?.isDone != true
+        if (!framed || early || !HttpUtil.isKeepAlive(head)) reusable = false
+        idleLimit = keepAliveOf(head) ?: idleLimit
+    }
+
+    private fun onContent(content: HttpContent) {
+        if (content.decoderResult().isFailure) {
+            fail("undecodable body: ${content.decoderResult().cause()?.message}")
+            return
+        }
+        val last = content is LastHttpContent
+        if (skipping) {
+            if (last) skipping = false
+            return
+        }
+        val current = receiver ?: return
+        if (!answering) return
+        deliver(current, content.content(), last)
+    }
+
+    private fun deliver(
+        current: AnswerReceiver,
+        content: ByteBuf,
+        last: Boolean,
+    ) {
+        if (content.isReadable) current.onContent(content)
+        if (!last || receiver !== current) return
+        if (failure != null) {
+            fail(failure.orEmpty())
+            return
+        }
+        receiver = null
+        answering = false
+        current.onEnd()
+        pool.timer.schedule(Duration.ZERO) { giveBack() }
+    }
+
+    /** Runs after all that arrived together was looked at, so that a surplus answer shows before the next request. */
+    private fun giveBack() {
+        if (receiver != null) return
+        if (reusable && isOpen && !decoder.hasLeftOver()) pool.onIdle(this) else context.close()
+    }
+
+    private fun fail(reason: String) {
+        if (failure == null) failure = reason
+        reusable = false
+        val current = receiver
+        receiver = null
+        current?.onBroken(failure.orEmpty())
+        context.close()
+    }
+
+    private fun keepAliveOf(head: HttpResponse): Duration? =
+        head
+            .headers()
+            .get(KEEP_ALIVE)
+            ?.substringAfter("timeout=", "")
+            ?.takeWhile { it.isDigit() }
+            ?.toLongOrNull()
+            ?.let { it.seconds - KEEP_ALIVE_MARGIN }
+
+    private companion object {
+        const val KEEP_ALIVE = "Keep-Alive"
+
+        /** The server's time-out runs from when it sent, and its close takes a moment to arrive. */
+        val KEEP_ALIVE_MARGIN = 400.milliseconds
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
@@ -0,0 +1,85 @@
+package plantainturn.relay.node
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import plantainturn.connection.roster.InstanceRoster
+import plantainturn.process.control.lease.StoreLease
+import plantainturn.relay.request.FleetView
+import plantainturn.relay.request.InstanceLinks
+import plantainturn.request.relay.WorkTotals
+import plantainturn.version.route.RoutingConfiguration
+import kotlin.time.Duration
+
+/** The state of a relay node, for operators. */
+@Serializable
+internal data class RelayDump(
+    val node: String,
+    val uptimeMilliseconds: Long,
+    val configurationVersion: Long?,
+    val holder: StoreLease.HolderRecord?,
+    val fence: Long?,
+    val mayOrder: Boolean,
+    val nodes: Int,
+    val inProgress: Int,
+    val waiting: Int,
+    val instances: Map<String, InstanceDump>,
+) {
+    /** One instance of a service. */
+    @Serializable
+    data class InstanceDump(
+        val service: String,
+        val location: String,
+        val leaving: Boolean,
+        val models: Map<String, List<String>>,
+        val ownWork: WorkTotals?,
+    )
+
+    fun toJson(): String = FORMAT.encodeToString(serializer(), this)
+
+    companion object {
+        private val FORMAT = Json { prettyPrint = true }
+
+        @Suppress("LongParameterList")
+        fun of(
+            node: String,
+            configuration: RoutingConfiguration?,
+            roster: InstanceRoster,
+            fleet: FleetView,
+            links: InstanceLinks,
+            lease: StoreLease,
+            uptime: Duration,
+            inProgress: Int,
+            waiting: Int,
+            nodes: Int,
+        ): RelayDump {
+            val work = links.ownTotals()
+            return RelayDump(
+                node = node,
+                uptimeMilliseconds = uptime.inWholeMilliseconds,
+                configurationVersion = configuration?.version?.number,
+                holder = lease.holderRecord,
+                fence = lease.fence?.value,
+                mayOrder = lease.permitsOrders(),
+                nodes = nodes,
+                inProgress = inProgress,
+                waiting = waiting,
+                instances =
+                    roster.instances
+                        .map { (name, instance) ->
+                            val models =
+                                fleet.residentsOf(name).map { (model, adapters) ->
+                                    model.value to adapters.map { it.value }
+                                }
+                            name.value to
+                                InstanceDump(
+                                    instance.service.value,
+                                    instance.location.toString(),
+                                    instance.leaving,
+                                    models.toMap(),
+                                    work[name],
+                                )
+                        }.toMap(),
+            )
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -0,0 +1,296 @@
+package plantainturn.relay.node
+
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.apache.logging.log4j.LogManager
+import plantainturn.connection.roster.InstanceRoster
+import plantainturn.connection.roster.SocketLocation
+import plantainturn.connection.store.TopicFollower
+import plantainturn.process.control.lease.HolderIdentifier
+import plantainturn.process.control.lease.StoreLease
+import plantainturn.process.control.lease.StoreLeaseSettings
+import plantainturn.process.time.Moment
+import plantainturn.relay.http.CallerServer
+import plantainturn.relay.http.EventLoopTimerService
+import plantainturn.relay.http.HttpCaller
+import plantainturn.relay.http.SmallAnswer
+import plantainturn.relay.http.SmallServer
+import plantainturn.relay.peer.IssuerLink
+import plantainturn.relay.peer.NodeReport
+import plantainturn.relay.peer.PeerEndpoint
+import plantainturn.relay.peer.PeerHub
+import plantainturn.relay.request.DemandMeter
+import plantainturn.relay.request.FleetView
+import plantainturn.relay.request.InstanceLinks
+import plantainturn.relay.request.RelayContext
+import plantainturn.relay.request.RelayHandler
+import plantainturn.relay.request.RelayMetrics
+import plantainturn.relay.request.RequestJournal
+import plantainturn.relay.request.ResidenceDesk
+import plantainturn.relay.request.WaitingRequests
+import plantainturn.relay.residence.ResidenceIssuer
+import plantainturn.request.quarantine.QuarantineRegister
+import plantainturn.request.relay.EngineDispatch
+import plantainturn.request.relay.EnginePace
+import plantainturn.request.relay.RepetitionAllowance
+import plantainturn.request.relay.RepetitionSettings
+import plantainturn.request.relay.ServiceDispatch
+import plantainturn.version.configuration.FailureDomain
+import java.io.ByteArrayOutputStream
+import java.util.UUID
+import java.util.concurrent.CountDownLatch
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * A node that passes callers' requests on to the services of a platform.
+ *
+ * Everything runs on one event loop, so that the state of a request, of the upstreams and of the duties needs no locks.
+ *
+ * @param connect makes the platform's adapter from the node's client and clock
+ */
+public class RelayNode(
+    private var settings: RelaySettings,
+    connect: (EventLoop, HttpCaller, SocketLocation) -> PlatformConnection,
+) {
+    private val logger = LogManager.getLogger(RelayNode::class.java)
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next() as EventLoop
+    private val timer = EventLoopTimerService(loop)
+    private val incarnation = "${settings.node}/${UUID.randomUUID()}"
+    private val caller = HttpCaller(loop, timer)
+    private val platform = connect(loop, caller, location(settings.store))
+    private val registry = PrometheusRegistry()
+    private val roster =
+        InstanceRoster(lapseGrace = settings.drainMilliseconds.milliseconds * LAPSE_GRACE_SHARE)
+    private val fleet = FleetView(roster, timer)
+    private val links = InstanceLinks(loop, timer, FailureDomain(settings.failureDomain))
+    private val configuration = ConfigurationWatch(platform.records, ::onConfiguration)
+    private val instances = InstanceWatch(platform.records, roster, timer, ::onRoster)
+    private val lease =
+        StoreLease(
+            platform.store,
+            HolderIdentifier(incarnation),
+            settings.peers,
+            timer,
+            System::currentTimeMillis,
+            StoreLeaseSettings(handOverPause = settings.handOverMilliseconds.milliseconds),
+        )
+    private val issuer =
+        ResidenceIssuer(
+            lease,
+            incarnation,
+            roster,
+            configuration,
+            platform.engines,
+            timer,
+            settings.loadWindowSeconds.seconds,
+        )
+    private val quarantine = QuarantineRegister(timer)
+    private val hub = PeerHub(issuer, quarantine, timer)
+    private val demand = DemandMeter(timer)
+    private val waiting = WaitingRequests()
+    private val issuerLink: IssuerLink =
+        IssuerLink(lease, issuer, hub, caller, timer, fleet, links, quarantine, ::report)
+    private val pace = EnginePace()
+    private val allowance = RepetitionAllowance(repetitions()) { issuerLink.nodes }
+    private val handler = RelayHandler(context())
+    private val callers = CallerServer(loop, timer, configuration, handler)
+    private val small = SmallServer(loop)
+    private val readiness = SmallServer(loop)
+    private val followers =
+        listOf(
+            TopicFollower(platform.store, platform.configurationTopic, configuration, timer, READ_WAIT),
+            TopicFollower(platform.store, platform.instanceTopic, instances, timer, READ_WAIT),
+        )
+    private val startedAt: Moment = timer.now()
+    private var stopping = false
+
+    /** Listens and begins to follow the store; returns once it listens or could not, with what went wrong. */
+    public fun start(): List<Throwable> {
+        val faults = java.util.Collections.synchronizedList(ArrayList<Throwable>())
+        val listening = CountDownLatch(LISTENERS)
+        val done = { fault: Throwable? ->
+            if (fault != null) faults += fault
+            listening.countDown()
+        }
+        loop.execute {
+            logger.info("event=start node={} incarnation={}", settings.node, incarnation)
+            serveSmall()
+            readiness.listen(location(settings.readiness), done)
+            callers.listen(location(settings.callers), done)
+            small.listen(location(settings.peers), done)
+            followers.forEach { it.start() }
+            begin()
+        }
+        listening.await()
+        return faults
+    }
+
+    /** Takes over [changed] settings as far as a running node can: limits of repetition and the time to stop. */
+    public fun reload(changed: RelaySettings) {
+        loop.execute {
+            val fixed =
+                changed.copy(
+                    stopSeconds = settings.stopSeconds,
+                    repetitionRatio = settings.repetitionRatio,
+                    repetitionsFixed = settings.repetitionsFixed,
+                    repetitionWindowSeconds = settings.repetitionWindowSeconds,
+                )
+            if (fixed != settings) logger.warn("event=reload-partial reason=\"other settings need a restart\"")
+            settings = changed
+            allowance.settings = repetitions()
+            logger.info("event=reload settings={}", changed)
+        }
+    }
+
+    /** Stops as planned: first unready, then the requests in progress end. Returns when all have, or time is up. */
+    public fun stop() {
+        val stopped = CountDownLatch(1)
+        loop.execute {
+            stopping = true
+            logger.info("event=stop inProgress={}", handler.inProgress)
+            lease.release()
+            val givenAt = timer.now()
+            timer.schedule(BALANCER_NOTICE) { callers.closeIdle() }
+            timer.subscribe(STOP_CHECK_PERIOD) {
+                val elapsed = timer.now() - givenAt
+                val quiet = handler.inProgress == 0 && callers.size == 0
+                val late = elapsed > settings.stopSeconds.seconds - STOP_MARGIN
+                if (elapsed > BALANCER_NOTICE + STOP_CHECK_PERIOD && quiet || late) stopped.countDown()
+            }
+        }
+        stopped.await()
+        logger.info("event=stopped inProgress={} connections={}", handler.inProgress, callers.size)
+    }
+
+    private fun begin() {
+        timer.subscribe(CONTROL_PERIOD) {
+            lease.step(mayContend = !stopping && configuration.current != null && issuerLink.isIssuerMissing())
+            issuer.step()
+        }
+        timer.subscribe(EXCHANGE_PERIOD) { if (!stopping || lease.fence == null) issuerLink.step() }
+        timer.subscribe(WAITING_PERIOD) { waiting.pump() }
+        timer.subscribe(ROSTER_PERIOD) { instances.expire() }
+        fleet.subscribe { waiting.pump() }
+    }
+
+    private fun onConfiguration() {
+        waiting.pump()
+    }
+
+    private fun onRoster() {
+        links.retain(roster.instances)
+        fleet.onRosterChange()
+    }
+
+    private fun context(): RelayContext =
+        RelayContext(
+            timer = timer,
+            routing = configuration,
+            dialect = platform.dialect,
+            fleet = fleet,
+            links = links,
+            residence = issuerLink as ResidenceDesk,
+            pace = pace,
+            engineDispatch = EngineDispatch(pace),
+            serviceDispatch = ServiceDispatch(),
+            allowance = allowance,
+            quarantine = quarantine,
+            demand = demand,
+            waiting = waiting,
+            journal = RequestJournal(),
+            metrics = RelayMetrics(registry),
+            random = Random.Default,
+        )
+
+    private fun repetitions() =
+        RepetitionSettings(
+            settings.repetitionRatio,
+            settings.repetitionsFixed,
+            settings.repetitionWindowSeconds.seconds,
+        )
+
+    private fun report(residenceRevision: Long): NodeReport =
+        NodeReport(
+            node = incarnation,
+            work = links.ownTotals().mapKeys { it.key.value },
+            pressure =
+                demand
+                    .pressure(waiting.byModel())
+                    .map { (model, part) ->
+                        model.value to
+                            NodeReport.PressureReport(
+                                rounded(part.worthPerSecond),
+                                rounded(part.engineSharesWanted),
+                                part.waiting,
+                            )
+                    }.toMap(),
+            adapterUse =
+                demand.adapterUse().map { (adapter, use) ->
+                    NodeReport.AdapterUse(adapter.first.value, adapter.second.value, rounded(use))
+                },
+            residenceRevision = residenceRevision,
+            quarantines = quarantine.snapshot(),
+        )
+
+    /** Bytes between failure domains are priced; more digits than this decide nothing. */
+    private fun rounded(value: Double): Double = Math.round(value * ROUNDING) / ROUNDING
+
+    private fun serveSmall() {
+        PeerEndpoint(hub, issuer).serveOn(small)
+        readiness.on(platform.readinessCall) { _, done -> done(SmallAnswer(if (isReady()) OK else UNAVAILABLE)) }
+        small.on("GET /metrics") { _, done ->
+            val text = ByteArrayOutputStream()
+            PrometheusTextFormatWriter.builder().build().write(text, registry.scrape())
+            done(SmallAnswer(OK, text.toByteArray(), "text/plain; version=0.0.4"))
+        }
+        small.on("GET /dump") { _, done -> done(SmallAnswer(OK, dump().toByteArray())) }
+    }
+
+    private fun isReady(): Boolean = !stopping && configuration.current != null && instances.isKnown
+
+    private fun dump(): String =
+        RelayDump
+            .of(
+                node = incarnation,
+                configuration = configuration.current,
+                roster = roster,
+                fleet = fleet,
+                links = links,
+                lease = lease,
+                uptime = timer.now() - startedAt,
+                inProgress = handler.inProgress,
+                waiting = waiting.size,
+                nodes = issuerLink.nodes,
+            ).toJson()
+
+    private companion object {
+        const val LISTENERS = 3
+        const val OK = 200
+        const val UNAVAILABLE = 503
+        const val ROUNDING = 1_000.0
+
+        /** A long read that goes silent is noticed within this time and a little more. */
+        val READ_WAIT = 4.seconds
+
+        /** Requests to an instance that left must have ended in the rest of the time. */
+        const val LAPSE_GRACE_SHARE = 0.6
+        val CONTROL_PERIOD = 50.milliseconds
+        val EXCHANGE_PERIOD = 200.milliseconds
+        val WAITING_PERIOD = 100.milliseconds
+        val ROSTER_PERIOD = 100.milliseconds
+
+        /** The balancer asks each second and takes a node out after two misses. */
+        val BALANCER_NOTICE = 2_300.milliseconds
+        val STOP_CHECK_PERIOD = 50.milliseconds
+        val STOP_MARGIN = 300.milliseconds
+
+        fun location(text: String): SocketLocation =
+            requireNotNull(SocketLocation.parse(text)) { "the settings were not checked: $text" }
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -0,0 +1,192 @@
+package plantainturn.relay.peer
+
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.apache.logging.log4j.LogManager
+import plantainturn.connection.roster.SocketLocation
+import plantainturn.process.control.lease.StoreLease
+import plantainturn.process.time.Moment
+import plantainturn.process.time.TimerService
+import plantainturn.relay.http.HttpCall
+import plantainturn.relay.http.HttpCallResult
+import plantainturn.relay.http.HttpCaller
+import plantainturn.relay.request.FleetView
+import plantainturn.relay.request.InstanceLinks
+import plantainturn.relay.request.ResidenceDesk
+import plantainturn.relay.residence.ResidenceIssuer
+import plantainturn.request.quarantine.QuarantineRegister
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.ServiceName
+import plantainturn.version.configuration.UpstreamName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * This node's exchange with the issuer of orders, which may be this node.
+ *
+ * Everything that it brings is a hint: requests go on without it, and nothing unsafe follows when it is old.
+ */
+internal class IssuerLink(
+    private val lease: StoreLease,
+    private val issuer: ResidenceIssuer,
+    private val hub: PeerHub,
+    private val caller: HttpCaller,
+    private val timer: TimerService,
+    private val fleet: FleetView,
+    private val links: InstanceLinks,
+    private val quarantine: QuarantineRegister,
+    private val report: (Long) -> NodeReport,
+) : ResidenceDesk {
+    private val logger = LogManager.getLogger("issuer-link")
+    private var arrivals: Map<String, Long> = emptyMap()
+    private var arrivalsAt = Moment.ORIGIN
+    private var residenceRevision = UNKNOWN_REVISION
+    private var residenceFrom: String? = null
+    private var heardAt: Moment? = null
+    private var lookedAt: Moment? = null
+    private var calling = false
+
+    /** Nodes that take part, as the issuer last told. */
+    var nodes: Int = ASSUMED_NODES
+        private set
+
+    /** Whether the issuer has not been heard from for so long that another one should take over. */
+    fun isIssuerMissing(): Boolean = heardAt?.let { timer.now() - it > ISSUER_SILENCE } ?: true
+
+    /** Exchanges reports with the issuer, if the last exchange has ended. */
+    fun step() {
+        if (lease.fence != null) {
+            take(hub.exchange(report(residenceRevision)), SELF)
+            return
+        }
+        val location = issuerLocation()
+        if (location == null || isIssuerMissing()) lookForIssuer()
+        if (location != null && !calling) call(location)
+    }
+
+    override fun arrivalOf(model: ModelName): Duration? {
+        val told = arrivals[model.value] ?: return null
+        if (timer.now() - arrivalsAt > ARRIVALS_FRESHNESS) return null
+        return (told.milliseconds - (timer.now() - arrivalsAt)).coerceAtLeast(Duration.ZERO)
+    }
+
+    override fun wantAdapter(
+        service: ServiceName,
+        model: ModelName,
+        adapter: ModelName,
+        candidates: List<UpstreamName>,
+        done: (UpstreamName?) -> Unit,
+    ) {
+        val answer = { engine: UpstreamName? ->
+            if (engine != null) fleet.onAdapter(engine, model, adapter, present = true)
+            done(engine)
+        }
+        if (lease.fence != null) return issuer.wantAdapter(service, model, adapter, candidates, answer)
+        val location = issuerLocation() ?: return done(null)
+        val wish = AdapterWish(service.value, model.value, adapter.value, candidates.map { it.value })
+        val body = Json.encodeToString(AdapterWish.serializer(), wish).toByteArray()
+        caller.call(location, HttpCall(HttpMethod.POST, ADAPTER_PATH, body), ADAPTER_TIMEOUT) { result ->
+            answer(decode(result, AdapterGrant.serializer())?.engine?.let(::UpstreamName))
+        }
+    }
+
+    private fun call(location: SocketLocation) {
+        calling = true
+        val from = location.toString()
+        val body = Json.encodeToString(NodeReport.serializer(), report(revisionKnownFrom(from))).toByteArray()
+        caller.call(location, HttpCall(HttpMethod.POST, EXCHANGE_PATH, body), EXCHANGE_TIMEOUT) { result ->
+            calling = false
+            val told = decode(result, IssuerReport.serializer())
+            when {
+                told == null -> logger.debug("issuer={} event=exchange-failed result={}", location, result)
+                told.issuing -> take(told, from)
+                else -> lookForIssuer()
+            }
+        }
+    }
+
+    private fun revisionKnownFrom(from: String): Long =
+        if (residenceFrom ==
+            from
+        ) {
+            residenceRevision
+        } else {
+            UNKNOWN_REVISION
+        }
+
+    private fun take(
+        told: IssuerReport,
+        from: String,
+    ) {
+        val now = timer.now()
+        if (heardAt == null || isIssuerMissing()) logger.info("event=issuer-heard issuer={} nodes={}", from, told.nodes)
+        heardAt = now
+        nodes = told.nodes
+        arrivals = told.arrivals
+        arrivalsAt = now
+        links.onOthers(told.work.mapKeys { UpstreamName(it.key) })
+        quarantine.merge(told.quarantines)
+        residenceRevision = told.residenceRevision
+        residenceFrom = from
+        if (told.issuing) fleet.onResidence(told.residence?.let(::decodeResidence))
+    }
+
+    private fun decodeResidence(told: Map<String, Map<String, List<String>>>) =
+        told
+            .map { (engine, models) ->
+                val decoded =
+                    models.map { (model, adapters) ->
+                        ModelName(model) to adapters.map(::ModelName).toPersistentSet()
+                    }
+                UpstreamName(engine) to decoded.toMap().toPersistentMap()
+            }.toMap()
+            .toPersistentMap()
+
+    private fun lookForIssuer() {
+        val now = timer.now()
+        val last = lookedAt
+        if (last != null && now - last < LOOK_PAUSE) return
+        lookedAt = now
+        lease.look()
+    }
+
+    private fun issuerLocation(): SocketLocation? = lease.holderRecord?.let { SocketLocation.parse(it.address) }
+
+    private fun <T> decode(
+        result: HttpCallResult,
+        serializer: KSerializer<T>,
+    ): T? {
+        if (result !is HttpCallResult.Answered || result.status != OK) return null
+        return try {
+            Json.decodeFromString(serializer, result.body.decodeToString())
+        } catch (exception: SerializationException) {
+            logger.warn("event=issuer-answer-unreadable", exception)
+            null
+        }
+    }
+
+    internal companion object {
+        const val EXCHANGE_PATH = "/peer/exchange"
+        const val ADAPTER_PATH = "/peer/adapter"
+        private const val SELF = "self"
+        private const val OK = 200
+        private const val UNKNOWN_REVISION = -1L
+
+        /** Shares of what all nodes may use are small until the number of nodes is known. */
+        private const val ASSUMED_NODES = 16
+        private val EXCHANGE_TIMEOUT = 500.milliseconds
+        private val ADAPTER_TIMEOUT = 400.milliseconds
+
+        /** Several exchanges; the lease itself has lapsed by then. */
+        private val ISSUER_SILENCE = 1_200.milliseconds
+        private val ARRIVALS_FRESHNESS = 1.seconds
+
+        /** Each look is a priced call. */
+        private val LOOK_PAUSE = 700.milliseconds
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -0,0 +1,26 @@
+package plantainturn.relay.peer
+
+import kotlinx.serialization.Serializable
+import plantainturn.request.quarantine.QuarantineEntry
+import plantainturn.request.relay.WorkTotals
+
+/**
+ * What the issuer of orders answers to a [NodeReport].
+ *
+ * @property issuing whether the answering node holds the lease
+ * @property nodes nodes that it heard from lately, itself included
+ * @property work the work of all other nodes at each instance
+ * @property residenceRevision the revision of [residence]
+ * @property residence models and their adapters at each engine, null if the node knows this revision
+ * @property arrivals milliseconds until models on their way should be there
+ */
+@Serializable
+internal data class IssuerReport(
+    val issuing: Boolean,
+    val nodes: Int,
+    val work: Map<String, WorkTotals>,
+    val residenceRevision: Long,
+    val residence: Map<String, Map<String, List<String>>>?,
+    val arrivals: Map<String, Long>,
+    val quarantines: List<QuarantineEntry>,
+)
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -0,0 +1,40 @@
+package plantainturn.relay.peer
+
+import kotlinx.serialization.Serializable
+import plantainturn.request.quarantine.QuarantineEntry
+import plantainturn.request.relay.WorkTotals
+
+/**
+ * What a node tells the issuer of orders, a few times a second.
+ *
+ * @property node names this run of the node
+ * @property work its own work at each instance
+ * @property pressure what its callers want, by base model
+ * @property adapterUse how much its callers use each adapter
+ * @property residenceRevision the newest revision of residence that it knows
+ */
+@Serializable
+internal data class NodeReport(
+    val node: String,
+    val work: Map<String, WorkTotals>,
+    val pressure: Map<String, PressureReport>,
+    val adapterUse: List<AdapterUse>,
+    val residenceRevision: Long,
+    val quarantines: List<QuarantineEntry>,
+) {
+    /** What callers of one node want of one base model. */
+    @Serializable
+    data class PressureReport(
+        val worthPerSecond: Double,
+        val engineSharesWanted: Double,
+        val waiting: Int,
+    )
+
+    /** How much callers of one node use one adapter. */
+    @Serializable
+    data class AdapterUse(
+        val model: String,
+        val adapter: String,
+        val use: Double,
+    )
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerEndpoint.kt
@@ -0,0 +1,73 @@
+package plantainturn.relay.peer
+
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.apache.logging.log4j.LogManager
+import plantainturn.relay.http.SmallAnswer
+import plantainturn.relay.http.SmallServer
+import plantainturn.relay.residence.ResidenceIssuer
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.ServiceName
+import plantainturn.version.configuration.UpstreamName
+
+/** Answers the peers of this node. */
+internal class PeerEndpoint(
+    private val hub: PeerHub,
+    private val issuer: ResidenceIssuer,
+) {
+    private val logger = LogManager.getLogger("peer")
+
+    /** Lets [server] answer peers. */
+    fun serveOn(server: SmallServer) {
+        server.on("POST ${IssuerLink.EXCHANGE_PATH}") { body, done ->
+            val report = decode(body, NodeReport.serializer())
+            done(
+                if (report ==
+                    null
+                ) {
+                    SmallAnswer(BAD_REQUEST)
+                } else {
+                    answer(IssuerReport.serializer(), hub.exchange(report))
+                },
+            )
+        }
+        server.on("POST ${IssuerLink.ADAPTER_PATH}") { body, done ->
+            val wish = decode(body, AdapterWish.serializer())
+            if (wish == null) done(SmallAnswer(BAD_REQUEST)) else grant(wish, done)
+        }
+    }
+
+    private fun grant(
+        wish: AdapterWish,
+        done: (SmallAnswer) -> Unit,
+    ) {
+        issuer.wantAdapter(
+            ServiceName(wish.service),
+            ModelName(wish.model),
+            ModelName(wish.adapter),
+            wish.candidates.map(::UpstreamName),
+        ) { engine -> done(answer(AdapterGrant.serializer(), AdapterGrant(engine?.value))) }
+    }
+
+    private fun <T> answer(
+        serializer: KSerializer<T>,
+        value: T,
+    ) = SmallAnswer(OK, Json.encodeToString(serializer, value).toByteArray())
+
+    private fun <T> decode(
+        body: ByteArray,
+        serializer: KSerializer<T>,
+    ): T? =
+        try {
+            Json.decodeFromString(serializer, body.decodeToString())
+        } catch (exception: SerializationException) {
+            logger.warn("event=peer-message-unreadable", exception)
+            null
+        }
+
+    private companion object {
+        const val OK = 200
+        const val BAD_REQUEST = 400
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -0,0 +1,84 @@
+package plantainturn.relay.peer
+
+import plantainturn.process.control.residence.ModelPressure
+import plantainturn.process.time.Moment
+import plantainturn.process.time.TimerService
+import plantainturn.relay.residence.ResidenceIssuer
+import plantainturn.request.quarantine.QuarantineRegister
+import plantainturn.request.relay.WorkTotals
+import plantainturn.version.configuration.ModelName
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Gathers the reports of all nodes at the issuer of orders, and tells each node the sum. */
+internal class PeerHub(
+    private val issuer: ResidenceIssuer,
+    private val quarantine: QuarantineRegister,
+    private val timer: TimerService,
+) {
+    private val heard = HashMap<String, Heard>()
+
+    /** Takes in [report] and returns the answer to it. */
+    fun exchange(report: NodeReport): IssuerReport {
+        val now = timer.now()
+        heard[report.node] = Heard(report, now)
+        heard.values.removeIf { now - it.at > MEMBER_SILENCE }
+        quarantine.merge(report.quarantines)
+        tellIssuer()
+        val others = heard.values.map { it.report }.filter { it.node != report.node }
+        val residence = issuer.residence().takeIf { issuer.revision != report.residenceRevision }
+        return IssuerReport(
+            issuing = issuer.isActive,
+            nodes = heard.size,
+            work = sum(others),
+            residenceRevision = issuer.revision,
+            residence =
+                residence
+                    ?.map { (engine, models) ->
+                        engine.value to
+                            models.map { (model, adapters) -> model.value to adapters.map { it.value } }.toMap()
+                    }?.toMap(),
+            arrivals = issuer.arrivals().map { (model, left) -> model.value to left.inWholeMilliseconds }.toMap(),
+            quarantines = quarantine.snapshot(),
+        )
+    }
+
+    private fun tellIssuer() {
+        val reports = heard.values.map { it.report }
+        val pressure = HashMap<ModelName, ModelPressure>()
+        val use = HashMap<Pair<ModelName, ModelName>, Double>()
+        for (report in reports) {
+            for ((name, part) in report.pressure) {
+                val before = pressure[ModelName(name)] ?: ModelPressure()
+                pressure[ModelName(name)] =
+                    ModelPressure(
+                        before.worthPerSecond + part.worthPerSecond,
+                        before.engineSharesWanted + part.engineSharesWanted,
+                        before.waiting + part.waiting,
+                    )
+            }
+            for (part in report.adapterUse) {
+                use.merge(ModelName(part.model) to ModelName(part.adapter), part.use, Double::plus)
+            }
+        }
+        issuer.pressure = pressure
+        issuer.adapterUse = use
+    }
+
+    private fun sum(reports: List<NodeReport>): Map<String, WorkTotals> {
+        val totals = HashMap<String, WorkTotals>()
+        for (report in reports) {
+            for ((instance, work) in report.work) totals.merge(instance, work, WorkTotals::plus)
+        }
+        return totals
+    }
+
+    private class Heard(
+        val report: NodeReport,
+        val at: Moment,
+    )
+
+    private companion object {
+        /** Several missed reports. */
+        val MEMBER_SILENCE = 1_500.milliseconds
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/request/EventSplitter.kt
@@ -0,0 +1,102 @@
+package plantainturn.relay.request
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufAllocator
+import io.netty.buffer.Unpooled
+
+/**
+ * Splits a stream of server-sent events at the blank lines between them.
+ *
+ * Only whole events are given on, so that a stream that breaks inside one can be continued after the last whole one.
+ */
+internal class EventSplitter(
+    private val allocator: ByteBufAllocator,
+) {
+    private var partial: ByteBuf = Unpooled.EMPTY_BUFFER
+
+    /** The identifier of the last whole event, null before the first. */
+    var lastIdentifier: String? = null
+        private set
+
+    /** Bytes of an event that is not whole yet. */
+    val hasPartial: Boolean
+        get() = partial.isReadable
+
+    /** Takes in [content] and returns the whole events that are there now, or null if there are none. */
+    fun add(content: ByteBuf): ByteBuf? {
+        val gathered =
+            if (partial.isReadable) {
+                allocator
+                    .buffer(
+                        partial.readableBytes() + content.readableBytes(),
+                    ).writeBytes(partial)
+                    .writeBytes(content)
+            } else {
+                content.retainedSlice()
+            }
+        partial.release()
+        partial = Unpooled.EMPTY_BUFFER
+        val end = endOfEvents(gathered)
+        val whole = if (end > 0) gathered.readRetainedSlice(end) else null
+        if (whole != null) noteIdentifier(whole)
+        if (gathered.isReadable) {
+            if (gathered.readableBytes() > MAXIMUM_PARTIAL) {
+                val rest = gathered.readRetainedSlice(gathered.readableBytes())
+                gathered.release()
+                return if (whole == null) rest else Unpooled.wrappedBuffer(whole, rest)
+            }
+            partial = allocator.buffer(gathered.readableBytes()).writeBytes(gathered)
+        }
+        gathered.release()
+        return whole
+    }
+
+    /** Returns what is left of an event that never became whole, or null. */
+    fun takePartial(): ByteBuf? {
+        val rest = partial.takeIf { it.isReadable } ?: return null
+        partial = Unpooled.EMPTY_BUFFER
+        return rest
+    }
+
+    /** Forgets what is left of an event that never became whole. */
+    fun discardPartial() {
+        partial.release()
+        partial = Unpooled.EMPTY_BUFFER
+    }
+
+    private fun endOfEvents(buffer: ByteBuf): Int {
+        var index = buffer.writerIndex() - 1
+        val start = buffer.readerIndex()
+        while (index > start) {
+            if (buffer.getByte(index) == LINE_FEED) {
+                val before = buffer.getByte(index - 1)
+                val blank =
+                    before == LINE_FEED ||
+                        before == CARRIAGE_RETURN &&
+                        index - 2 >= start &&
+                        buffer.getByte(index - 2) == LINE_FEED
+                if (blank) return index + 1 - start
+            }
+            index--
+        }
+        return 0
+    }
+
+    private fun noteIdentifier(events: ByteBuf) {
+        val text = events.toString(Charsets.ISO_8859_1)
+        var at = text.lastIndexOf(FIELD)
+        while (at > 0 && text[at - 1] != '\n') at = text.lastIndexOf(FIELD, at - 1)
+        if (at < 0) return
+        val end = text.indexOf('\n', at)
+        lastIdentifier = text.substring(at + FIELD.length, if (end < 0) text.length else end).trim()
+    }
+
+    private companion object {
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val FIELD = "id:"
+
+        /** An event larger than this is passed on in parts. */
+        const val MAXIMUM_PARTIAL = 262_144
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/request/FleetView.kt
@@ -0,0 +1,101 @@
+package plantainturn.relay.request
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.minus
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.plus
+import plantainturn.connection.roster.InstanceRoster
+import plantainturn.connection.roster.UpstreamInstance
+import plantainturn.process.time.Moment
+import plantainturn.process.time.TimerService
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.ServiceName
+import plantainturn.version.configuration.UpstreamName
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * What this node believes of the instances: who serves, and which models and adapters are where.
+ *
+ * Residence comes from the instances' entries, and fresher from the node that issues orders while that is heard from.
+ */
+public class FleetView(
+    private val roster: InstanceRoster,
+    private val timer: TimerService,
+) {
+    private val listeners = ArrayList<() -> Unit>()
+    private var told: PersistentMap<UpstreamName, PersistentMap<ModelName, PersistentSet<ModelName>>> =
+        persistentMapOf()
+    private var toldAt: Moment? = null
+    private var byService: Map<ServiceName, List<UpstreamInstance>> = emptyMap()
+
+    /** Lets [listener] hear of every change. */
+    public fun subscribe(listener: () -> Unit) {
+        listeners += listener
+    }
+
+    /** Notes that the roster has changed. */
+    public fun onRosterChange() {
+        byService = roster.serving().values.groupBy { it.service }
+        listeners.forEach { it() }
+    }
+
+    /** Takes over what the issuer of orders says of residence; null keeps what it said before. */
+    public fun onResidence(
+        residence: PersistentMap<UpstreamName, PersistentMap<ModelName, PersistentSet<ModelName>>>?,
+    ) {
+        toldAt = timer.now()
+        if (residence == null || residence == told) return
+        told = residence
+        listeners.forEach { it() }
+    }
+
+    /** Notes that [adapter] of [model] is at [engine], or is not. */
+    public fun onAdapter(
+        engine: UpstreamName,
+        model: ModelName,
+        adapter: ModelName,
+        present: Boolean,
+    ) {
+        val models = residentsOf(engine)
+        val adapters = models[model] ?: return
+        told = told.put(engine, models.put(model, if (present) adapters + adapter else adapters - adapter))
+        listeners.forEach { it() }
+    }
+
+    /** Notes that [engine] does not hold [model]. */
+    public fun onAbsent(
+        engine: UpstreamName,
+        model: ModelName,
+    ) {
+        told = told.put(engine, residentsOf(engine).remove(model))
+    }
+
+    /** Returns the instances of [service] that may get requests. */
+    public fun instancesOf(service: ServiceName): List<UpstreamInstance> = byService[service].orEmpty()
+
+    /** Returns the instance [name] if it may get requests. */
+    public fun instance(name: UpstreamName): UpstreamInstance? = roster.instances[name]?.takeIf { !it.leaving }
+
+    /** Returns the models that [engine] holds, with their adapters. */
+    public fun residentsOf(engine: UpstreamName): PersistentMap<ModelName, PersistentSet<ModelName>> {
+        val fresh = toldAt?.let { timer.now() - it < TOLD_FRESHNESS } ?: false
+        val entry = roster.instances[engine]?.residents ?: persistentMapOf()
+        val fromIssuer = told[engine] ?: return entry
+        return if (fresh) fromIssuer else entry.withAdaptersOf(fromIssuer)
+    }
+
+    private fun PersistentMap<ModelName, PersistentSet<ModelName>>.withAdaptersOf(
+        other: PersistentMap<ModelName, PersistentSet<ModelName>>,
+    ): PersistentMap<ModelName, PersistentSet<ModelName>> {
+        val merged = builder()
+        for ((model, adapters) in this) merged[model] = adapters + (other[model] ?: persistentSetOf())
+        return merged.build()
+    }
+
+    private companion object {
+        /** Several exchanges with the issuer; after that the entries in the store are fresher. */
+        val TOLD_FRESHNESS = 2.seconds
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -0,0 +1,88 @@
+package plantainturn.relay.request
+
+import io.netty.channel.EventLoop
+import plantainturn.connection.roster.UpstreamInstance
+import plantainturn.process.time.TimerService
+import plantainturn.relay.http.ConnectionPool
+import plantainturn.request.relay.DispatchCandidate
+import plantainturn.request.relay.GenerationDemand
+import plantainturn.request.relay.InstanceStanding
+import plantainturn.request.relay.PromptMemory
+import plantainturn.request.relay.WorkTotals
+import plantainturn.version.configuration.FailureDomain
+import plantainturn.version.configuration.UpstreamName
+import kotlin.time.DurationUnit
+
+/** This node's connections to instances, and what it knows of the work there. */
+public class InstanceLinks(
+    private val loop: EventLoop,
+    private val timer: TimerService,
+    private val ownDomain: FailureDomain,
+) {
+    private val links = HashMap<UpstreamName, Link>()
+    internal val prompts = PromptMemory()
+
+    /** Returns this node's own work at each instance. */
+    public fun ownTotals(): Map<UpstreamName, WorkTotals> =
+        links
+            .mapValues { (_, link) ->
+                WorkTotals(link.standing.ownRunning, link.standing.ownUnread, link.standing.ownHeld)
+            }.filterValues { it.running > 0 }
+
+    /** Takes over the work of the other nodes. */
+    public fun onOthers(totals: Map<UpstreamName, WorkTotals>) {
+        for ((name, link) in links) link.standing.others = totals[name] ?: WorkTotals.NONE
+    }
+
+    /** Closes the connections to instances that are not in [present] or run anew. */
+    public fun retain(present: Map<UpstreamName, UpstreamInstance>) {
+        val gone = links.filter { (name, link) -> present[name]?.let { link.isFor(it) } != true }.keys
+        for (name in gone) {
+            links.remove(name)?.pool?.close()
+            prompts.forget(name)
+        }
+    }
+
+    internal fun standing(instance: UpstreamInstance): InstanceStanding = link(instance).standing
+
+    internal fun pool(instance: UpstreamInstance): ConnectionPool = link(instance).pool
+
+    internal fun candidate(
+        instance: UpstreamInstance,
+        demand: GenerationDemand?,
+    ): DispatchCandidate {
+        val standing = link(instance).standing
+        val now = timer.now()
+        return DispatchCandidate(
+            name = instance.name,
+            concurrency = instance.concurrency,
+            running = standing.running(now),
+            unreadTokens = standing.unread(),
+            heldTokens = standing.held(),
+            keptTokens = demand?.let { prompts.keptTokens(instance.name, it) } ?: 0,
+            sameDomain = instance.domain == ownDomain,
+            suspected = standing.health.isSuspected(now),
+            answerSeconds = standing.answerTime?.toDouble(DurationUnit.SECONDS),
+        )
+    }
+
+    private fun link(instance: UpstreamInstance): Link {
+        val known = links[instance.name]
+        if (known != null && known.isFor(instance)) return known
+        known?.pool?.close()
+        val others = known?.standing?.others ?: WorkTotals.NONE
+        val made = Link(instance, InstanceStanding(instance.startedAt), ConnectionPool(loop, instance.location, timer))
+        made.standing.others = others
+        links[instance.name] = made
+        return made
+    }
+
+    private class Link(
+        private val instance: UpstreamInstance,
+        val standing: InstanceStanding,
+        val pool: ConnectionPool,
+    ) {
+        fun isFor(other: UpstreamInstance): Boolean =
+            instance.location == other.location && instance.startedAt == other.startedAt
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -0,0 +1,231 @@
+package plantainturn.relay.request
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import plantainturn.connection.roster.UpstreamInstance
+import plantainturn.process.time.Moment
+import plantainturn.relay.http.AnswerReceiver
+import plantainturn.relay.http.ConnectionResult
+import plantainturn.relay.http.UpstreamConnection
+import plantainturn.request.relay.FailureKind
+import plantainturn.request.relay.RequestWork
+import kotlin.time.Duration
+
+/**
+ * One send of a request to one instance, and what comes back.
+ *
+ * It gathers short answers whole and gives streams on as they come; what its end means for the request is decided by
+ * the [RelayExchange].
+ */
+internal class RelayAttempt(
+    private val context: RelayContext,
+    private val exchange: RelayExchange,
+    val instance: UpstreamInstance,
+    private val terms: SendTerms,
+    private val work: RequestWork,
+    private val expected: Duration,
+) : AnswerReceiver {
+    private val standing = context.links.standing(instance)
+    private val begunAt = context.timer.now()
+    private var connection: UpstreamConnection? = null
+    private var head: HttpResponse? = null
+    private var facts: AnswerFacts? = null
+    private var gathered: ByteBuf = Unpooled.EMPTY_BUFFER
+    private var promptRead = false
+    private var ended = false
+
+    /** When the request was written to the instance, null if it was not. */
+    var sentAt: Moment? = null
+        private set
+
+    /** Whether the instance has begun to answer. */
+    val isAnswering: Boolean
+        get() = head != null
+
+    /** When something was last heard on it. */
+    var heardAt: Moment = begunAt
+        private set
+
+    /** Whether the answer is given on as it comes. */
+    var isStreaming: Boolean = false
+        private set
+
+    fun begin(reuse: Duration) {
+        standing.begin(work)
+        standing.health.onSend(begunAt)
+        context.links.pool(instance).acquire(reuse) { result ->
+            when (result) {
+                is ConnectionResult.Ready -> write(result.connection)
+                is ConnectionResult.Failed -> if (!ended) unreachable(result.reason)
+            }
+        }
+    }
+
+    /** Ends the attempt without a result; the instance sees the connection close and drops the request. */
+    fun cancel() {
+        if (ended) return
+        settle()
+        standing.health.onNeutral()
+        connection?.abandon()
+        gathered.release()
+        context.metrics.onSend("cancelled")
+    }
+
+    /** Ends the attempt because the instance was silent for too long. */
+    fun giveUpAsSilent() {
+        cancel()
+        failed(FailureKind.SILENT)
+    }
+
+    fun setReading(reading: Boolean) {
+        connection?.setReading(reading)
+    }
+
+    private fun write(ready: UpstreamConnection) {
+        if (ended) {
+            ready.abandon()
+            return
+        }
+        connection = ready
+        sentAt = context.timer.now()
+        val left = exchange.timeLeft()
+        val body =
+            exchange.request.source.body
+                .retainedDuplicate()
+        ready.send(context.dialect.upstreamRequest(exchange.request, body, terms.copy(timeLeft = left)), this)
+    }
+
+    private fun unreachable(reason: String) {
+        settle()
+        failed(FailureKind.UNREACHABLE)
+        context.metrics.onSend("unreachable")
+        exchange.onNotSent(this, reason)
+    }
+
+    override fun accepts(head: HttpResponse): Boolean {
+        val identifier = context.dialect.answerFacts(head).identifier
+        val own = identifier == exchange.request.identifier.value
+        return own || identifier == null && head.status().code() >= FIRST_FAILURE_STATUS
+    }
+
+    override fun onHead(head: HttpResponse) {
+        val now = context.timer.now()
+        heardAt = now
+        this.head = head
+        val decoded = context.dialect.answerFacts(head)
+        facts = decoded
+        decoded.load?.let { standing.onReportedLoad(it, now) }
+        val success = head.status().code() < FIRST_FAILURE_STATUS && decoded.signed
+        isStreaming = success && (exchange.route.repetition.streams || isLong(head))
+    }
+
+    override fun onContent(content: ByteBuf) {
+        if (ended) return
+        val now = context.timer.now()
+        heardAt = now
+        notePromptRead(now)
+        if (isStreaming) {
+            exchange.onStreamContent(this, requireNotNull(head), content)
+        } else if (gathered.readableBytes() + content.readableBytes() <= MAXIMUM_GATHERED) {
+            val before = gathered
+            gathered = Unpooled.buffer(before.readableBytes() + content.readableBytes())
+            gathered.writeBytes(before).writeBytes(content)
+            before.release()
+        } else {
+            onBroken("an answer of more than $MAXIMUM_GATHERED bytes without a length")
+        }
+    }
+
+    override fun onEnd() {
+        if (ended) return
+        settle()
+        val now = context.timer.now()
+        val answer = requireNotNull(head)
+        val told = requireNotNull(facts)
+        val status = answer.status().code()
+        when {
+            told.notRun -> refused(told, status)
+            isStreaming -> {
+                succeeded(now)
+                exchange.onStreamEnd(this, answer)
+            }
+            status < FIRST_FAILURE_STATUS && !told.signed -> {
+                failed(FailureKind.BROKEN)
+                context.metrics.onSend("unsigned")
+                exchange.onBroken(this, "an answer without a signature")
+            }
+            else -> answered(status, told, now)
+        }
+        gathered.release()
+    }
+
+    override fun onBroken(reason: String) {
+        if (ended) return
+        settle()
+        connection?.abandon()
+        failed(FailureKind.BROKEN)
+        context.metrics.onSend("broken")
+        gathered.release()
+        exchange.onBroken(this, reason)
+    }
+
+    private fun refused(
+        told: AnswerFacts,
+        status: Int,
+    ) {
+        if (told.misdirected) standing.health.onNeutral() else failed(FailureKind.REFUSED)
+        context.metrics.onSend("refused")
+        exchange.onRefused(this, told.misdirected, status)
+    }
+
+    private fun answered(
+        status: Int,
+        told: AnswerFacts,
+        now: Moment,
+    ) {
+        if (status >= FIRST_SERVER_FAILURE) failed(FailureKind.ERROR) else succeeded(now)
+        context.metrics.onSend(if (status >= FIRST_SERVER_FAILURE) "error" else "answered")
+        exchange.onAnswer(this, requireNotNull(head), gathered.retainedSlice(), told)
+    }
+
+    private fun succeeded(now: Moment) {
+        standing.health.onSuccess(now)
+        if (!exchange.route.repetition.streams) standing.onAnswerTime(now - (sentAt ?: begunAt))
+    }
+
+    private fun failed(kind: FailureKind) {
+        val now = context.timer.now()
+        if (standing.health.onFailure(kind, now)) {
+            context.journal.note(exchange.request.identifier, "suspected", "instance=${instance.name} kind=$kind")
+        }
+    }
+
+    private fun notePromptRead(now: Moment) {
+        if (promptRead) return
+        promptRead = true
+        standing.onPromptRead(work)
+        val demand = exchange.request.demand ?: return
+        context.links.prompts.onRead(instance.name, demand)
+        val sent = sentAt ?: return
+        context.pace.learn(demand.model, work.unreadTokens + standing.unread(), now - sent)
+    }
+
+    private fun settle() {
+        ended = true
+        standing.end(work, promptRead)
+    }
+
+    private fun isLong(head: HttpResponse): Boolean = HttpUtil.getContentLength(head, 0L) > MAXIMUM_GATHERED
+
+    override fun toString(): String = "instance=${instance.name} rank=${terms.rank} expected=$expected"
+
+    private companion object {
+        const val FIRST_FAILURE_STATUS = 300
+        const val FIRST_SERVER_FAILURE = 500
+
+        /** Answers up to this size are checked whole before they go on. */
+        const val MAXIMUM_GATHERED = 262_144
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayContext.kt
@@ -0,0 +1,30 @@
+package plantainturn.relay.request
+
+import plantainturn.process.time.TimerService
+import plantainturn.request.quarantine.QuarantineRegister
+import plantainturn.request.relay.EngineDispatch
+import plantainturn.request.relay.EnginePace
+import plantainturn.request.relay.RepetitionAllowance
+import plantainturn.request.relay.ServiceDispatch
+import plantainturn.version.route.RoutingSource
+import kotlin.random.Random
+
+/** What the requests of one node share. */
+internal class RelayContext(
+    val timer: TimerService,
+    val routing: RoutingSource,
+    val dialect: RelayDialect,
+    val fleet: FleetView,
+    val links: InstanceLinks,
+    val residence: ResidenceDesk,
+    val pace: EnginePace,
+    val engineDispatch: EngineDispatch,
+    val serviceDispatch: ServiceDispatch,
+    val allowance: RepetitionAllowance,
+    val quarantine: QuarantineRegister,
+    val demand: DemandMeter,
+    val waiting: WaitingRequests,
+    val journal: RequestJournal,
+    val metrics: RelayMetrics,
+    val random: Random,
+)
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -0,0 +1,627 @@
+package plantainturn.relay.request
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.PooledByteBufAllocator
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import plantainturn.connection.roster.UpstreamInstance
+import plantainturn.process.Outcome
+import plantainturn.process.ResultCode
+import plantainturn.process.time.Moment
+import plantainturn.process.time.TimerSubscription
+import plantainturn.relay.http.CallerReply
+import plantainturn.relay.http.CallerWatch
+import plantainturn.request.quarantine.CrashEvidence
+import plantainturn.request.quarantine.RequestFingerprint
+import plantainturn.request.relay.DispatchDecision
+import plantainturn.request.relay.DispatchQuery
+import plantainturn.request.relay.RequestWork
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.UpstreamName
+import plantainturn.version.route.Route
+import plantainturn.version.route.ServiceDefinition
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * One request of a caller from its arrival to its one final answer.
+ *
+ * It is sent to one instance at a time. "Not run" is answered only if every send so far was provably not run.
+ * Confined to the event loop.
+ */
+internal class RelayExchange(
+    private val context: RelayContext,
+    val request: RelayRequest,
+    val route: Route,
+    private val service: ServiceDefinition,
+    private val reply: CallerReply,
+    private val onEnd: () -> Unit,
+) : CallerWatch {
+    private val arrivedAt = request.source.receivedAt
+    private val deadline = arrivedAt + minOf(request.patience ?: route.timeout, route.timeout)
+    private val splitter = EventSplitter(PooledByteBufAllocator.DEFAULT)
+    private val fingerprint = fingerprintOf(request, service)
+    private val avoided = LinkedHashSet<UpstreamName>()
+    private var attempt: RelayAttempt? = null
+    private var kept: KeptAnswer? = null
+    private var arrivals = 0
+    private var runs = 0
+    private var unsentSends = 0
+    private var mayHaveRun = false
+    private var began = false
+    private var ended = false
+    private var waitingSince: Moment? = null
+    private var askingForAdapter = false
+    private var timer: TimerSubscription? = null
+    private var watchdog: TimerSubscription? = null
+
+    /** Rank of the request's route; 0 is the most urgent. */
+    val urgency: Int
+        get() = route.urgency
+
+    /** The model that the request waits for, if it waits for one. */
+    val awaitedModel: ModelName?
+        get() = request.demand?.model.takeIf { waitingSince != null && !askingForAdapter }
+
+    /** Begins to handle the request. */
+    fun start() {
+        timer = context.timer.schedule(timeLeft()) { onDeadline() }
+        context.allowance.onRequest(service.name, context.timer.now())
+        request.demand?.let {
+            val unread = it.promptTokens - it.sharedTokens
+            context.demand.onRequest(it, REQUEST_WORTH, context.pace.engineTime(it.model, unread, it.outputTokens / 2))
+        }
+        dispatch()
+    }
+
+    /** Returns how long the answer is still wanted. */
+    fun timeLeft(): Duration = deadline - context.timer.now()
+
+    /** Returns how long the caller still waits for the beginning of its answer. */
+    private fun timeLeftToBegin(): Duration {
+        if (began || !route.repetition.streams) return timeLeft()
+        return minOf(timeLeft(), arrivedAt + route.silencePatience - context.timer.now())
+    }
+
+    /** Looks whether a request that waits can go on. */
+    fun lookAgain() {
+        if (!ended && waitingSince != null && !askingForAdapter) dispatch()
+    }
+
+    private fun dispatch() {
+        if (ended) return
+        val left = timeLeftToBegin()
+        if (left < LEAST_USEFUL) {
+            giveUp(ResultCode.DEADLINE_PASSED_IN_QUEUE, ResultCode.DEADLINE_PASSED, "no time is left")
+            return
+        }
+        val demand = request.demand
+        when {
+            context.quarantine.isQuarantined(fingerprint) ->
+                giveUp(ResultCode.QUARANTINED, ResultCode.UPSTREAM_FAILED, "fingerprint=$fingerprint")
+            demand == null || service.engines == null -> dispatchToService(left)
+            else -> dispatchToEngine(left)
+        }
+    }
+
+    private fun dispatchToService(left: Duration) {
+        val query = query(left, cacheTokens = 0)
+        val candidates = permitted().map { context.links.candidate(it, null) }
+        act(context.serviceDispatch.decide(query, candidates), candidates.size)
+    }
+
+    private fun dispatchToEngine(left: Duration) {
+        val demand = requireNotNull(request.demand)
+        val holders = permitted().filter { demand.model in context.fleet.residentsOf(it.name) }
+        val adapter = demand.adapter
+        val ready =
+            if (adapter == null) {
+                holders
+            } else {
+                holders.filter { adapter in context.fleet.residentsOf(it.name)[demand.model].orEmpty() }
+            }
+        when {
+            ready.isNotEmpty() -> {
+                val candidates = ready.map { context.links.candidate(it, demand) }
+                val query = query(left, service.engines?.cacheTokens ?: 0)
+                act(context.engineDispatch.decide(query, candidates), candidates.size)
+            }
+            holders.isNotEmpty() && adapter != null -> awaitAdapter(holders, adapter, left)
+            else -> awaitModel(demand.model, left)
+        }
+    }
+
+    private fun permitted(): List<UpstreamInstance> {
+        val all = context.fleet.instancesOf(service.name)
+        val confined = context.quarantine.confinementOf(fingerprint)
+        val allowed = if (confined.isEmpty()) all else all.filter { it.name in confined }
+        return allowed.filter { it.name !in avoided }.ifEmpty { if (mayHaveRun) emptyList() else allowed }
+    }
+
+    private fun query(
+        left: Duration,
+        cacheTokens: Long,
+    ): DispatchQuery =
+        DispatchQuery(
+            demand = request.demand,
+            urgency = route.urgency,
+            objectiveLeft = if (began) Duration.ZERO else arrivedAt + route.objective - context.timer.now(),
+            timeLeft = left,
+            cacheTokens = cacheTokens,
+            affinity = request.demand?.let { (it.lastSharedPart ?: it.model.value).hashCode().toLong() } ?: 0,
+        )
+
+    private fun act(
+        decision: DispatchDecision,
+        candidates: Int,
+    ) {
+        when (decision) {
+            is DispatchDecision.Send -> send(decision, candidates)
+            is DispatchDecision.TurnAway ->
+                giveUp(
+                    ResultCode.OVERLOADED,
+                    ResultCode.OUTCOME_UNKNOWN,
+                    "expected=${decision.expected} candidates=$candidates",
+                    decision.comeBackAfter,
+                )
+            DispatchDecision.NoCandidate ->
+                giveUp(ResultCode.NO_UPSTREAM, ResultCode.OUTCOME_UNKNOWN, "candidates=0", NO_UPSTREAM_RETURN)
+        }
+    }
+
+    private fun send(
+        decision: DispatchDecision.Send,
+        candidates: Int,
+    ) {
+        val instance = context.fleet.instance(decision.instance)
+        if (instance == null || !mayArriveAgain() || !context.quarantine.tryBegin(fingerprint, decision.instance)) {
+            giveUp(
+                ResultCode.RETRIES_EXHAUSTED_NOT_RUN,
+                ResultCode.OUTCOME_UNKNOWN,
+                "arrivals=$arrivals runs=$runs",
+                NO_UPSTREAM_RETURN,
+            )
+            return
+        }
+        stopWaiting()
+        arrivals += 1
+        val rank = if (request.demand == null) null else decision.rank
+        val terms = SendTerms(instance.name, timeLeft(), rank, splitter.lastIdentifier ?: request.resumeAfter)
+        val made = RelayAttempt(context, this, instance, terms, workAt(instance.name), decision.expected)
+        attempt = made
+        context.journal.note(
+            request.identifier,
+            "send",
+            "route=${route.name} configuration=${context.routing.current?.version} $made candidates=$candidates " +
+                "arrival=$arrivals model=${request.demand?.model} adapter=${request.demand?.adapter} " +
+                "left=${timeLeft()}",
+        )
+        made.begin(if (route.repetition.repeatable) ANY_IDLE else FRESH_IDLE)
+        watchSilence(made)
+    }
+
+    /** A further arrival of a request at an instance draws on the bound that all nodes share. */
+    private fun mayArriveAgain(): Boolean {
+        if (arrivals == 0) return true
+        if (runs >= route.attempts || arrivals >= MAXIMUM_ARRIVALS) return false
+        return context.allowance.tryRepeat(service.name, context.timer.now())
+    }
+
+    private fun workAt(instance: UpstreamName): RequestWork {
+        val demand = request.demand ?: return RequestWork.NONE
+        val unread = (demand.promptTokens - context.links.prompts.keptTokens(instance, demand)).coerceAtLeast(0)
+        return RequestWork(unread, unread + demand.outputTokens)
+    }
+
+    private fun awaitAdapter(
+        holders: List<UpstreamInstance>,
+        adapter: ModelName,
+        left: Duration,
+    ) {
+        beginWaiting()
+        if (askingForAdapter) return
+        val demand = requireNotNull(request.demand)
+        askingForAdapter = true
+        val query = query(left, service.engines?.cacheTokens ?: 0)
+        val best =
+            holders
+                .map { context.links.candidate(it, demand) }
+                .sortedWith(
+                    compareBy({ it.suspected }, { context.engineDispatch.expectedFirstEvent(it, demand, query) }),
+                ).map { it.name }
+        context.residence.wantAdapter(service.name, demand.model, adapter, best) { engine ->
+            askingForAdapter = false
+            when {
+                ended -> Unit
+                engine != null -> dispatch()
+                timeWaited() > ADAPTER_PATIENCE ->
+                    giveUp(ResultCode.NO_UPSTREAM, ResultCode.OUTCOME_UNKNOWN, "adapter=$adapter", NO_UPSTREAM_RETURN)
+                else -> context.timer.schedule(ADAPTER_PAUSE) { lookAgain() }
+            }
+        }
+    }
+
+    /** A model that is on its way is waited for only if the answer can still be in time to be of use. */
+    private fun awaitModel(
+        model: ModelName,
+        left: Duration,
+    ) {
+        beginWaiting()
+        val arrival = context.residence.arrivalOf(model)
+        val known = arrival != null
+        val soonEnough = arrival != null && arrival < left * WORTH_WAITING
+        if (soonEnough || !known && timeWaited() < PLAN_PATIENCE) return
+        val comeBack = (arrival ?: MODEL_RETURN).coerceAtMost(left / RETURN_PART)
+        giveUp(ResultCode.NO_UPSTREAM, ResultCode.OUTCOME_UNKNOWN, "model=$model arrival=$arrival", comeBack)
+    }
+
+    private fun beginWaiting() {
+        if (waitingSince != null) return
+        waitingSince = context.timer.now()
+        context.waiting.add(this)
+        val demand = request.demand
+        context.journal.note(request.identifier, "wait", "model=${demand?.model} adapter=${demand?.adapter}")
+    }
+
+    private fun stopWaiting() {
+        if (waitingSince == null) return
+        waitingSince = null
+        context.waiting.remove(this)
+    }
+
+    private fun timeWaited(): Duration = waitingSince?.let { context.timer.now() - it } ?: Duration.ZERO
+
+    /** Requests that can be continued elsewhere don't wait for an instance that has fallen silent. */
+    private fun watchSilence(watched: RelayAttempt) {
+        watchdog?.cancel()
+        if (!route.repetition.repeatable) return
+        val limit =
+            if (route.repetition.streams) {
+                if (watched.isAnswering) STREAM_SILENCE else maxOf(route.objective, FIRST_EVENT_SILENCE)
+            } else {
+                maxOf(route.objective * SILENT_OBJECTIVES, SHORTEST_SILENCE)
+            }
+        val due = watched.heardAt + limit
+        watchdog =
+            context.timer.schedule(due - context.timer.now()) {
+                if (ended || attempt !== watched) return@schedule
+                val quiet = context.timer.now() - watched.heardAt
+                if (quiet < limit) watchSilence(watched) else onSilence(watched, quiet)
+            }
+    }
+
+    private fun onSilence(
+        watched: RelayAttempt,
+        quiet: Duration,
+    ) {
+        val others =
+            context.fleet.instancesOf(service.name).any {
+                it.name != watched.instance.name &&
+                    it.name !in avoided
+            }
+        if (!others || runs + 1 >= route.attempts) return
+        context.journal.note(request.identifier, "silent", "$watched quiet=$quiet")
+        watched.giveUpAsSilent()
+        onBroken(watched, "silent for $quiet")
+    }
+
+    /** No connection to the instance could be made: the request did not arrive anywhere. */
+    fun onNotSent(
+        failed: RelayAttempt,
+        reason: String,
+    ) {
+        context.quarantine.ended(fingerprint, failed.instance.name)
+        context.journal.note(request.identifier, "not-sent", "$failed reason=\"$reason\"")
+        attempt = null
+        arrivals -= 1
+        avoided += failed.instance.name
+        unsentSends += 1
+        if (unsentSends > MAXIMUM_ARRIVALS) {
+            giveUp(ResultCode.NO_UPSTREAM, ResultCode.OUTCOME_UNKNOWN, "unreachable=$unsentSends", NO_UPSTREAM_RETURN)
+        } else {
+            dispatch()
+        }
+    }
+
+    /** The instance stated that it did not run the request. */
+    fun onRefused(
+        refused: RelayAttempt,
+        misdirected: Boolean,
+        status: Int,
+    ) {
+        context.quarantine.ended(fingerprint, refused.instance.name)
+        context.journal.note(request.identifier, "refused", "$refused status=$status misdirected=$misdirected")
+        attempt = null
+        avoided += refused.instance.name
+        val demand = request.demand
+        if (misdirected && demand != null) noteAbsent(refused.instance.name, demand.model, demand.adapter)
+        dispatch()
+    }
+
+    private fun noteAbsent(
+        engine: UpstreamName,
+        model: ModelName,
+        adapter: ModelName?,
+    ) {
+        if (adapter ==
+            null
+        ) {
+            context.fleet.onAbsent(engine, model)
+        } else {
+            context.fleet.onAdapter(engine, model, adapter, false)
+        }
+        avoided -= engine
+    }
+
+    /** The instance answered whole. */
+    fun onAnswer(
+        from: RelayAttempt,
+        head: HttpResponse,
+        body: ByteBuf,
+        facts: AnswerFacts,
+    ) {
+        context.quarantine.succeeded(fingerprint, from.instance.name)
+        attempt = null
+        runs += 1
+        mayHaveRun = true
+        val status = head.status().code()
+        avoided += from.instance.name
+        if (facts.claimsNotRun) {
+            body.release()
+            endRepeatable("status=$status without a statement that it did not run")
+            return
+        }
+        val answer = KeptAnswer(status, context.dialect.callerHeaders(head), body)
+        val failed = status >= FIRST_SERVER_FAILURE && route.repetition.repeatable
+        if (failed && !began && canTryElsewhere()) {
+            kept?.body?.release()
+            kept = answer
+            context.journal.note(request.identifier, "failed", "$from status=$status")
+            dispatch()
+        } else if (began) {
+            body.release()
+            breakOff("status=$status on resuming")
+        } else {
+            deliver(answer, "$from")
+        }
+    }
+
+    private fun canTryElsewhere(): Boolean =
+        runs < route.attempts &&
+            timeLeft() > LEAST_USEFUL &&
+            context.fleet.instancesOf(service.name).any { it.name !in avoided }
+
+    /** More of a stream has come. */
+    fun onStreamContent(
+        from: RelayAttempt,
+        head: HttpResponse,
+        content: ByteBuf,
+    ) {
+        val whole = if (route.repetition.streams) splitter.add(content) else content.retainedSlice()
+        if (whole == null) return
+        if (!began) {
+            began = true
+            context.metrics.onFirstByte(context.timer.now() - arrivedAt)
+            val length = HttpUtil.getContentLength(head, UNKNOWN_LENGTH).takeIf { it >= 0 && !route.repetition.streams }
+            reply.begin(head.status().code(), context.dialect.callerHeaders(head), length)
+            context.journal.note(
+                request.identifier,
+                "first-event",
+                "$from after=${context.timer.now() - arrivedAt}",
+            )
+        }
+        reply.write(whole)
+        if (!reply.isWritable) from.setReading(false)
+    }
+
+    /** A stream has come to its end. */
+    fun onStreamEnd(
+        from: RelayAttempt,
+        head: HttpResponse,
+    ) {
+        context.quarantine.succeeded(fingerprint, from.instance.name)
+        attempt = null
+        context.metrics.onSend("answered")
+        splitter.takePartial()?.let(reply::write)
+        if (!began) reply.begin(OK, context.dialect.callerHeaders(head), null)
+        reply.finish()
+        end(ResultCode.ANSWERED, OK, "$from")
+    }
+
+    /** The instance broke off, or was silent for too long; the request may have run. */
+    fun onBroken(
+        broken: RelayAttempt,
+        reason: String,
+    ) {
+        noteCrash(broken)
+        context.journal.note(request.identifier, "broken", "$broken reason=\"$reason\" began=$began")
+        attempt = null
+        runs += 1
+        mayHaveRun = true
+        avoided += broken.instance.name
+        splitter.discardPartial()
+        if (ended) return
+        when {
+            began && route.repetition.repeatable && canTryElsewhere() -> dispatch()
+            began -> breakOff(reason)
+            else -> endRepeatable(reason)
+        }
+    }
+
+    private fun endRepeatable(reason: String) {
+        if (route.repetition.repeatable && canTryElsewhere()) {
+            dispatch()
+        } else {
+            giveUp(ResultCode.OUTCOME_UNKNOWN, ResultCode.OUTCOME_UNKNOWN, "reason=\"$reason\"")
+        }
+    }
+
+    /** Whether the instance crashed shows only after a while, so the register is told then. */
+    private fun noteCrash(broken: RelayAttempt) {
+        val name = broken.instance.name
+        val evidence = CrashEvidence(name, broken.instance.startedAt?.toString())
+        context.timer.schedule(CRASH_SHOWS_AFTER) {
+            context.quarantine.broke(fingerprint, evidence) { seen ->
+                val now = context.fleet.instance(seen.upstream)
+                now == null || now.startedAt?.toString() != seen.incarnation
+            }
+        }
+    }
+
+    private fun onDeadline() {
+        if (ended) return
+        val running = attempt
+        val sent = running?.sentAt != null
+        running?.let {
+            context.quarantine.ended(fingerprint, it.instance.name)
+            it.cancel()
+        }
+        attempt = null
+        if (sent) mayHaveRun = true
+        if (began) {
+            breakOff("the deadline passed")
+        } else {
+            giveUp(ResultCode.DEADLINE_PASSED_IN_QUEUE, ResultCode.DEADLINE_PASSED, "sent=$sent", SHORT_RETURN)
+        }
+    }
+
+    /** Ends the request with an answer of this node's own: [notRun] if that is certain, [otherwise] if not. */
+    private fun giveUp(
+        notRun: ResultCode,
+        otherwise: ResultCode,
+        facts: String,
+        comeBackAfter: Duration? = null,
+    ) {
+        if (ended) return
+        val ready = kept
+        when {
+            ready != null && !began -> deliver(ready, "kept=true $facts")
+            began -> breakOff(facts)
+            else -> {
+                val code = if (mayHaveRun && notRun.outcome == Outcome.NOT_RUN) otherwise else notRun
+                val wait = comeBackAfter.takeIf { code.outcome == Outcome.NOT_RUN }
+                reply.send(
+                    code.httpStatus,
+                    context.dialect.ownHeaders(request.identifier, code, wait),
+                    Unpooled.EMPTY_BUFFER,
+                )
+                end(code, code.httpStatus, "$facts comeBackAfter=$wait")
+            }
+        }
+    }
+
+    private fun deliver(
+        answer: KeptAnswer,
+        facts: String,
+    ) {
+        kept = null
+        reply.send(answer.status, answer.headers, answer.body)
+        end(
+            if (answer.status <
+                FIRST_SERVER_FAILURE
+            ) {
+                ResultCode.ANSWERED
+            } else {
+                ResultCode.UPSTREAM_FAILED
+            },
+            answer.status,
+            facts,
+        )
+    }
+
+    private fun breakOff(reason: String) {
+        reply.abort()
+        end(ResultCode.STREAM_BROKEN, ResultCode.STREAM_BROKEN.httpStatus, "reason=\"$reason\"")
+    }
+
+    override fun onCallerGone() {
+        if (ended) return
+        attempt?.let {
+            context.quarantine.ended(fingerprint, it.instance.name)
+            it.cancel()
+        }
+        attempt = null
+        end(ResultCode.CANCELLED, ResultCode.CANCELLED.httpStatus, "arrivals=$arrivals began=$began")
+    }
+
+    override fun onWritable(writable: Boolean) {
+        attempt?.setReading(writable)
+    }
+
+    private fun end(
+        code: ResultCode,
+        status: Int,
+        facts: String,
+    ) {
+        ended = true
+        stopWaiting()
+        timer?.cancel()
+        watchdog?.cancel()
+        kept?.body?.release()
+        kept = null
+        splitter.discardPartial()
+        request.source.body.release()
+        val elapsed = context.timer.now() - arrivedAt
+        context.metrics.onEnd(route.urgency, code, elapsed)
+        context.journal.end(request.identifier, code, status, "elapsed=$elapsed route=${route.name} $facts")
+        onEnd()
+    }
+
+    private class KeptAnswer(
+        val status: Int,
+        val headers: HttpHeaders,
+        val body: ByteBuf,
+    )
+
+    private companion object {
+        const val OK = 200
+        const val FIRST_SERVER_FAILURE = 500
+        const val UNKNOWN_LENGTH = -1L
+        const val REQUEST_WORTH = 1.0
+
+        /** Sends of one request at most, those that were refused included. */
+        const val MAXIMUM_ARRIVALS = 4
+
+        /** Less than a round trip and the shortest work. */
+        val LEAST_USEFUL = 10.milliseconds
+        val NO_UPSTREAM_RETURN = 300.milliseconds
+        val SHORT_RETURN = 100.milliseconds
+        val MODEL_RETURN = 1_500.milliseconds
+
+        /** Callers wait a third of the time they have left at most. */
+        const val RETURN_PART = 3
+        const val WORTH_WAITING = 0.75
+
+        /** The issuer of orders plans a few times a second. */
+        val PLAN_PATIENCE = 900.milliseconds
+        val ADAPTER_PATIENCE = 800.milliseconds
+        val ADAPTER_PAUSE = 60.milliseconds
+
+        /** A connection that was idle for longer may be closed just as the request is sent. */
+        val FRESH_IDLE = 2.seconds
+        val ANY_IDLE = 20.seconds
+
+        /** An answer that takes this many times its objective is looked for elsewhere. */
+        const val SILENT_OBJECTIVES = 2.5
+        val SHORTEST_SILENCE = 250.milliseconds
+
+        /** Callers abandon a stream after two seconds without an event. */
+        val STREAM_SILENCE = 1_500.milliseconds
+        val FIRST_EVENT_SILENCE = 4.seconds
+
+        /** A crashed instance's entry changes, or its successor's appears, within this time. */
+        val CRASH_SHOWS_AFTER = 2.seconds
+
+        fun fingerprintOf(
+            request: RelayRequest,
+            service: ServiceDefinition,
+        ): RequestFingerprint {
+            val body = request.source.body
+            val bytes = ByteArray(body.readableBytes()).also { body.getBytes(body.readerIndex(), it) }
+            return RequestFingerprint.of(service.name, request.source.head.uri(), bytes)
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
@@ -0,0 +1,101 @@
+package plantainturn.relay.request
+
+import io.netty.buffer.Unpooled
+import plantainturn.process.ResultCode
+import plantainturn.relay.http.CallerHandler
+import plantainturn.relay.http.CallerReply
+import plantainturn.relay.http.CallerRequest
+import plantainturn.relay.http.CallerWatch
+import plantainturn.request.RequestIdentifier
+import plantainturn.version.route.Route
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Finds the route of each caller's request and begins its [RelayExchange]. */
+internal class RelayHandler(
+    private val context: RelayContext,
+) : CallerHandler {
+    /** Requests in progress. */
+    var inProgress: Int = 0
+        private set
+
+    override fun handle(
+        request: CallerRequest,
+        reply: CallerReply,
+    ): CallerWatch =
+        when (val decoded = context.dialect.decode(request)) {
+            is DecodedRequest.Malformed ->
+                refuse(request, reply, decoded.identifier, ResultCode.MALFORMED_REQUEST, decoded.reason)
+            is DecodedRequest.Accepted -> begin(decoded.request, reply)
+        }
+
+    private fun begin(
+        request: RelayRequest,
+        reply: CallerReply,
+    ): CallerWatch {
+        val identifier = request.identifier
+        val configuration =
+            context.routing.current
+                ?: return refuse(request.source, reply, identifier, ResultCode.NOT_READY, "", NOT_READY_RETURN)
+        val route = configuration.table.find(request.host, request.path)
+        if (route == null) {
+            val facts = "configuration=${configuration.version} host=${request.host} path=${request.path}"
+            return refuse(request.source, reply, identifier, ResultCode.PATH_UNKNOWN, facts)
+        }
+        val service = configuration.services[route.destinationFor(drawFor(route))]
+        if (service == null) {
+            val facts = "route=${route.name} configuration=${configuration.version}"
+            return refuse(request.source, reply, identifier, ResultCode.NO_UPSTREAM, facts, NOT_READY_RETURN)
+        }
+        inProgress++
+        val exchange = RelayExchange(context, request, route, service, reply) { inProgress-- }
+        exchange.start()
+        return exchange
+    }
+
+    override fun onUnreadable(
+        reply: CallerReply,
+        status: Int,
+        reason: String,
+    ) {
+        val code =
+            when (status) {
+                REQUEST_TIMEOUT -> ResultCode.REQUEST_TOO_SLOW
+                TOO_LARGE, HEADERS_TOO_LARGE -> ResultCode.REQUEST_TOO_LARGE
+                else -> ResultCode.MALFORMED_REQUEST
+            }
+        reply.send(status, context.dialect.ownHeaders(null, code, null), Unpooled.EMPTY_BUFFER)
+        context.metrics.onEnd(null, code, Duration.ZERO)
+        context.journal.end(null, code, status, "reason=\"$reason\"")
+    }
+
+    private fun drawFor(route: Route): Double = if (route.destinations.size == 1) 0.0 else context.random.nextDouble()
+
+    private fun refuse(
+        request: CallerRequest,
+        reply: CallerReply,
+        identifier: RequestIdentifier?,
+        code: ResultCode,
+        facts: String,
+        comeBackAfter: Duration? = null,
+    ): CallerWatch {
+        request.body.release()
+        reply.send(code.httpStatus, context.dialect.ownHeaders(identifier, code, comeBackAfter), Unpooled.EMPTY_BUFFER)
+        context.metrics.onEnd(null, code, context.timer.now() - request.receivedAt)
+        context.journal.end(identifier, code, code.httpStatus, facts)
+        return NothingToWatch
+    }
+
+    private object NothingToWatch : CallerWatch {
+        override fun onCallerGone() = Unit
+
+        override fun onWritable(writable: Boolean) = Unit
+    }
+
+    private companion object {
+        const val REQUEST_TIMEOUT = 408
+        const val TOO_LARGE = 413
+        const val HEADERS_TOO_LARGE = 431
+        val NOT_READY_RETURN = 300.milliseconds
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestJournal.kt
@@ -0,0 +1,29 @@
+package plantainturn.relay.request
+
+import org.apache.logging.log4j.LogManager
+import plantainturn.process.ResultCode
+import plantainturn.request.RequestIdentifier
+
+/** Writes a line for each decision on a request, so that its fate can be explained from its identifier. */
+internal class RequestJournal {
+    private val logger = LogManager.getLogger("request")
+
+    /** [event] happened to [identifier]; [facts] are the inputs that decided it, as `name=value` pairs. */
+    fun note(
+        identifier: RequestIdentifier?,
+        event: String,
+        facts: String,
+    ) {
+        logger.info("request={} event={} {}", identifier?.value ?: "-", event, facts)
+    }
+
+    /** The request ended. */
+    fun end(
+        identifier: RequestIdentifier?,
+        code: ResultCode,
+        status: Int,
+        facts: String,
+    ) {
+        logger.info("request={} event=end code={} status={} {}", identifier?.value ?: "-", code.number, status, facts)
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/AdapterWants.kt
@@ -0,0 +1,29 @@
+package plantainturn.relay.residence
+
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.UpstreamName
+
+/** The requests for adapters that are being met, each once however many ask. */
+internal class AdapterWants {
+    private val open = HashMap<Pair<ModelName, ModelName>, MutableList<(UpstreamName?) -> Unit>>()
+
+    /** Adds one that asks and returns whether it is the first for this adapter. */
+    fun add(
+        model: ModelName,
+        adapter: ModelName,
+        done: (UpstreamName?) -> Unit,
+    ): Boolean {
+        val waiting = open.getOrPut(model to adapter) { ArrayList() }
+        waiting += done
+        return waiting.size == 1
+    }
+
+    /** Tells all that asked. */
+    fun end(
+        model: ModelName,
+        adapter: ModelName,
+        engine: UpstreamName?,
+    ) {
+        open.remove(model to adapter)?.forEach { it(engine) }
+    }
+}
