--- a/daemon/src/main/kotlin/plantainturn/daemon/command/WarmUpCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/WarmUpCommand.kt
@@ -17,15 +17,17 @@
 )
 internal class WarmUpCommand : Callable<Int> {
     override fun call(): Int {
-        val (callers, readiness, peers, store) = freePorts()
+        val ports = freePorts()
+        val callers = ports[0]
+        val peers = ports[1]
         val settings =
             RelaySettings(
                 node = "warm-up",
                 failureDomain = "none",
                 callers = "$LOOPBACK:$callers",
-                readiness = "$LOOPBACK:$readiness",
+                readiness = "$LOOPBACK:${ports[2]}",
                 peers = "$LOOPBACK:$peers",
-                store = "$LOOPBACK:$store",
+                store = "$LOOPBACK:${ports[3]}",
                 stopSeconds = STOP_SECONDS,
             )
         val node = RelayNode(settings) { _, caller, location -> UsersPlatform(caller, location) }
@@ -36,6 +38,7 @@
             ask(peers, "GET /dump HTTP/1.1\r\nHost: none\r\nConnection: close\r\n\r\n")
         }
         node.stop()
+        node.close()
         return ExitStatus.SUCCESS
     }
 
--- a/library/src/main/kotlin/plantainturn/request/relay/DispatchDecision.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/DispatchDecision.kt
@@ -10,11 +10,13 @@
      *
      * @property rank its rank among the engine's requests; 0 goes first
      * @property expected when its first event is expected, zero for a plain service
+     * @property tokensAhead prompt tokens of other requests that are to be read before it, as far as known
      */
     public data class Send(
         val instance: UpstreamName,
         val rank: Int,
         val expected: Duration,
+        val tokensAhead: Int = 0,
     ) : DispatchDecision
 
     /** It can't be answered in time; it is worth coming back after [comeBackAfter]. */
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -29,6 +29,7 @@
         val worthPerSecond: Double,
         val engineSharesWanted: Double,
         val waiting: Int,
+        val adapterWorthPerSecond: Double,
     )
 
     /** How much callers of one node use one adapter. */
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -55,6 +55,7 @@
                         before.worthPerSecond + part.worthPerSecond,
                         before.engineSharesWanted + part.engineSharesWanted,
                         before.waiting + part.waiting,
+                        before.adapterWorthPerSecond + part.adapterWorthPerSecond,
                     )
             }
             for (part in report.adapterUse) {
--- a/relay/src/main/kotlin/plantainturn/relay/request/WaitingRequests.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/WaitingRequests.kt
@@ -29,6 +29,9 @@
             .groupingBy { it }
             .eachCount()
 
+    /** Turns away all that wait: another node can serve them. */
+    fun stop(): Unit = waiting.toList().forEach { it.onStopping() }
+
     /** Lets each request look whether it can go on. */
     fun pump() {
         if (waiting.isEmpty()) return
