--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -62,8 +62,7 @@
                 use.merge(ModelName(part.model) to ModelName(part.adapter), part.use, Double::plus)
             }
         }
-        issuer.pressure = pressure
-        issuer.adapterUse = use
+        issuer.onDemand(pressure, use)
     }
 
     private fun sum(reports: List<NodeReport>): Map<String, WorkTotals> {
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/request/PlacementStep.kt
@@ -0,0 +1,26 @@
+package plantainturn.relay.request
+
+import plantainturn.request.relay.DispatchDecision
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.UpstreamName
+
+/** What is to be done next for a request. */
+internal sealed interface PlacementStep {
+    /** There were [candidates] instances to choose from. */
+    data class Decided(
+        val decision: DispatchDecision,
+        val candidates: Int,
+    ) : PlacementStep
+
+    /** Engines hold the model but not the adapter; [candidates] could take it, the best first. */
+    data class NeedsAdapter(
+        val model: ModelName,
+        val adapter: ModelName,
+        val candidates: List<UpstreamName>,
+    ) : PlacementStep
+
+    /** No engine holds the model. */
+    data class NeedsModel(
+        val model: ModelName,
+    ) : PlacementStep
+}
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
-import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.process.Outcome
 import plantainturn.process.ResultCode
 import plantainturn.process.time.Moment
@@ -16,15 +15,11 @@
 import plantainturn.request.quarantine.CrashEvidence
 import plantainturn.request.quarantine.RequestFingerprint
 import plantainturn.request.relay.DispatchDecision
-import plantainturn.request.relay.DispatchQuery
-import plantainturn.request.relay.RequestWork
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.UpstreamName
 import plantainturn.version.route.Route
 import plantainturn.version.route.ServiceDefinition
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * One request of a caller from its arrival to its one final answer.
@@ -44,6 +39,7 @@
     private val deadline = arrivedAt + minOf(request.patience ?: route.timeout, route.timeout)
     private val splitter = EventSplitter(PooledByteBufAllocator.DEFAULT)
     private val fingerprint = fingerprintOf(request, service)
+    private val placement = RelayPlacement(context, request, route, service, fingerprint)
     private val avoided = LinkedHashSet<UpstreamName>()
     private var attempt: RelayAttempt? = null
     private var kept: KeptAnswer? = null
@@ -70,7 +66,7 @@
     fun start() {
         timer = context.timer.schedule(timeLeft()) { onDeadline() }
         context.allowance.onRequest(service.name, context.timer.now())
-        request.demand?.let { context.demand.onRequest(it, REQUEST_WORTH) }
+        request.demand?.let { context.demand.onRequest(it, RelayTimes.REQUEST_WORTH) }
         dispatch()
     }
 
@@ -90,72 +86,27 @@
 
     /** Ends a request that waits, because its node stops. */
     fun onStopping(): Unit =
-        giveUp(ResultCode.STOPPING, ResultCode.OUTCOME_UNKNOWN, "waited=${timeWaited()}", STOPPING_RETURN)
+        giveUp(ResultCode.STOPPING, ResultCode.OUTCOME_UNKNOWN, "waited=${timeWaited()}", RelayTimes.STOPPING_RETURN)
 
     private fun dispatch() {
         if (ended) return
         val left = timeLeftToBegin()
-        if (left < LEAST_USEFUL) {
+        if (left < RelayTimes.LEAST_USEFUL) {
             giveUp(ResultCode.DEADLINE_PASSED_IN_QUEUE, ResultCode.DEADLINE_PASSED, "no time is left")
             return
         }
-        val demand = request.demand
-        when {
-            context.quarantine.isQuarantined(fingerprint) ->
-                giveUp(ResultCode.QUARANTINED, ResultCode.UPSTREAM_FAILED, "fingerprint=$fingerprint")
-            demand == null || service.engines == null -> dispatchToService(left)
-            else -> dispatchToEngine(left)
+        if (context.quarantine.isQuarantined(fingerprint)) {
+            giveUp(ResultCode.QUARANTINED, ResultCode.UPSTREAM_FAILED, "fingerprint=$fingerprint")
+            return
         }
-    }
-
-    private fun dispatchToService(left: Duration) {
-        val query = query(left, cacheTokens = 0)
-        val candidates = permitted().map { context.links.candidate(it, null) }
-        act(context.serviceDispatch.decide(query, candidates), candidates.size)
-    }
-
-    private fun dispatchToEngine(left: Duration) {
-        val demand = requireNotNull(request.demand)
-        val holders = permitted().filter { demand.model in context.fleet.residentsOf(it.name) }
-        val adapter = demand.adapter
-        val ready =
-            if (adapter == null) {
-                holders
-            } else {
-                holders.filter { adapter in context.fleet.residentsOf(it.name)[demand.model].orEmpty() }
-            }
-        when {
-            ready.isNotEmpty() -> {
-                val candidates = ready.map { context.links.candidate(it, demand) }
-                val query = query(left, service.engines?.cacheTokens ?: 0)
-                act(context.engineDispatch.decide(query, candidates), candidates.size)
-            }
-            holders.isNotEmpty() && adapter != null -> awaitAdapter(holders, adapter, left)
-            else -> awaitModel(demand.model, left)
+        val objectiveLeft = if (began) Duration.ZERO else arrivedAt + route.objective - context.timer.now()
+        when (val step = placement.find(avoided, mayHaveRun, RequestTimes(objectiveLeft, left, longestReturn()))) {
+            is PlacementStep.Decided -> act(step.decision, step.candidates)
+            is PlacementStep.NeedsAdapter -> awaitAdapter(step)
+            is PlacementStep.NeedsModel -> awaitModel(step.model, left)
         }
     }
 
-    private fun permitted(): List<UpstreamInstance> {
-        val all = context.fleet.instancesOf(service.name)
-        val confined = context.quarantine.confinementOf(fingerprint)
-        val allowed = if (confined.isEmpty()) all else all.filter { it.name in confined }
-        return allowed.filter { it.name !in avoided }.ifEmpty { if (mayHaveRun) emptyList() else allowed }
-    }
-
-    private fun query(
-        left: Duration,
-        cacheTokens: Long,
-    ): DispatchQuery =
-        DispatchQuery(
-            demand = request.demand,
-            urgency = route.urgency,
-            objectiveLeft = if (began) Duration.ZERO else arrivedAt + route.objective - context.timer.now(),
-            timeLeft = left,
-            longestReturn = longestReturn(),
-            cacheTokens = cacheTokens,
-            affinity = request.demand?.let { (it.lastSharedPart ?: it.model.value).hashCode().toLong() } ?: 0,
-        )
-
     private fun act(
         decision: DispatchDecision,
         candidates: Int,
@@ -170,7 +121,12 @@
                     decision.comeBackAfter,
                 )
             DispatchDecision.NoCandidate ->
-                giveUp(ResultCode.NO_UPSTREAM, ResultCode.OUTCOME_UNKNOWN, "candidates=0", NO_UPSTREAM_RETURN)
+                giveUp(
+                    ResultCode.NO_UPSTREAM,
+                    ResultCode.OUTCOME_UNKNOWN,
+                    "candidates=0",
+                    RelayTimes.NO_UPSTREAM_RETURN,
+                )
         }
     }
 
@@ -184,7 +140,7 @@
                 ResultCode.RETRIES_EXHAUSTED_NOT_RUN,
                 ResultCode.OUTCOME_UNKNOWN,
                 "arrivals=$arrivals runs=$runs",
-                NO_UPSTREAM_RETURN,
+                RelayTimes.NO_UPSTREAM_RETURN,
             )
             return
         }
@@ -192,7 +148,7 @@
         arrivals += 1
         val rank = if (request.demand == null) null else decision.rank
         val terms = SendTerms(instance.name, timeLeft(), rank, splitter.lastIdentifier ?: request.resumeAfter)
-        val work = workAt(instance.name)
+        val work = placement.workAt(instance.name)
         request.demand?.let {
             context.demand.onWork(it, context.pace.engineTime(it.model, work.unreadTokens, it.outputTokens))
         }
@@ -205,47 +161,34 @@
                 "arrival=$arrivals model=${request.demand?.model} adapter=${request.demand?.adapter} " +
                 "left=${timeLeft()}",
         )
-        made.begin(if (route.repetition.repeatable) ANY_IDLE else FRESH_IDLE)
+        made.begin(if (route.repetition.repeatable) RelayTimes.ANY_IDLE else RelayTimes.FRESH_IDLE)
         watchSilence(made)
     }
 
     /** A further arrival of a request at an instance draws on the bound that all nodes share. */
     private fun mayArriveAgain(): Boolean {
         if (arrivals == 0) return true
-        if (runs >= route.attempts || arrivals >= MAXIMUM_ARRIVALS) return false
+        if (runs >= route.attempts || arrivals >= RelayTimes.MAXIMUM_ARRIVALS) return false
         return context.allowance.tryRepeat(service.name, context.timer.now())
     }
 
-    private fun workAt(instance: UpstreamName): RequestWork {
-        val demand = request.demand ?: return RequestWork.NONE
-        val unread = (demand.promptTokens - context.links.prompts.keptTokens(instance, demand)).coerceAtLeast(0)
-        return RequestWork(unread, unread + demand.outputTokens)
-    }
-
-    private fun awaitAdapter(
-        holders: List<UpstreamInstance>,
-        adapter: ModelName,
-        left: Duration,
-    ) {
+    private fun awaitAdapter(step: PlacementStep.NeedsAdapter) {
         beginWaiting()
         if (askingForAdapter) return
-        val demand = requireNotNull(request.demand)
         askingForAdapter = true
-        val query = query(left, service.engines?.cacheTokens ?: 0)
-        val best =
-            holders
-                .map { context.links.candidate(it, demand) }
-                .sortedWith(
-                    compareBy({ it.suspected }, { context.engineDispatch.expectedFirstEvent(it, demand, query) }),
-                ).map { it.name }
-        context.residence.wantAdapter(service.name, demand.model, adapter, best) { engine ->
+        context.residence.wantAdapter(service.name, step.model, step.adapter, step.candidates) { engine ->
             askingForAdapter = false
             when {
                 ended -> Unit
                 engine != null -> dispatch()
-                timeWaited() > ADAPTER_PATIENCE ->
-                    giveUp(ResultCode.NO_UPSTREAM, ResultCode.OUTCOME_UNKNOWN, "adapter=$adapter", NO_UPSTREAM_RETURN)
-                else -> context.timer.schedule(ADAPTER_PAUSE) { lookAgain() }
+                timeWaited() > RelayTimes.ADAPTER_PATIENCE ->
+                    giveUp(
+                        ResultCode.NO_UPSTREAM,
+                        ResultCode.OUTCOME_UNKNOWN,
+                        "adapter=${step.adapter}",
+                        RelayTimes.NO_UPSTREAM_RETURN,
+                    )
+                else -> context.timer.schedule(RelayTimes.ADAPTER_PAUSE) { lookAgain() }
             }
         }
     }
@@ -258,14 +201,14 @@
         beginWaiting()
         val arrival = context.residence.arrivalOf(model)
         val known = arrival != null
-        val soonEnough = arrival != null && arrival < left * WORTH_WAITING
-        if (soonEnough || !known && timeWaited() < PLAN_PATIENCE) return
-        val comeBack = (arrival ?: MODEL_RETURN).coerceAtMost(longestReturn())
+        val soonEnough = arrival != null && arrival < left * RelayTimes.WORTH_WAITING
+        if (soonEnough || !known && timeWaited() < RelayTimes.PLAN_PATIENCE) return
+        val comeBack = (arrival ?: RelayTimes.MODEL_RETURN).coerceAtMost(longestReturn())
         giveUp(ResultCode.NO_UPSTREAM, ResultCode.OUTCOME_UNKNOWN, "model=$model arrival=$arrival", comeBack)
     }
 
     /** Callers come back after a third of the time that they have left at most. */
-    private fun longestReturn(): Duration = timeLeft() / RETURN_PART
+    private fun longestReturn(): Duration = timeLeft() / RelayTimes.RETURN_PART
 
     private fun beginWaiting() {
         if (waitingSince != null) return
@@ -289,9 +232,16 @@
         if (!route.repetition.repeatable) return
         val limit =
             if (route.repetition.streams) {
-                if (watched.isAnswering) STREAM_SILENCE else maxOf(route.objective, FIRST_EVENT_SILENCE)
+                if (watched.isAnswering) {
+                    RelayTimes.STREAM_SILENCE
+                } else {
+                    maxOf(
+                        route.objective,
+                        RelayTimes.FIRST_EVENT_SILENCE,
+                    )
+                }
             } else {
-                maxOf(route.objective * SILENT_OBJECTIVES, SHORTEST_SILENCE)
+                maxOf(route.objective * RelayTimes.SILENT_OBJECTIVES, RelayTimes.SHORTEST_SILENCE)
             }
         val due = watched.heardAt + limit
         watchdog =
@@ -328,8 +278,13 @@
         arrivals -= 1
         avoided += failed.instance.name
         unsentSends += 1
-        if (unsentSends > MAXIMUM_ARRIVALS) {
-            giveUp(ResultCode.NO_UPSTREAM, ResultCode.OUTCOME_UNKNOWN, "unreachable=$unsentSends", NO_UPSTREAM_RETURN)
+        if (unsentSends > RelayTimes.MAXIMUM_ARRIVALS) {
+            giveUp(
+                ResultCode.NO_UPSTREAM,
+                ResultCode.OUTCOME_UNKNOWN,
+                "unreachable=$unsentSends",
+                RelayTimes.NO_UPSTREAM_RETURN,
+            )
         } else {
             dispatch()
         }
@@ -384,7 +339,7 @@
             return
         }
         val answer = KeptAnswer(status, context.dialect.callerHeaders(head), body)
-        val failed = status >= FIRST_SERVER_FAILURE && route.repetition.repeatable
+        val failed = status >= RelayTimes.FIRST_SERVER_FAILURE && route.repetition.repeatable
         if (failed && !began && canTryElsewhere()) {
             kept?.body?.release()
             kept = answer
@@ -400,7 +355,7 @@
 
     private fun canTryElsewhere(): Boolean =
         runs < route.attempts &&
-            timeLeft() > LEAST_USEFUL &&
+            timeLeft() > RelayTimes.LEAST_USEFUL &&
             context.fleet.instancesOf(service.name).any { it.name !in avoided }
 
     /** More of a stream has come. */
@@ -414,7 +369,11 @@
         if (!began) {
             began = true
             context.metrics.onFirstByte(context.timer.now() - arrivedAt)
-            val length = HttpUtil.getContentLength(head, UNKNOWN_LENGTH).takeIf { it >= 0 && !route.repetition.streams }
+            val length =
+                HttpUtil.getContentLength(head, RelayTimes.UNKNOWN_LENGTH).takeIf {
+                    it >= 0 &&
+                        !route.repetition.streams
+                }
             reply.begin(head.status().code(), context.dialect.callerHeaders(head), length)
             context.journal.note(
                 request.identifier,
@@ -435,9 +394,9 @@
         attempt = null
         context.metrics.onSend("answered")
         splitter.takePartial()?.let(reply::write)
-        if (!began) reply.begin(OK, context.dialect.callerHeaders(head), null)
+        if (!began) reply.begin(RelayTimes.OK, context.dialect.callerHeaders(head), null)
         reply.finish()
-        end(ResultCode.ANSWERED, OK, "$from")
+        end(ResultCode.ANSWERED, RelayTimes.OK, "$from")
     }
 
     /** The instance broke off, or was silent for too long; the request may have run. */
@@ -472,7 +431,7 @@
     private fun noteCrash(broken: RelayAttempt) {
         val name = broken.instance.name
         val evidence = CrashEvidence(name, broken.instance.startedAt?.toString())
-        context.timer.schedule(CRASH_SHOWS_AFTER) {
+        context.timer.schedule(RelayTimes.CRASH_SHOWS_AFTER) {
             context.quarantine.broke(fingerprint, evidence) { seen ->
                 val now = context.fleet.instance(seen.upstream)
                 now == null || now.startedAt?.toString() != seen.incarnation
@@ -493,7 +452,12 @@
         if (began) {
             breakOff("the deadline passed")
         } else {
-            giveUp(ResultCode.DEADLINE_PASSED_IN_QUEUE, ResultCode.DEADLINE_PASSED, "sent=$sent", SHORT_RETURN)
+            giveUp(
+                ResultCode.DEADLINE_PASSED_IN_QUEUE,
+                ResultCode.DEADLINE_PASSED,
+                "sent=$sent",
+                RelayTimes.SHORT_RETURN,
+            )
         }
     }
 
@@ -530,7 +494,7 @@
         reply.send(answer.status, answer.headers, answer.body)
         end(
             if (answer.status <
-                FIRST_SERVER_FAILURE
+                RelayTimes.FIRST_SERVER_FAILURE
             ) {
                 ResultCode.ANSWERED
             } else {
@@ -586,44 +550,6 @@
     )
 
     private companion object {
-        const val OK = 200
-        const val FIRST_SERVER_FAILURE = 500
-        const val UNKNOWN_LENGTH = -1L
-        const val REQUEST_WORTH = 1.0
-
-        /** Sends of one request at most, those that were refused included. */
-        const val MAXIMUM_ARRIVALS = 4
-
-        /** Less than a round trip and the shortest work. */
-        val LEAST_USEFUL = 10.milliseconds
-        val NO_UPSTREAM_RETURN = 300.milliseconds
-        val SHORT_RETURN = 100.milliseconds
-        val STOPPING_RETURN = 10.milliseconds
-        val MODEL_RETURN = 1_500.milliseconds
-
-        const val RETURN_PART = 3
-        const val WORTH_WAITING = 0.75
-
-        /** The issuer of orders plans a few times a second. */
-        val PLAN_PATIENCE = 900.milliseconds
-        val ADAPTER_PATIENCE = 500.milliseconds
-        val ADAPTER_PAUSE = 60.milliseconds
-
-        /** A connection that was idle for longer may be closed just as the request is sent. */
-        val FRESH_IDLE = 2.seconds
-        val ANY_IDLE = 20.seconds
-
-        /** An answer that takes this many times its objective is looked for elsewhere. */
-        const val SILENT_OBJECTIVES = 2.5
-        val SHORTEST_SILENCE = 250.milliseconds
-
-        /** Callers abandon a stream after two seconds without an event. */
-        val STREAM_SILENCE = 1_500.milliseconds
-        val FIRST_EVENT_SILENCE = 4.seconds
-
-        /** A crashed instance's entry changes, or its successor's appears, within this time. */
-        val CRASH_SHOWS_AFTER = 2.seconds
-
         fun fingerprintOf(
             request: RelayRequest,
             service: ServiceDefinition,
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
@@ -0,0 +1,106 @@
+package plantainturn.relay.request
+
+import plantainturn.connection.roster.UpstreamInstance
+import plantainturn.request.quarantine.RequestFingerprint
+import plantainturn.request.relay.DispatchQuery
+import plantainturn.request.relay.GenerationDemand
+import plantainturn.request.relay.RequestWork
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.UpstreamName
+import plantainturn.version.route.Route
+import plantainturn.version.route.ServiceDefinition
+
+/** Finds where one request can go, by what this node believes of the instances. */
+internal class RelayPlacement(
+    private val context: RelayContext,
+    private val request: RelayRequest,
+    private val route: Route,
+    private val service: ServiceDefinition,
+    private val fingerprint: RequestFingerprint,
+) {
+    /**
+     * Returns what is to be done next.
+     *
+     * @param avoided instances where it was refused, failed or could not be sent
+     * @param mayHaveRun whether it may have run at one of them, so that it must not go there again
+     */
+    fun find(
+        avoided: Set<UpstreamName>,
+        mayHaveRun: Boolean,
+        times: RequestTimes,
+    ): PlacementStep {
+        val permitted = permitted(avoided, mayHaveRun)
+        val demand = request.demand
+        val engines = service.engines
+        if (demand != null && engines != null) return atEngine(demand, permitted, query(times, engines.cacheTokens))
+        val candidates = permitted.map { context.links.candidate(it, null) }
+        return PlacementStep.Decided(context.serviceDispatch.decide(query(times, 0), candidates), candidates.size)
+    }
+
+    /** Returns what the request costs at [instance]. */
+    fun workAt(instance: UpstreamName): RequestWork {
+        val demand = request.demand ?: return RequestWork.NONE
+        val unread = (demand.promptTokens - context.links.prompts.keptTokens(instance, demand)).coerceAtLeast(0)
+        return RequestWork(unread, unread + demand.outputTokens)
+    }
+
+    private fun atEngine(
+        demand: GenerationDemand,
+        permitted: List<UpstreamInstance>,
+        query: DispatchQuery,
+    ): PlacementStep {
+        val holders = permitted.filter { demand.model in context.fleet.residentsOf(it.name) }
+        val adapter = demand.adapter
+        val ready = if (adapter == null) holders else holders.filter { holds(it.name, demand.model, adapter) }
+        return when {
+            ready.isNotEmpty() -> {
+                val candidates = ready.map { context.links.candidate(it, demand) }
+                PlacementStep.Decided(context.engineDispatch.decide(query, candidates), candidates.size)
+            }
+            holders.isNotEmpty() && adapter != null ->
+                PlacementStep.NeedsAdapter(demand.model, adapter, bestFirst(holders, demand, query))
+            else -> PlacementStep.NeedsModel(demand.model)
+        }
+    }
+
+    private fun holds(
+        engine: UpstreamName,
+        model: ModelName,
+        adapter: ModelName,
+    ): Boolean = adapter in context.fleet.residentsOf(engine)[model].orEmpty()
+
+    private fun bestFirst(
+        holders: List<UpstreamInstance>,
+        demand: GenerationDemand,
+        query: DispatchQuery,
+    ): List<UpstreamName> =
+        holders
+            .map { context.links.candidate(it, demand) }
+            .sortedWith(
+                compareBy({ it.suspected }, { context.engineDispatch.expectedFirstEvent(it, demand, query) }),
+            ).map { it.name }
+
+    private fun permitted(
+        avoided: Set<UpstreamName>,
+        mayHaveRun: Boolean,
+    ): List<UpstreamInstance> {
+        val all = context.fleet.instancesOf(service.name)
+        val confined = context.quarantine.confinementOf(fingerprint)
+        val allowed = if (confined.isEmpty()) all else all.filter { it.name in confined }
+        return allowed.filter { it.name !in avoided }.ifEmpty { if (mayHaveRun) emptyList() else allowed }
+    }
+
+    private fun query(
+        times: RequestTimes,
+        cacheTokens: Long,
+    ): DispatchQuery =
+        DispatchQuery(
+            demand = request.demand,
+            urgency = route.urgency,
+            objectiveLeft = times.objectiveLeft,
+            timeLeft = times.timeLeft,
+            longestReturn = times.longestReturn,
+            cacheTokens = cacheTokens,
+            affinity = request.demand?.let { (it.lastSharedPart ?: it.model.value).hashCode().toLong() } ?: 0,
+        )
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayTimes.kt
@@ -0,0 +1,73 @@
+package plantainturn.relay.request
+
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Times and limits of one request. */
+internal object RelayTimes {
+    /** The status of a stream that ended without any event. */
+    const val OK = 200
+
+    /** The first status that says that the server failed. */
+    const val FIRST_SERVER_FAILURE = 500
+
+    /** Stands for an answer whose length is not told. */
+    const val UNKNOWN_LENGTH = -1L
+
+    /** Routes don't tell what a request is worth, so that all count alike. */
+    const val REQUEST_WORTH = 1.0
+
+    /** Sends of one request at most, those that were refused included; a platform's services have few instances. */
+    const val MAXIMUM_ARRIVALS = 4
+
+    /** Less than a round trip and the shortest work. */
+    val LEAST_USEFUL = 10.milliseconds
+
+    /** The shortest pause of a suspected instance is over by then. */
+    val NO_UPSTREAM_RETURN = 300.milliseconds
+
+    /** For a request that ran out of time: the line has moved by then. */
+    val SHORT_RETURN = 100.milliseconds
+
+    /** Another node can serve the caller at once. */
+    val STOPPING_RETURN = 10.milliseconds
+
+    /** A model whose load is not planned yet; the shortest loads take about this. */
+    val MODEL_RETURN = 1_500.milliseconds
+
+    /** Callers come back after a third of the time that they have left at most. */
+    const val RETURN_PART = 3
+
+    /** Part of the time left within which a model must arrive; the rest is for its queue and the first event. */
+    const val WORTH_WAITING = 0.75
+
+    /** The issuer hears of a waiting request and plans within two exchanges, a new issuer within a second. */
+    val PLAN_PATIENCE = 900.milliseconds
+
+    /** An adapter takes milliseconds; what takes longer is an engine that is busy with a base model. */
+    val ADAPTER_PATIENCE = 500.milliseconds
+
+    /** Between two requests for one adapter. */
+    val ADAPTER_PAUSE = 60.milliseconds
+
+    /** A connection that was idle for longer may be closed just as the request is sent. */
+    val FRESH_IDLE = 2.seconds
+
+    /** For requests that can be sent again, any connection will do. */
+    val ANY_IDLE = 20.seconds
+
+    /** An answer that takes this many times its objective is looked for elsewhere. */
+    const val SILENT_OBJECTIVES = 2.5
+
+    /** An instance at its limit takes about this long for a plain request. */
+    val SHORTEST_SILENCE = 250.milliseconds
+
+    /** Callers abandon a stream after two seconds without an event. */
+    val STREAM_SILENCE = 1_500.milliseconds
+
+    /** Longer than a backlog that was accepted takes. */
+    val FIRST_EVENT_SILENCE = 4.seconds
+
+    /** A crashed instance's entry changes, or its successor's appears, within this time. */
+    val CRASH_SHOWS_AFTER = 2.seconds
+}
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
@@ -0,0 +1,393 @@
+package plantainturn.relay.residence
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.collections.immutable.toPersistentSet
+import org.apache.logging.log4j.LogManager
+import plantainturn.connection.engine.FenceNumber
+import plantainturn.connection.roster.UpstreamInstance
+import plantainturn.process.control.residence.EngineLedger
+import plantainturn.process.control.residence.EngineSituation
+import plantainturn.process.control.residence.ResidenceAction
+import plantainturn.process.control.residence.ResidenceInput
+import plantainturn.process.control.residence.ResidenceMove
+import plantainturn.process.control.residence.SequencedOrderResult
+import plantainturn.process.time.Moment
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.UpstreamName
+import plantainturn.version.route.EngineFleet
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The orders of one lease, from its grant to its loss.
+ *
+ * @param isCurrent whether the lease is still the one that this node holds; answers that come later are dropped
+ */
+internal class IssuerSession(
+    val fence: FenceNumber,
+    private val context: IssuerContext,
+    private val isCurrent: (IssuerSession) -> Boolean,
+) {
+    private val logger = LogManager.getLogger("residence")
+    private val beganAt = context.timer.now()
+
+    /** What each engine holds. */
+    val ledgers = HashMap<UpstreamName, EngineLedger>()
+    private val startedAt = HashMap<UpstreamName, Long?>()
+    private val asking = HashSet<UpstreamName>()
+    private val askedAt = HashMap<UpstreamName, Moment>()
+    private val tasks = HashMap<UpstreamName, EngineTask>()
+    private val residentSince = HashMap<UpstreamName, MutableMap<ModelName, Moment>>()
+    private val pacer = StoreLoadPacer(context.ceilingWindow, beganAt, if (fence.value == 0L) 0 else ASSUMED_LOADS)
+
+    fun step() {
+        val engines =
+            context.roster.instances.values
+                .filter { context.fleetOf(it.service) != null }
+        forgetMissing(engines)
+        engines.forEach(::follow)
+        engines.groupBy { it.service }.forEach { (service, ofService) ->
+            context.fleetOf(service)?.let { plan(it, ofService) }
+        }
+    }
+
+    fun residence(): PersistentMap<UpstreamName, PersistentMap<ModelName, PersistentSet<ModelName>>> =
+        ledgers
+            .filterValues { it.readAt != null }
+            .mapValues { (engine, ledger) ->
+                leavingModel(engine, ledger)?.let { ledger.residents.remove(it) } ?: ledger.residents
+            }.toPersistentMap()
+
+    fun arrivals(): Map<ModelName, Duration> {
+        val now = context.timer.now()
+        val arriving = HashMap<ModelName, Duration>()
+        for ((name, task) in tasks) {
+            val fleet = context.roster.instances[name]?.let { context.fleetOf(it.service) }
+            val model = task.wanted
+            if (fleet != null && model != null) {
+                val load = loadTime(fleet, name, model)
+                val left =
+                    when (task.phase) {
+                        EngineTask.Phase.LOADING -> (load - (now - task.since)).coerceAtLeast(LATE_ARRIVAL)
+                        else -> load + UNLOAD_TIME
+                    }
+                arriving.merge(model, left, ::minOf)
+            }
+        }
+        return arriving
+    }
+
+    private fun forgetMissing(engines: List<UpstreamInstance>) {
+        val present = engines.map { it.name }.toSet()
+        (ledgers.keys - present).forEach {
+            ledgers.remove(it)
+            tasks.remove(it)
+            startedAt.remove(it)
+            residentSince.remove(it)
+            context.noteChange()
+        }
+    }
+
+    private fun follow(engine: UpstreamInstance) {
+        val ledger = ledgers.getOrPut(engine.name) { EngineLedger(engine.name) }
+        if (engine.name in startedAt && startedAt[engine.name] != engine.startedAt) {
+            logger.info("engine={} event=restarted startedAt={}", engine.name, engine.startedAt)
+            ledger.onRestart(context.timer.now())
+            tasks.remove(engine.name)
+            context.noteChange()
+        }
+        startedAt[engine.name] = engine.startedAt
+        if (isReadingDue(engine.name, ledger)) ask(engine, ledger)
+        advance(engine, ledger)
+    }
+
+    private fun isReadingDue(
+        engine: UpstreamName,
+        ledger: EngineLedger,
+    ): Boolean {
+        if (engine in asking || ledger.calling) return false
+        val now = context.timer.now()
+        val last = askedAt[engine]
+        val rested = last == null || now - last >= READING_PAUSE
+        val ordered = ledger.orderedAt
+        val done = ordered != null && now >= ordered + expectedDuration(engine, ledger)
+        return rested && (ledger.needsReading || ledger.isBusyWithUnknown || ledger.isChanging && done)
+    }
+
+    private fun expectedDuration(
+        engine: UpstreamName,
+        ledger: EngineLedger,
+    ): Duration {
+        val fleet = context.roster.instances[engine]?.let { context.fleetOf(it.service) } ?: return Duration.ZERO
+        val loading = ledger.loading ?: return UNLOAD_TIME
+        return loadTime(fleet, engine, loading) + READING_LAG
+    }
+
+    private fun ask(
+        engine: UpstreamInstance,
+        ledger: EngineLedger,
+    ) {
+        val now = context.timer.now()
+        asking += engine.name
+        askedAt[engine.name] = now
+        context.control.read(engine) { reading ->
+            asking -= engine.name
+            if (!isCurrent(this)) return@read
+            if (reading == null) {
+                logger.info("engine={} event=reading-failed", engine.name)
+                return@read
+            }
+            val before = ledger.residents.keys
+            ledger.onReading(reading, now)
+            noteResidence(engine.name, before, ledger.residents.keys)
+            context.noteChange()
+        }
+    }
+
+    private fun noteResidence(
+        engine: UpstreamName,
+        before: Set<ModelName>,
+        after: Set<ModelName>,
+    ) {
+        val since = residentSince.getOrPut(engine) { HashMap() }
+        since.keys.retainAll(after)
+        if (before.isNotEmpty()) (after - before).forEach { since[it] = context.timer.now() }
+        if (before != after) {
+            val ledger = ledgers.getValue(engine)
+            logger.info(
+                "engine={} event=residence models={} host={} disk={}",
+                engine,
+                after,
+                ledger.hostCopies,
+                ledger.diskCopies,
+            )
+        }
+    }
+
+    /** Goes on with the task at one engine as far as it can. */
+    private fun advance(
+        engine: UpstreamInstance,
+        ledger: EngineLedger,
+    ) {
+        val task = tasks[engine.name] ?: return
+        val fleet = context.fleetOf(engine.service) ?: return
+        val now = context.timer.now()
+        if (engine.leaving) {
+            tasks.remove(engine.name)
+            return
+        }
+        when (task.phase) {
+            EngineTask.Phase.DEPARTING ->
+                if (now - task.since >= DEPARTURE_NOTICE) unload(fleet, engine.name, ledger, task)
+            EngineTask.Phase.UNLOADING ->
+                if (!ledger.isChanging && !ledger.needsReading) {
+                    val gone = task.victim !in ledger.residents
+                    tasks[engine.name] =
+                        task.copy(
+                            phase = if (gone) EngineTask.Phase.LOADING else EngineTask.Phase.DEPARTING,
+                            since = now,
+                        )
+                    if (gone && task.wanted == null) tasks.remove(engine.name)
+                }
+            EngineTask.Phase.LOADING -> load(fleet, engine.name, ledger, task)
+        }
+    }
+
+    private fun unload(
+        fleet: EngineFleet,
+        engine: UpstreamName,
+        ledger: EngineLedger,
+        task: EngineTask,
+    ) {
+        val victim = task.victim
+        if (victim == null || victim !in ledger.residents) {
+            tasks[engine] = task.copy(phase = EngineTask.Phase.LOADING, since = context.timer.now())
+            return
+        }
+        give(fleet, engine, ResidenceAction(ResidenceAction.Kind.UNLOAD, victim), task.reason) { given ->
+            if (given) tasks[engine] = task.copy(phase = EngineTask.Phase.UNLOADING, since = context.timer.now())
+        }
+    }
+
+    private fun load(
+        fleet: EngineFleet,
+        engine: UpstreamName,
+        ledger: EngineLedger,
+        task: EngineTask,
+    ) {
+        val wanted = task.wanted
+        when {
+            wanted == null || wanted in ledger.residents -> tasks.remove(engine)
+            ledger.loading == wanted || ledger.needsReading || ledger.calling -> Unit
+            context.timer.now() - task.since > TASK_PATIENCE -> tasks.remove(engine)
+            else -> {
+                val now = context.timer.now()
+                val fromStore = isFromStore(engine, wanted)
+                if (fromStore && pacer.left(fleet.storeLoadsPerSecond, now) <= 0) return
+                val order = ResidenceAction(ResidenceAction.Kind.LOAD, wanted)
+                val sent =
+                    give(fleet, engine, order, task.reason) { given ->
+                        if (given) tasks[engine] = task.copy(since = context.timer.now())
+                    }
+                if (sent && fromStore) pacer.onLoad(now)
+            }
+        }
+    }
+
+    /** Gives an order if the ledger admits it, and tells [done] whether the engine took it. */
+    fun give(
+        fleet: EngineFleet,
+        engine: UpstreamName,
+        action: ResidenceAction,
+        reason: String,
+        done: (Boolean) -> Unit,
+    ): Boolean {
+        val ledger = ledgers[engine]
+        val instance = context.roster.instances[engine]
+        val now = context.timer.now()
+        val order =
+            if (instance == null || !context.lease.permitsOrders()) null else ledger?.prepare(action, fleet, fence, now)
+        if (order == null || ledger == null || instance == null) {
+            done(false)
+            return false
+        }
+        context.control.order(instance, order, context.holder) { result ->
+            logger.info(
+                "engine={} event=order action={} model={} adapter={} expected={} fence={} reason=\"{}\" result={}",
+                engine,
+                action.kind,
+                action.model,
+                action.adapter,
+                order.expectedSequence,
+                fence,
+                reason,
+                result,
+            )
+            ledger.onResult(order, result, now)
+            if (result is SequencedOrderResult.StaleFence) {
+                context.lease.observeLaterFence(result.seen ?: FenceNumber(Long.MAX_VALUE))
+            }
+            context.noteChange()
+            done(result == SequencedOrderResult.Accepted || result == SequencedOrderResult.AlreadyHolds)
+        }
+        return true
+    }
+
+    private fun plan(
+        fleet: EngineFleet,
+        engines: List<UpstreamInstance>,
+    ) {
+        val unread = engines.any { ledgers[it.name]?.readAt == null }
+        if (unread && context.timer.now() - beganAt < FIRST_READINGS) return
+        val now = context.timer.now()
+        val input =
+            ResidenceInput(
+                fleet = fleet,
+                engines = engines.map { situation(it, fleet, now) },
+                pressure = context.pressure,
+                storeLoadsLeft = pacer.left(fleet.storeLoadsPerSecond, now),
+                now = now,
+            )
+        context.planner.plan(input).forEach { begin(it, now) }
+    }
+
+    private fun begin(
+        move: ResidenceMove,
+        now: Moment,
+    ) {
+        val action = move.action
+        val task =
+            if (action.kind == ResidenceAction.Kind.LOAD) {
+                EngineTask(action.model, null, EngineTask.Phase.LOADING, now, move.reason)
+            } else {
+                EngineTask(move.wanted, action.model, EngineTask.Phase.DEPARTING, now, move.reason)
+            }
+        logger.info("engine={} event=task task={} pressure={}", move.engine, task, context.pressure[task.wanted])
+        tasks[move.engine] = task
+        context.noteChange()
+    }
+
+    private fun situation(
+        engine: UpstreamInstance,
+        fleet: EngineFleet,
+        now: Moment,
+    ): EngineSituation {
+        val ledger = ledgers.getValue(engine.name)
+        val read = ledger.readAt != null
+        val task = tasks[engine.name]
+        return EngineSituation(
+            name = engine.name,
+            domain = engine.domain,
+            residents = (if (read) ledger.residents.keys else engine.residents.keys).toPersistentSet(),
+            loading = ledger.loading ?: task?.wanted,
+            unloading = leavingModel(engine.name, ledger),
+            committedMegabytes = ledger.committedMegabytes(fleet, now),
+            idle = read && task == null && !ledger.isChanging && !ledger.needsReading && !engine.leaving,
+            hostCopies = ledger.hostCopies,
+            diskCopies = ledger.diskCopies,
+            residentSince = residentSince[engine.name].orEmpty(),
+        )
+    }
+
+    /** Returns the base model that is on its way out of [engine], if any. */
+    fun leavingModel(
+        engine: UpstreamName,
+        ledger: EngineLedger,
+    ): ModelName? = ledger.unloading ?: tasks[engine]?.victim
+
+    private fun isFromStore(
+        engine: UpstreamName,
+        model: ModelName,
+    ): Boolean {
+        val ledger = ledgers.getValue(engine)
+        return model !in ledger.hostCopies && model !in ledger.diskCopies
+    }
+
+    private fun loadTime(
+        fleet: EngineFleet,
+        engine: UpstreamName,
+        model: ModelName,
+    ): Duration {
+        val served = fleet.models[model] ?: return Duration.ZERO
+        val ledger = ledgers[engine]
+        return when {
+            ledger != null && model in ledger.hostCopies -> served.hostLoad
+            ledger != null && model in ledger.diskCopies -> served.diskLoad
+            else -> served.coldLoad
+        }
+    }
+
+    /** Lets the engine be asked at once. */
+    fun askSoon(engine: UpstreamName) {
+        askedAt.remove(engine)
+    }
+
+    private companion object {
+        /** Nodes hear of a departing model within an exchange or two. */
+        val DEPARTURE_NOTICE = 300.milliseconds
+
+        /** An engine without requests for the model drops it at once; the notice has passed by then. */
+        val UNLOAD_TIME = 200.milliseconds
+
+        /** A reading shows what was true some 100 ms before. */
+        val READING_LAG = 150.milliseconds
+
+        /** Each reading is priced like a probe. */
+        val READING_PAUSE = 250.milliseconds
+
+        /** Plans before all engines were read would load what an unread one holds. */
+        val FIRST_READINGS = 1.seconds
+
+        /** Told of a load that takes longer than expected: about one more reading. */
+        val LATE_ARRIVAL = 300.milliseconds
+
+        /** Twice the longest load; after that the engine is planned for anew. */
+        val TASK_PATIENCE = 20.seconds
+
+        /** What an earlier holder may have begun in the window before this lease. */
+        const val ASSUMED_LOADS = 2
+    }
+}
