--- a/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
@@ -39,6 +39,7 @@
     private val logger = LogManager.getLogger(StoreLease::class.java)
     private var observed: Observation? = null
     private var held: Held? = null
+    private var renewalFailedAt: Moment? = null
     private var calling = false
     private var stopping = false
 
@@ -58,7 +59,17 @@
     public fun permitsOrders(): Boolean {
         val current = held ?: return false
         val now = timer.now()
-        return !stopping && now < current.validUntil && now >= current.ordersFrom && !wasSuspended(current)
+        val permitted = now < current.validUntil || goesOnInOutage(current, now)
+        return !stopping && permitted && now >= current.ordersFrom && !wasSuspended(current)
+    }
+
+    /** The store does not answer this node. There may be a successor, but then engines refuse this node's orders. */
+    private fun goesOnInOutage(
+        current: Held,
+        now: Moment,
+    ): Boolean {
+        val unanswered = renewalFailedAt?.let { it > current.renewedAt } ?: false
+        return unanswered && now < current.validUntil + settings.outageTolerance
     }
 
     /** Looks at the lease: renews it if it is held and due, and otherwise competes for it if [mayContend]. */
@@ -103,7 +114,9 @@
     private fun renewWhenDue(current: Held) {
         val now = timer.now()
         val suspended = wasSuspended(current)
-        if (now < current.renewedAt + settings.renewalPeriod && !suspended) return
+        val rested = renewalFailedAt?.let { now >= it + settings.failurePause } ?: true
+        val due = now >= current.renewedAt + settings.renewalPeriod || suspended
+        if (!due || !rested) return
         val difference = clockDifference()
         val record = HolderRecord(holder.value, address, current.fence.value)
         append(record, current.end) { result -> renewed(result, now, difference) }
@@ -126,8 +139,10 @@
                     )
             is StoreAppendResult.Conflict -> findEnd(current)
             is StoreAppendResult.Refused, is StoreAppendResult.Unknown -> {
+                renewalFailedAt = timer.now()
                 logger.warn("event=lease-renewal-failed fence={} result={}", current.fence, result)
-                if (timer.now() > current.validUntil + settings.contenderWait) lose("not renewed for too long")
+                val end = current.validUntil + settings.contenderWait + settings.outageTolerance
+                if (timer.now() > end) lose("not renewed for too long")
             }
         }
     }
--- a/library/src/main/kotlin/plantainturn/process/control/lease/StoreLeaseSettings.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/StoreLeaseSettings.kt
@@ -13,6 +13,9 @@
  *   run apart
  * @property handOverPause the time between the last order of one holder and the first of the next; the deployment's
  *   rules give it
+ * @property failurePause the time after a renewal that failed until the next; each is a priced call
+ * @property outageTolerance how long after its term a holder goes on while the store does not answer it. Only where
+ *   engines refuse old fences: they keep it out as soon as a successor has ordered anything
  * @property suspensionTolerance what the time of day may move against the monotonic clock before this VM is taken to
  *   have been suspended
  */
@@ -21,6 +24,8 @@
     val renewalPeriod: Duration = 500.milliseconds,
     val contenderWait: Duration = 1_600.milliseconds,
     val handOverPause: Duration = 3.seconds,
+    val failurePause: Duration = 200.milliseconds,
+    val outageTolerance: Duration = Duration.ZERO,
     val suspensionTolerance: Duration = 150.milliseconds,
 ) {
     init {
--- a/library/src/test/kotlin/plantainturn/process/control/lease/StoreLeaseTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/control/lease/StoreLeaseTest.kt
@@ -112,6 +112,35 @@
         assertFalse(holder.lease.permitsOrders(), "only an append that was confirmed prolongs the term")
     }
 
+    @Test
+    fun `where engines refuse old fences a holder goes on while the store does not answer it`() {
+        val holder = Node(lease(0, settings.copy(outageTolerance = 5_000.milliseconds)))
+        store.records.clear()
+        run(listOf(holder), 1_000)
+        holder.reaches = false
+        run(listOf(holder), 4_000)
+
+        assertTrue(holder.lease.permitsOrders())
+        run(listOf(holder), 5_000)
+        assertFalse(holder.lease.permitsOrders(), "not for ever")
+    }
+
+    @Test
+    fun `a holder that goes on without the store stops when it sees a successor`() {
+        val holder = Node(lease(0, settings.copy(outageTolerance = 60_000.milliseconds)))
+        val other = Node(lease(1))
+        store.records.clear()
+        run(listOf(holder), 1_000)
+        holder.reaches = false
+        run(listOf(holder, other), 4_000)
+        assertTrue(other.lease.permitsOrders())
+        holder.reaches = true
+
+        run(listOf(holder, other), 1_000)
+
+        assertFalse(holder.lease.permitsOrders())
+    }
+
     @Test
     fun `never two nodes may give orders, whatever the store and the links do`() {
         for (seed in 1..40) {
@@ -162,15 +191,17 @@
         return List(count) { number -> Node(lease(number)) }
     }
 
-    private fun lease(number: Int) =
-        StoreLease(
-            store,
-            HolderIdentifier("node-$number"),
-            "127.0.0.1:$number",
-            timer,
-            { civilOffset + timer.now().nanoseconds / 1_000_000 },
-            settings,
-        )
+    private fun lease(
+        number: Int,
+        settings: StoreLeaseSettings = Companion.settings,
+    ) = StoreLease(
+        store,
+        HolderIdentifier("node-$number"),
+        "127.0.0.1:$number",
+        timer,
+        { civilOffset + timer.now().nanoseconds / 1_000_000 },
+        settings,
+    )
 
     private class Node(
         val lease: StoreLease,
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -48,6 +48,7 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -83,7 +84,10 @@
             settings.peers,
             timer,
             System::currentTimeMillis,
-            StoreLeaseSettings(handOverPause = settings.handOverMilliseconds.milliseconds),
+            StoreLeaseSettings(
+                handOverPause = settings.handOverMilliseconds.milliseconds,
+                outageTolerance = if (settings.enginesRefuseOldFences) OUTAGE_TOLERANCE else Duration.ZERO,
+            ),
         )
     private val issuer =
         ResidenceIssuer(
@@ -316,6 +320,9 @@
         val LONG_WAIT = 8.seconds
         val LONG_REST = 800.milliseconds
 
+        /** Longer than the store is usually away. */
+        val OUTAGE_TOLERANCE = 12.seconds
+
         /** Requests to an instance that left must have ended in the rest of the time. */
         const val LAPSE_GRACE_SHARE = 0.6
         val CONTROL_PERIOD = 50.milliseconds
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelaySettings.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelaySettings.kt
@@ -15,6 +15,7 @@
  * @property stopSeconds how long it may take to stop
  * @property drainMilliseconds how soon after an upstream's leaving is known requests to it must have ended
  * @property handOverMilliseconds the pause between orders of two holders of the lease
+ * @property enginesRefuseOldFences whether engines refuse orders with an earlier holder's fence
  * @property repetitionRatio repetitions that the deployment allows for each request
  * @property repetitionsFixed repetitions that it allows beyond that in a window
  * @property repetitionWindowSeconds the window of both
@@ -31,6 +32,7 @@
     val stopSeconds: Double = 8.0,
     val drainMilliseconds: Long = 2_000,
     val handOverMilliseconds: Long = 3_000,
+    val enginesRefuseOldFences: Boolean = false,
     val repetitionRatio: Double = 0.1,
     val repetitionsFixed: Double = 10.0,
     val repetitionWindowSeconds: Double = 10.0,
--- a/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
@@ -41,7 +41,7 @@
     private val askedAt = HashMap<UpstreamName, Moment>()
     private val tasks = HashMap<UpstreamName, EngineTask>()
     private val residentSince = HashMap<UpstreamName, MutableMap<ModelName, Moment>>()
-    private val pacer = StoreLoadPacer(context.ceilingWindow, beganAt, if (fence.value == 0L) 0 else ASSUMED_LOADS)
+    private val pacer = StoreLoadPacer(context.ceilingWindow, beganAt, first = fence.value == 0L)
 
     fun step() {
         val engines =
@@ -267,6 +267,8 @@
                 result,
             )
             ledger.onResult(order, result, now)
+            val loadsModel = action.kind == ResidenceAction.Kind.LOAD && action.adapter == null
+            if (loadsModel && result is SequencedOrderResult.Unknown) pacer.onDoubt(now)
             if (result is SequencedOrderResult.StaleFence) {
                 context.lease.observeLaterFence(result.seen ?: FenceNumber(Long.MAX_VALUE))
             }
@@ -386,8 +388,5 @@
 
         /** Twice the longest load; after that the engine is planned for anew. */
         val TASK_PATIENCE = 20.seconds
-
-        /** What an earlier holder may have begun in the window before this lease. */
-        const val ASSUMED_LOADS = 2
     }
 }
