--- a/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
@@ -28,7 +28,6 @@
     private var hintedAt: Moment? = null
     private var lostSince: Moment? = null
     private var failures = 0
-    private var stopped = false
 
     /** Where the topic ended when it was last read; 0 before the first reading. */
     public val end: LogOffset
@@ -37,11 +36,6 @@
     /** Begins to follow. */
     public fun start(): Unit = readOn()
 
-    /** Ends after the outstanding read. */
-    public fun stop() {
-        stopped = true
-    }
-
     /**
      * Reads the newest records if the topic is known to end at [hinted], and the outstanding read or rest has not told
      * so within the usual rest.
@@ -53,7 +47,7 @@
             return
         }
         val since = hintedAt ?: timer.now().also { hintedAt = it }
-        if (stopped || catchingUp || timer.now() - since < pace().rest) return
+        if (catchingUp || timer.now() - since < pace().rest) return
         catchingUp = true
         logger.info("topic={} event=catch-up known={} hinted={}", topic, before, hinted)
         store.readNewest(topic) { result ->
@@ -63,7 +57,6 @@
     }
 
     private fun readOn() {
-        if (stopped) return
         val from = known
         if (from == null || expired) {
             store.readNewest(topic) { whole(it) }
--- a/library/src/main/kotlin/plantainturn/process/control/residence/EngineSituation.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/EngineSituation.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.collections.immutable.PersistentSet
 import plantainturn.process.time.Moment
-import plantainturn.version.configuration.FailureDomain
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.UpstreamName
 
@@ -18,7 +17,6 @@
  */
 public data class EngineSituation(
     val name: UpstreamName,
-    val domain: FailureDomain,
     val residents: PersistentSet<ModelName>,
     val loading: ModelName?,
     val unloading: ModelName?,
--- a/library/src/main/kotlin/plantainturn/request/relay/GenerationDemand.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/GenerationDemand.kt
@@ -19,10 +19,6 @@
     val outputTokens: Int,
     val parts: PersistentList<PromptPart>,
 ) {
-    /** Tokens of the parts that other requests may share. */
-    public val sharedTokens: Int
-        get() = parts.dropLast(1).sumOf { it.tokens }.coerceAtMost(promptTokens)
-
     /** The identifier of the last part that other requests may share, null if there is none. */
     public val lastSharedPart: String?
         get() = parts.getOrNull(parts.size - 2)?.identifier
--- a/library/src/main/kotlin/plantainturn/request/relay/PromptMemory.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/PromptMemory.kt
@@ -38,12 +38,9 @@
         for (part in demand.parts) kept[keyOf(engine, demand, part)] = Unit
     }
 
-    /** Forgets what [engine] kept of [model], or all that it kept if [model] is null. */
-    public fun forget(
-        engine: UpstreamName,
-        model: ModelName? = null,
-    ) {
-        kept.keys.removeIf { it.engine == engine && (model == null || it.model == model) }
+    /** Forgets all that [engine] kept. */
+    public fun forget(engine: UpstreamName) {
+        kept.keys.removeIf { it.engine == engine }
     }
 
     private fun keyOf(
--- a/library/src/main/kotlin/plantainturn/version/route/EngineFleet.kt
+++ b/library/src/main/kotlin/plantainturn/version/route/EngineFleet.kt
@@ -11,7 +11,6 @@
  * @property weightMegabytes memory of one engine for weights and adapters together
  * @property adapterPlaces adapters that one engine holds at once
  * @property storeLoadsPerSecond loads that the weight store allows for all engines together
- * @property eventTokens tokens in one event of a stream
  */
 public data class EngineFleet(
     val concurrency: Int,
@@ -19,6 +18,5 @@
     val weightMegabytes: Double,
     val adapterPlaces: Int,
     val storeLoadsPerSecond: Double,
-    val eventTokens: Int,
     val models: PersistentMap<ModelName, ServedModel>,
 )
--- a/library/src/test/kotlin/plantainturn/process/control/residence/EngineLedgerTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/control/residence/EngineLedgerTest.kt
@@ -155,7 +155,6 @@
                 weightMegabytes = 150.0,
                 adapterPlaces = 2,
                 storeLoadsPerSecond = 1.0,
-                eventTokens = 4,
                 models =
                     models.fold(persistentMapOf()) { all, model ->
                         val name = ModelName(model)
--- a/library/src/test/kotlin/plantainturn/process/control/residence/ResidencePlannerTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/control/residence/ResidencePlannerTest.kt
@@ -5,7 +5,6 @@
 import kotlinx.collections.immutable.toPersistentSet
 import org.junit.jupiter.api.Test
 import plantainturn.process.time.Moment
-import plantainturn.version.configuration.FailureDomain
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.UpstreamName
 import plantainturn.version.route.EngineFleet
@@ -138,7 +137,6 @@
             disk: Set<String> = emptySet(),
         ) = EngineSituation(
             name = UpstreamName(name),
-            domain = FailureDomain("domain"),
             residents = models.map(::ModelName).toPersistentSet(),
             loading = null,
             unloading = null,
@@ -166,7 +164,6 @@
                         weightMegabytes = 150.0,
                         adapterPlaces = 2,
                         storeLoadsPerSecond = 1.0,
-                        eventTokens = 4,
                         models =
                             named.fold(persistentMapOf()) { all, model ->
                                 val served =
--- a/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
@@ -21,14 +21,8 @@
     val timer: TimerService,
 ) {
     private val idle = ArrayDeque<UpstreamConnection>()
-    private val open = HashSet<UpstreamConnection>()
-    private var connecting = 0
     private var closed = false
 
-    /** Connections that are open or being opened. */
-    val size: Int
-        get() = open.size + connecting
-
     /**
      * Gives a connection to [done].
      *
@@ -69,7 +63,6 @@
 
     /** Forgets [connection]. */
     fun onClosed(connection: UpstreamConnection) {
-        open.remove(connection)
         idle.remove(connection)
     }
 
@@ -81,7 +74,6 @@
     }
 
     private fun connect(done: (ConnectionResult) -> Unit) {
-        connecting++
         val connection = arrayOfNulls<UpstreamConnection>(1)
         Bootstrap()
             .group(loop)
@@ -106,9 +98,7 @@
         connection: UpstreamConnection?,
         done: (ConnectionResult) -> Unit,
     ) {
-        connecting--
         if (future.isSuccess && connection != null) {
-            open += connection
             done(ConnectionResult.Ready(connection))
         } else {
             done(ConnectionResult.Failed("connect: ${future.cause()?.message}"))
--- a/relay/src/main/kotlin/plantainturn/relay/http/HttpCaller.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/HttpCaller.kt
@@ -49,11 +49,6 @@
         Call(request, done).begin(location, timeout)
     }
 
-    /** Closes idle connections to [location]. */
-    public fun forget(location: SocketLocation) {
-        pools.remove(location)?.close()
-    }
-
     private inner class Call(
         private val request: DefaultFullHttpRequest,
         private val done: (HttpCallResult) -> Unit,
--- a/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
@@ -322,7 +322,6 @@
         val task = tasks[engine.name]
         return EngineSituation(
             name = engine.name,
-            domain = engine.domain,
             residents = (if (read) ledger.residents.keys else engine.residents.keys).toPersistentSet(),
             loading = ledger.loading ?: task?.wanted,
             unloading = leavingModel(engine.name, ledger),
