--- a/library/src/test/kotlin/plantainturn/connection/store/FakeRecordStore.kt
+++ b/library/src/test/kotlin/plantainturn/connection/store/FakeRecordStore.kt
@@ -20,6 +20,9 @@
     /** Decides whether a call of the client reaches the store. */
     var reaches: () -> Boolean = { true }
 
+    /** Whether long reads answer as soon as there is a record; otherwise they hear nothing until their wait is over. */
+    var readsHearRecords: Boolean = false
+
     enum class Fate { PLAIN, ANSWER_LOST, LATE }
 
     override fun append(
@@ -64,6 +67,10 @@
         done: (StoreReadResult) -> Unit,
     ) {
         val found = records.drop(from.value.toInt())
+        if (found.isEmpty() && readsHearRecords && wait > LOOK_PERIOD) {
+            timer.schedule(LOOK_PERIOD) { read(topic, from, wait - LOOK_PERIOD, done) }
+            return
+        }
         val delay = if (found.isEmpty()) wait else latency
         timer.schedule(delay) {
             if (!reaches()) {
@@ -87,6 +94,7 @@
     }
 
     companion object {
+        val LOOK_PERIOD = 5.milliseconds
         val TIMEOUT = 450.milliseconds
         val LATENESS = 3_000.milliseconds
     }
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.LogManager
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.roster.InstanceRoster
+import plantainturn.connection.roster.RosterTimes
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.connection.store.ReadPace
 import plantainturn.connection.store.TopicFollower
@@ -71,8 +72,8 @@
     private val caller = HttpCaller(loop, timer)
     private val platform = connect(loop, caller, location(settings.store))
     private val registry = PrometheusRegistry()
-    private val roster =
-        InstanceRoster(lapseGrace = settings.drainMilliseconds.milliseconds * LAPSE_GRACE_SHARE)
+    private val rosterTimes = RosterTimes(settings.drainMilliseconds.milliseconds)
+    private val roster = InstanceRoster(rosterTimes.lapseGrace)
     private val fleet = FleetView(roster, timer)
     private val links = InstanceLinks(loop, timer, FailureDomain(settings.failureDomain))
     private val configuration = ConfigurationWatch(platform.records, ::onConfiguration)
@@ -195,7 +196,7 @@
         }
         timer.subscribe(EXCHANGE_PERIOD) { if (!stopping || lease.fence == null) issuerLink.step() }
         timer.subscribe(WAITING_PERIOD) { waiting.pump() }
-        timer.subscribe(ROSTER_PERIOD) { instances.expire() }
+        timer.subscribe(rosterTimes.sweepPeriod) { instances.expire() }
         fleet.subscribe { waiting.pump() }
     }
 
@@ -206,7 +207,7 @@
         ) {
             ReadPace(SHORT_WAIT, SHORT_REST)
         } else {
-            ReadPace(LONG_WAIT, LONG_REST)
+            ReadPace(LONG_WAIT, rosterTimes.readingRest)
         }
 
     private fun onHint(ends: TopicEnds) {
@@ -318,17 +319,12 @@
 
         /** The issuer's hints tell of changes sooner. */
         val LONG_WAIT = 8.seconds
-        val LONG_REST = 800.milliseconds
 
         /** Longer than the store is usually away. */
         val OUTAGE_TOLERANCE = 12.seconds
-
-        /** Requests to an instance that left must have ended in the rest of the time. */
-        const val LAPSE_GRACE_SHARE = 0.6
         val CONTROL_PERIOD = 50.milliseconds
         val EXCHANGE_PERIOD = 200.milliseconds
         val WAITING_PERIOD = 100.milliseconds
-        val ROSTER_PERIOD = 100.milliseconds
 
         /** The balancer asks each second and takes a node out after two misses. */
         val BALANCER_NOTICE = 2_300.milliseconds
