Estimate what engines have to read from what all nodes had read, and each model's reading rate apart from the base time

Two reasons: each node knew only the prompts that it had sent itself, and short prompts hid the reading rate. Nodes now tell each other what engines read, parts in flight count once, and only long prompts correct the rate.

--- a/library/src/main/kotlin/plantainturn/request/relay/EnginePace.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/EnginePace.kt
@@ -8,7 +8,8 @@
 /**
  * Learns how fast engines read prompts of each model, from the times to the first event that were seen.
  *
- * The estimate begins with [initial] and is corrected by the ratio of what was seen to what was expected.
+ * Load pattern: a small model that most requests ask for reads several times as fast as the others, and most requests
+ * have little to read, so that their times say nothing of the rate. Only times that reading dominates correct it.
  */
 public class EnginePace(
     private val initial: ReadingRate = ReadingRate(),
@@ -20,14 +21,14 @@
     public fun firstEvent(
         model: ModelName,
         unreadTokens: Int,
-    ): Duration = plain(unreadTokens) * (factors[model] ?: 1.0)
+    ): Duration = initial.base + initial.perToken * unreadTokens * factorOf(model)
 
     /** Returns engine time that a request takes: reading, and its share of the steps that generate. */
     public fun engineTime(
         model: ModelName,
         unreadTokens: Int,
         outputTokens: Int,
-    ): Duration = (initial.perToken * unreadTokens + initial.perOutputToken * outputTokens) * (factors[model] ?: 1.0)
+    ): Duration = (initial.perToken * unreadTokens + initial.perOutputToken * outputTokens) * factorOf(model)
 
     /** Takes in that a request with nothing ahead of it had its first event after [seen]. */
     public fun learn(
@@ -35,14 +36,16 @@
         unreadTokens: Int,
         seen: Duration,
     ) {
-        val ratio = seen.toDouble(DurationUnit.SECONDS) / plain(unreadTokens).toDouble(DurationUnit.SECONDS)
+        if (unreadTokens < LEAST_TELLING) return
+        val reading = (seen - initial.base).toDouble(DurationUnit.SECONDS)
+        val ratio = reading / (initial.perToken * unreadTokens).toDouble(DurationUnit.SECONDS)
         val count = (counts[model] ?: 0) + 1
         counts[model] = count
         val weight = maxOf(1.0 - KEPT, 1.0 / (count + 1))
-        factors[model] = (factors[model] ?: 1.0) * (1.0 - weight) + ratio.coerceIn(SMALLEST, LARGEST) * weight
+        factors[model] = factorOf(model) * (1.0 - weight) + ratio.coerceIn(SMALLEST, LARGEST) * weight
     }
 
-    private fun plain(unreadTokens: Int): Duration = initial.base + initial.perToken * unreadTokens
+    private fun factorOf(model: ModelName): Double = factors[model] ?: 1.0
 
     /**
      * How an engine reads prompts, for a model of full size.
@@ -62,5 +65,8 @@
         const val KEPT = 0.9
         const val SMALLEST = 0.1
         const val LARGEST = 4.0
+
+        /** About the tokens that are read in the time that an empty prompt takes. */
+        const val LEAST_TELLING = 1_000
     }
 }
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/relay/KeptPart.kt
@@ -0,0 +1,19 @@
+package plantainturn.request.relay
+
+import kotlinx.serialization.Serializable
+import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.UpstreamName
+
+/**
+ * A part of a prompt that [engine] has read for [model] and [adapter], as nodes tell each other.
+ *
+ * @property adapter null for the model itself
+ * @property part the part's identifier
+ */
+@Serializable
+public data class KeptPart(
+    val engine: UpstreamName,
+    val model: ModelName,
+    val adapter: ModelName?,
+    val part: String,
+)
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -21,6 +21,7 @@
 import plantainturn.relay.http.HttpCaller
 import plantainturn.relay.http.SmallAnswer
 import plantainturn.relay.http.SmallServer
+import plantainturn.relay.peer.IssuerKnowledge
 import plantainturn.relay.peer.IssuerLink
 import plantainturn.relay.peer.NodeReport
 import plantainturn.relay.peer.PeerEndpoint
@@ -197,7 +198,10 @@
         timer.subscribe(EXCHANGE_PERIOD) { if (!stopping || lease.fence == null) issuerLink.step() }
         timer.subscribe(WAITING_PERIOD) { waiting.pump() }
         timer.subscribe(rosterTimes.sweepPeriod) { instances.expire() }
-        fleet.subscribe { waiting.pump() }
+        fleet.subscribe {
+            links.prompts.retain { engine, model -> model in fleet.residentsOf(engine) }
+            waiting.pump()
+        }
     }
 
     /** Every read is priced, so one node reads often and tells the others; alone, each reads often. */
@@ -251,7 +255,7 @@
             settings.repetitionWindowSeconds.seconds,
         )
 
-    private fun report(residenceRevision: Long): NodeReport =
+    private fun report(known: IssuerKnowledge): NodeReport =
         NodeReport(
             node = incarnation,
             work = links.ownTotals().mapKeys { it.key.value },
@@ -271,7 +275,9 @@
                 demand.adapterUse().map { (adapter, use) ->
                     NodeReport.AdapterUse(adapter.first.value, adapter.second.value, rounded(use))
                 },
-            residenceRevision = residenceRevision,
+            residenceRevision = known.residenceRevision,
+            prompts = links.prompts.takeUntold(),
+            promptsKnown = known.prompts,
             quarantines = quarantine.snapshot(),
             ends = TopicEnds(configurationFollower.end.value, instanceFollower.end.value),
         )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -40,14 +40,14 @@
     private val fleet: FleetView,
     private val links: InstanceLinks,
     private val quarantine: QuarantineRegister,
-    private val report: (Long) -> NodeReport,
+    private val report: (IssuerKnowledge) -> NodeReport,
     private val onHint: (TopicEnds) -> Unit,
 ) : ResidenceDesk {
     private val logger = LogManager.getLogger("issuer-link")
     private var arrivals: Map<String, Long> = emptyMap()
     private var arrivalsAt = Moment.ORIGIN
-    private var residenceRevision = UNKNOWN_REVISION
-    private var residenceFrom: String? = null
+    private var knowledge = IssuerKnowledge.NONE
+    private var knowledgeFrom: String? = null
     private var heardAt: Moment? = null
     private var lookedAt: Moment? = null
     private var calling = false
@@ -62,7 +62,7 @@
     /** Exchanges reports with the issuer, if the last exchange has ended. */
     fun step() {
         if (lease.fence != null) {
-            take(hub.exchange(report(residenceRevision)), SELF)
+            take(hub.exchange(report(knownFrom(SELF))), SELF)
             return
         }
         val location = issuerLocation()
@@ -99,7 +99,7 @@
     private fun call(location: SocketLocation) {
         calling = true
         val from = location.toString()
-        val body = Json.encodeToString(NodeReport.serializer(), report(revisionKnownFrom(from))).toByteArray()
+        val body = Json.encodeToString(NodeReport.serializer(), report(knownFrom(from))).toByteArray()
         caller.call(location, HttpCall(HttpMethod.POST, EXCHANGE_PATH, body), EXCHANGE_TIMEOUT) { result ->
             calling = false
             val told = decode(result, IssuerReport.serializer())
@@ -111,14 +111,8 @@
         }
     }
 
-    private fun revisionKnownFrom(from: String): Long =
-        if (residenceFrom ==
-            from
-        ) {
-            residenceRevision
-        } else {
-            UNKNOWN_REVISION
-        }
+    private fun knownFrom(issuer: String): IssuerKnowledge =
+        if (knowledgeFrom == issuer) knowledge else IssuerKnowledge.NONE
 
     private fun take(
         told: IssuerReport,
@@ -133,8 +127,9 @@
         links.onOthers(told.work.mapKeys { UpstreamName(it.key) })
         quarantine.merge(told.quarantines)
         onHint(told.ends)
-        residenceRevision = told.residenceRevision
-        residenceFrom = from
+        knowledge = IssuerKnowledge(told.residenceRevision, told.promptsEnd)
+        knowledgeFrom = from
+        links.prompts.merge(told.prompts)
         if (told.issuing) fleet.onResidence(told.residence?.let(::decodeResidence))
     }
 
@@ -177,7 +172,6 @@
         const val ADAPTER_PATH = "/peer/adapter"
         private const val SELF = "self"
         private const val OK = 200
-        private const val UNKNOWN_REVISION = -1L
 
         /** Shares of what all nodes may use are small until the number of nodes is known. */
         private const val ASSUMED_NODES = 16
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import plantainturn.request.quarantine.QuarantineEntry
+import plantainturn.request.relay.KeptPart
 import plantainturn.request.relay.WorkTotals
 
 /**
@@ -12,6 +13,8 @@
  * @property work the work of all other nodes at each instance
  * @property residenceRevision the revision of [residence]
  * @property residence models and their adapters at each engine, null if the node knows this revision
+ * @property prompts news of prompts that the node does not know
+ * @property promptsEnd how much news of prompts there is
  * @property arrivals milliseconds until models on their way should be there
  */
 @Serializable
@@ -22,6 +25,8 @@
     val residenceRevision: Long,
     val residence: Map<String, Map<String, List<String>>>?,
     val arrivals: Map<String, Long>,
+    val prompts: List<KeptPart>,
+    val promptsEnd: Long,
     val quarantines: List<QuarantineEntry>,
     val ends: TopicEnds,
 )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import plantainturn.request.quarantine.QuarantineEntry
+import plantainturn.request.relay.KeptPart
 import plantainturn.request.relay.WorkTotals
 
 /**
@@ -12,6 +13,8 @@
  * @property pressure what its callers want, by base model
  * @property adapterUse how much its callers use each adapter
  * @property residenceRevision the newest revision of residence that it knows
+ * @property prompts shared parts of prompts that engines have read for its callers since its last report
+ * @property promptsKnown how much of the issuer's news of prompts it knows
  */
 @Serializable
 internal data class NodeReport(
@@ -20,6 +23,8 @@
     val pressure: Map<String, PressureReport>,
     val adapterUse: List<AdapterUse>,
     val residenceRevision: Long,
+    val prompts: List<KeptPart>,
+    val promptsKnown: Long,
     val quarantines: List<QuarantineEntry>,
     val ends: TopicEnds,
 ) {
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -16,6 +16,7 @@
     private val timer: TimerService,
 ) {
     private val heard = HashMap<String, Heard>()
+    private val promptNews = PromptNews()
 
     /** Takes in [report] and returns the answer to it. */
     fun exchange(report: NodeReport): IssuerReport {
@@ -23,6 +24,7 @@
         heard[report.node] = Heard(report, now)
         heard.values.removeIf { now - it.at > MEMBER_SILENCE }
         quarantine.merge(report.quarantines)
+        promptNews.add(report.prompts)
         tellIssuer()
         val others = heard.values.map { it.report }.filter { it.node != report.node }
         val residence = issuer.residence().takeIf { issuer.revision != report.residenceRevision }
@@ -38,6 +40,8 @@
                             models.map { (model, adapters) -> model.value to adapters.map { it.value } }.toMap()
                     }?.toMap(),
             arrivals = issuer.arrivals().map { (model, left) -> model.value to left.inWholeMilliseconds }.toMap(),
+            prompts = promptNews.since(report.promptsKnown),
+            promptsEnd = promptNews.end,
             quarantines = quarantine.snapshot(),
             ends = heard.values.map { it.report.ends }.reduce(TopicEnds::latest),
         )
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -20,7 +20,9 @@
     private val ownDomain: FailureDomain,
 ) {
     private val links = HashMap<UpstreamName, Link>()
-    internal val prompts = PromptMemory()
+
+    /** What engines keep of prompts. */
+    internal val prompts: PromptMemory = PromptMemory()
 
     /** Returns this node's own work at each instance. */
     public fun ownTotals(): Map<UpstreamName, WorkTotals> =
@@ -37,10 +39,8 @@
     /** Closes the connections to instances that are not in [present] or run anew. */
     public fun retain(present: Map<UpstreamName, UpstreamInstance>) {
         val gone = links.filter { (name, link) -> present[name]?.let { link.isFor(it) } != true }.keys
-        for (name in gone) {
-            links.remove(name)?.pool?.close()
-            prompts.forget(name)
-        }
+        for (name in gone) links.remove(name)?.pool?.close()
+        prompts.retain { engine, _ -> engine !in gone }
     }
 
     internal fun standing(instance: UpstreamInstance): InstanceStanding = link(instance).standing
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -55,7 +55,10 @@
 
     fun begin(reuse: Duration) {
         standing.begin(work)
-        exchange.request.demand?.let { context.demand.onAdapterRunning(it, 1) }
+        exchange.request.demand?.let {
+            context.demand.onAdapterRunning(it, 1)
+            context.links.prompts.onSend(instance.name, it)
+        }
         standing.health.onSend(begunAt)
         context.links.pool(instance).acquire(reuse) { result ->
             when (result) {
@@ -209,6 +212,7 @@
         promptRead = true
         standing.onPromptRead(work)
         val demand = exchange.request.demand ?: return
+        context.links.prompts.onEnd(instance.name, demand)
         context.links.prompts.onRead(instance.name, demand)
         val sent = sentAt ?: return
         if (decision.tokensAhead == 0) context.pace.learn(demand.model, work.unreadTokens, now - sent)
@@ -217,7 +221,9 @@
     private fun settle() {
         ended = true
         standing.end(work, promptRead)
-        exchange.request.demand?.let { context.demand.onAdapterRunning(it, -1) }
+        val demand = exchange.request.demand ?: return
+        context.demand.onAdapterRunning(demand, -1)
+        if (!promptRead) context.links.prompts.onEnd(instance.name, demand)
     }
 
     private fun isLong(head: HttpResponse): Boolean = HttpUtil.getContentLength(head, 0L) > MAXIMUM_GATHERED
