Relieve engines by the use of all their models, and let an awaited model take a silent one's place

The planner now weighs what is missed at the use of whole engines, and a stay is measured by the model's own load time.

--- a/library/src/main/kotlin/plantainturn/process/control/residence/ResidencePlanner.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/ResidencePlanner.kt
@@ -12,9 +12,9 @@
  * Load patterns that it answers: demand that moves to other models while all places are taken (the models that fell
  * silent make way, at the engine that can take the wanted one in soonest); rare models asked for at once (each gets one
  * copy before any gets two); a crash that takes three models with it (they come back where a copy lies on disk or in
- * host memory, the most wanted first); one model that is more than one engine can bear (a second copy in place of a
- * silent model). A second copy for safety takes only room that is free, so that two models never take turns. It keeps
- * no state, and equal inputs give equal moves.
+ * host memory, the most wanted first); models that are together more than one engine can bear (a further copy of one
+ * of them at an idle engine, in place of a silent model). A second copy for safety takes only room that is free, so that
+ * two models never take turns. It keeps no state, and equal inputs give equal moves.
  */
 public class ResidencePlanner(
     private val settings: ResidenceSettings = ResidenceSettings(),
@@ -39,9 +39,7 @@
 
         fun moves(): List<ResidenceMove> {
             for (engine in input.engines) engine.holding.forEach { copies.merge(it, 1, Int::plus) }
-            for ((model, pressure) in input.pressure) {
-                shares[model] = pressure.engineSharesWanted / (copies[model] ?: 1).coerceAtLeast(1)
-            }
+            input.pressure.keys.forEach(::noteShare)
             missing().forEach { place(it, Need.MISSING) }
             overloaded().forEach { place(it, Need.OVERLOADED) }
             unprotected().forEach { place(it, Need.UNPROTECTED) }
@@ -57,8 +55,9 @@
 
         private fun overloaded(): List<ServedModel> =
             fleet.models.values
-                .filter { copiesOf(it.name) > 0 && shareOf(it.name) > settings.overloadedShare }
-                .sortedWith(compareBy({ -shareOf(it.name) }, { it.name }))
+                .filter { copiesOf(it.name) > 0 && shareOf(it.name) >= settings.movableShare }
+                .filter { leastUtilisation(it.name) > settings.overloadedShare }
+                .sortedWith(compareBy({ -pressure(it.name).worthPerSecond * missedAt(it.name) }, { it.name }))
 
         private fun unprotected(): List<ServedModel> =
             fleet.models.values
@@ -88,7 +87,13 @@
                     )
                 copies.merge(victim, -1, Int::plus)
                 copies.merge(model.name, 1, Int::plus)
+                noteShare(victim)
             }
+            noteShare(model.name)
+        }
+
+        private fun noteShare(model: ModelName) {
+            shares[model] = pressure(model).engineSharesWanted / copiesOf(model).coerceAtLeast(1)
         }
 
         private fun option(
@@ -100,7 +105,9 @@
             val fromStore = model.name !in engine.hostCopies && model.name !in engine.diskCopies
             if (fromStore && storeLoadsLeft <= 0) return null
             val load = loadTime(engine, model)
-            val victim = if (hasRoom(engine, model)) null else victimAt(engine, model, need) ?: return null
+            val room = hasRoom(engine, model)
+            val victim = if (room) null else victimAt(engine, model, need, load) ?: return null
+            if (room && need == Need.OVERLOADED && gainOf(model.name, need, engine, null) <= costOf(load)) return null
             val cost =
                 load.toDouble(DurationUnit.SECONDS) * (settings.loadSecondCost + adaptersBlocked(engine)) +
                     utilisation(engine) * settings.utilisationCost +
@@ -113,9 +120,10 @@
             engine: EngineSituation,
             model: ServedModel,
             need: Need,
+            load: Duration,
         ): ModelName? =
             engine.residents
-                .filter { it != engine.unloading && mayGo(engine, it, model, need) }
+                .filter { it != engine.unloading && mayGo(engine, it, model, need, load) }
                 .minWithOrNull(compareBy({ lossOf(it) }, { it }))
 
         private fun mayGo(
@@ -123,22 +131,35 @@
             resident: ModelName,
             wanted: ServedModel,
             need: Need,
+            load: Duration,
         ): Boolean {
             val since = engine.residentSince[resident]
-            val settled = since == null || input.now - since >= settings.minimumResidence
-            val factor = if (copiesOf(resident) > 1) 1.0 else settings.worthFactor
-            return settled && lossOf(resident) * factor < gainOf(wanted.name, need)
+            val stay = maxOf(settings.minimumResidence, coldLoadOf(resident) * settings.residencePerLoad)
+            if (since != null && input.now - since < stay) return false
+            val isAwaited = need == Need.MISSING && pressure(wanted.name).waiting > 0
+            val factor = if (copiesOf(resident) > 1 || isAwaited) 1.0 else settings.worthFactor
+            val cost = if (need == Need.OVERLOADED) costOf(load) else 0.0
+            return lossOf(resident) * factor + cost < gainOf(wanted.name, need, engine, resident)
         }
 
-        /** Worth a second that [wanted] gains by one more copy. */
+        /** Worth a second that [wanted] gains by one more copy at [engine] in place of [victim]. */
         private fun gainOf(
             wanted: ModelName,
             need: Need,
+            engine: EngineSituation,
+            victim: ModelName?,
         ): Double {
             val pressure = pressure(wanted)
             return when (need) {
-                Need.MISSING -> pressure.worthPerSecond + pressure.waiting * settings.waitingWorth
-                Need.OVERLOADED -> pressure.worthPerSecond * minOf(shareOf(wanted), 1.0)
+                Need.MISSING ->
+                    maxOf(pressure.worthPerSecond, if (pressure.waiting > 0) silentWorth else 0.0) +
+                        pressure.waiting * settings.waitingWorth
+                Need.OVERLOADED -> {
+                    val relief = shareOf(wanted) - pressure.engineSharesWanted / (copiesOf(wanted) + 1)
+                    val there = utilisation(engine) - (victim?.let(::shareOf) ?: 0.0) + shareOf(wanted) - relief
+                    val after = (leastUtilisation(wanted) - relief + there) / 2
+                    pressure.worthPerSecond * (missedAt(wanted) - missedShare(after))
+                }
                 Need.UNPROTECTED -> 0.0
             }
         }
@@ -146,12 +167,34 @@
         /** Worth a second that is lost while [resident] has one copy less. */
         private fun lossOf(resident: ModelName): Double {
             val count = copiesOf(resident)
-            val worth = pressure(resident).worthPerSecond
-            if (count <= 1) return maxOf(worth, silentWorth)
-            val shareAfter = pressure(resident).engineSharesWanted / (count - 1)
-            return if (shareAfter > settings.overloadedShare) worth * minOf(shareAfter, 1.0) else MINIMAL_GAIN / 2
+            val pressure = pressure(resident)
+            if (count <= 1) return maxOf(pressure.worthPerSecond, silentWorth)
+            val surplus = pressure.engineSharesWanted / (count - 1) - shareOf(resident)
+            val missed = missedShare(leastUtilisation(resident) + surplus) - missedAt(resident)
+            return maxOf(pressure.worthPerSecond * missed, MINIMAL_GAIN / 2)
         }
 
+        /** Worth a second that a load must bring to be worth its time. */
+        private fun costOf(load: Duration): Double =
+            load.toDouble(DurationUnit.SECONDS) * settings.loadSecondCost /
+                settings.payback.toDouble(DurationUnit.SECONDS)
+
+        private fun coldLoadOf(model: ModelName): Duration = fleet.models[model]?.coldLoad ?: Duration.ZERO
+
+        /** The utilisation of the engine that can best take requests for [model]. */
+        private fun leastUtilisation(model: ModelName): Double =
+            input.engines.filter { model in it.holding }.minOfOrNull(::utilisation) ?: 0.0
+
+        private fun missedAt(model: ModelName): Double = missedShare(leastUtilisation(model))
+
+        /** The part of the worth of requests that an engine at [utilisation] does not earn: late ones earn little. */
+        private fun missedShare(utilisation: Double): Double =
+            when {
+                utilisation <= settings.promptShare -> 0.0
+                utilisation >= 1.0 -> 1.0 - FULL_ENGINE_EARNS / (utilisation * utilisation)
+                else -> (1 - FULL_ENGINE_EARNS) * (utilisation - settings.promptShare) / (1 - settings.promptShare)
+            }
+
         private fun hasRoom(
             engine: EngineSituation,
             model: ServedModel,
@@ -207,5 +250,8 @@
     private companion object {
         val NO_PRESSURE = ModelPressure()
         const val MINIMAL_GAIN = 0.001
+
+        /** Part of the worth that requests earn at an engine that is just full: about half of them are late. */
+        const val FULL_ENGINE_EARNS = 0.5
     }
 }
--- a/library/src/test/kotlin/plantainturn/process/control/residence/ResidencePlannerTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/control/residence/ResidencePlannerTest.kt
@@ -94,6 +94,46 @@
         assertEquals(ModelName("a"), move.wanted)
     }
 
+    @Test
+    fun `models that are too much together are spread over idle engines`() {
+        val input =
+            input(
+                engine("one", "a", "b"),
+                engine("two", "c", "d"),
+                engine("three", "e", "f"),
+                pressure = mapOf("a" to busy(9.0, 0.45), "b" to busy(9.0, 0.4)),
+                models = "abcdef",
+            )
+
+        val move = planner.plan(input).single()
+
+        assertTrue(move.engine != UpstreamName("one"), "no single model is too much for its engine")
+        assertTrue(move.wanted in setOf(ModelName("a"), ModelName("b")))
+    }
+
+    @Test
+    fun `a copy that many need less than one somewhat overloaded engine stays`() {
+        val input =
+            input(
+                engine("one", "a", "b"),
+                engine("two", "a", "c"),
+                pressure = mapOf("a" to busy(9.0, 0.9), "b" to busy(2.0, 0.1), "c" to busy(2.0, 0.1)),
+            )
+
+        assertEquals(emptyList(), planner.plan(input))
+    }
+
+    @Test
+    fun `a model that a request waits for takes the place of one that nobody asks for`() {
+        val input =
+            input(engine("one", "a", "b"), engine("two", "c", "d"), pressure = mapOf("a" to busy(9.0, 0.2), "e" to RARE))
+
+        val move = planner.plan(input).single()
+
+        assertEquals(ModelName("e"), move.wanted)
+        assertTrue(move.action.model != ModelName("a"))
+    }
+
     @Test
     fun `free room gives a wanted model a second copy`() {
         val input =
@@ -122,6 +162,9 @@
     private companion object {
         val NOW = Moment.ORIGIN + 100.seconds
 
+        /** One request a while ago, and one that waits. */
+        val RARE = ModelPressure(worthPerSecond = 0.12, waiting = 1)
+
         fun busy(
             worth: Double,
             shares: Double,
--- a/relay/src/main/kotlin/plantainturn/relay/request/DemandMeter.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/DemandMeter.kt
@@ -105,7 +105,7 @@
         const val WORTH_MEMORY_SECONDS = 8.0
 
         /** Short against the time in which load rises. */
-        const val WORK_MEMORY_SECONDS = 5.0
+        const val WORK_MEMORY_SECONDS = 3.0
         const val NEGLIGIBLE = 0.005
         const val RUNNING_WEIGHT = 100.0
     }
