Let an instance that answers errors to one node be avoided by all

What an instance answered itself is now told to the others; failures that a link may be to blame for are not.

--- a/library/src/main/kotlin/plantainturn/request/relay/InstanceHealth.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/InstanceHealth.kt
@@ -12,7 +12,8 @@
  *
  * Load pattern: an instance that fails part of its requests, or all, while it claims to be healthy. Failures add up and
  * fade; at a sum of 1 the instance is suspected and gets no requests for a while that doubles each time. Then a single
- * request tries it.
+ * request tries it. What it answered itself also counts at the other nodes, which then lose no requests to find out;
+ * what may be the fault of a link does not.
  */
 public class InstanceHealth {
     private var score = 0.0
@@ -20,13 +21,28 @@
     private var suspectedUntil: Moment? = null
     private var pause = INITIAL_PAUSE
     private var trialRunning = false
+    private var answeredErrors = false
+    private var suspectedElsewhereUntil: Moment? = null
 
     /** Returns whether requests should go elsewhere at [now]. */
     public fun isSuspected(now: Moment): Boolean {
+        if (suspectedElsewhereUntil?.let { now < it } == true) return true
         val until = suspectedUntil ?: return false
         return now < until || trialRunning
     }
 
+    /** Returns how much longer the instance is suspected for errors that it answered; null if it is not. */
+    public fun suspicionToTell(now: Moment): Duration? =
+        suspectedUntil?.takeIf { answeredErrors && now < it }?.let { it - now }
+
+    /** Takes over how much longer other nodes suspect the instance; null if none does. */
+    public fun onSuspicionElsewhere(
+        remaining: Duration?,
+        now: Moment,
+    ) {
+        suspectedElsewhereUntil = remaining?.let { now + minOf(it, LONGEST_PAUSE) }
+    }
+
     /** Notes that a request is given to the instance. */
     public fun onSend(now: Moment) {
         val until = suspectedUntil
@@ -63,6 +79,7 @@
         val already = suspectedUntil?.let { now < it } ?: false
         if (already) return false
         suspectedUntil = now + pause
+        answeredErrors = kind == FailureKind.ERROR
         pause = minOf(pause * 2, LONGEST_PAUSE)
         score = minOf(score, SUSPECT)
         return true
--- a/library/src/test/kotlin/plantainturn/request/relay/InstanceHealthTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/InstanceHealthTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test
 import plantainturn.process.time.Moment
 import kotlin.random.Random
+import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
@@ -71,6 +72,20 @@
         assertTrue(found)
     }
 
+    @Test
+    fun `errors that one node saw keep the others away, but not what may be the fault of its link`() {
+        val other = InstanceHealth()
+        repeat(3) { health.onFailure(FailureKind.ERROR, at(it)) }
+        other.onSuspicionElsewhere(health.suspicionToTell(at(10)), at(10))
+
+        assertTrue(other.isSuspected(at(100)))
+        assertFalse(other.isSuspected(at(1_000)), "the node that found out tries it again")
+
+        val cutOff = InstanceHealth()
+        cutOff.onFailure(FailureKind.UNREACHABLE, at(0))
+        assertEquals(null, cutOff.suspicionToTell(at(10)))
+    }
+
     private companion object {
         fun at(milliseconds: Int): Moment = Moment.ORIGIN + milliseconds.milliseconds
     }
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -259,6 +259,7 @@
         NodeReport(
             node = incarnation,
             work = links.ownTotals().mapKeys { it.key.value },
+            suspects = links.suspicions().map { it.key.value to it.value.inWholeMilliseconds }.toMap(),
             pressure =
                 demand
                     .pressure(waiting.byModel())
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -125,6 +125,7 @@
         arrivals = told.arrivals
         arrivalsAt = now
         links.onOthers(told.work.mapKeys { UpstreamName(it.key) })
+        links.onSuspicions(told.suspects.map { UpstreamName(it.key) to it.value.milliseconds }.toMap())
         quarantine.merge(told.quarantines)
         onHint(told.ends)
         knowledge = IssuerKnowledge(told.residenceRevision, told.promptsEnd)
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -11,6 +11,7 @@
  * @property issuing whether the answering node holds the lease
  * @property nodes nodes that it heard from lately, itself included
  * @property work the work of all other nodes at each instance
+ * @property suspects milliseconds for which other nodes suspect instances that answered errors
  * @property residenceRevision the revision of [residence]
  * @property residence models and their adapters at each engine, null if the node knows this revision
  * @property prompts news of prompts that the node does not know
@@ -22,6 +23,7 @@
     val issuing: Boolean,
     val nodes: Int,
     val work: Map<String, WorkTotals>,
+    val suspects: Map<String, Long>,
     val residenceRevision: Long,
     val residence: Map<String, Map<String, List<String>>>?,
     val arrivals: Map<String, Long>,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -10,6 +10,7 @@
  *
  * @property node names this run of the node
  * @property work its own work at each instance
+ * @property suspects milliseconds for which it suspects instances that answered errors
  * @property pressure what its callers want, by base model
  * @property adapterUse how much its callers use each adapter
  * @property residenceRevision the newest revision of residence that it knows
@@ -20,6 +21,7 @@
 internal data class NodeReport(
     val node: String,
     val work: Map<String, WorkTotals>,
+    val suspects: Map<String, Long>,
     val pressure: Map<String, PressureReport>,
     val adapterUse: List<AdapterUse>,
     val residenceRevision: Long,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -32,6 +32,7 @@
             issuing = issuer.isActive,
             nodes = heard.size,
             work = sum(others),
+            suspects = suspects(others),
             residenceRevision = issuer.revision,
             residence =
                 residence
@@ -77,6 +78,14 @@
         return totals
     }
 
+    private fun suspects(reports: List<NodeReport>): Map<String, Long> {
+        val longest = HashMap<String, Long>()
+        for (report in reports) {
+            for ((instance, remaining) in report.suspects) longest.merge(instance, remaining, ::maxOf)
+        }
+        return longest
+    }
+
     private class Heard(
         val report: NodeReport,
         val at: Moment,
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -11,6 +11,7 @@
 import plantainturn.request.relay.WorkTotals
 import plantainturn.version.configuration.FailureDomain
 import plantainturn.version.configuration.UpstreamName
+import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
 /** This node's connections to instances, and what it knows of the work there. */
@@ -36,6 +37,18 @@
         for ((name, link) in links) link.standing.others = totals[name] ?: WorkTotals.NONE
     }
 
+    /** Returns which instances this node suspects for errors that they answered, and for how much longer. */
+    public fun suspicions(): Map<UpstreamName, Duration> {
+        val now = timer.now()
+        return links.mapNotNull { (name, link) -> link.standing.health.suspicionToTell(now)?.let { name to it } }.toMap()
+    }
+
+    /** Takes over which instances the other nodes suspect. */
+    public fun onSuspicions(elsewhere: Map<UpstreamName, Duration>) {
+        val now = timer.now()
+        for ((name, link) in links) link.standing.health.onSuspicionElsewhere(elsewhere[name], now)
+    }
+
     /** Closes the connections to instances that are not in [present] or run anew. */
     public fun retain(present: Map<UpstreamName, UpstreamInstance>) {
         val gone = links.filter { (name, link) -> present[name]?.let { link.isFor(it) } != true }.keys
