Keep the lease through a planned stop while the store is away; claim at once where the last holder ended

It now goes on until the store hears of it or its time to stop ends. After all processes were killed every node waited for the term of a holder that had ended; the node at that holder's address knows and claims at once.

--- a/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
@@ -60,7 +60,7 @@
         val current = held ?: return false
         val now = timer.now()
         val permitted = now < current.validUntil || goesOnInOutage(current, now)
-        return !stopping && permitted && now >= current.ordersFrom && !wasSuspended(current)
+        return permitted && now >= current.ordersFrom && !wasSuspended(current)
     }
 
     /** The store does not answer this node. There may be a successor, but then engines refuse this node's orders. */
@@ -68,10 +68,11 @@
         current: Held,
         now: Moment,
     ): Boolean {
-        val unanswered = renewalFailedAt?.let { it > current.renewedAt } ?: false
-        return unanswered && now < current.validUntil + settings.outageTolerance
+        return isUnanswered(current) && now < current.validUntil + settings.outageTolerance
     }
 
+    private fun isUnanswered(current: Held): Boolean = renewalFailedAt?.let { it > current.renewedAt } ?: false
+
     /** Looks at the lease: renews it if it is held and due, and otherwise competes for it if [mayContend]. */
     public fun step(mayContend: Boolean) {
         if (calling) return
@@ -88,10 +89,18 @@
         if (!calling && held == null) read()
     }
 
-    /** Gives the lease back, if it is held, and competes for it no more. */
+    /**
+     * Gives the lease back, if it is held, and competes for it no more.
+     *
+     * While the store does not answer, nobody could take the lease over, so it is held on to until the store answers.
+     */
     public fun release() {
         stopping = true
         val current = held ?: return
+        if (!calling && !isUnanswered(current)) giveBack(current)
+    }
+
+    private fun giveBack(current: Held) {
         lose("released")
         val record = HolderRecord(NOBODY, "", current.fence.value)
         append(record, current.end) { logger.info("event=lease-release fence={} result={}", current.fence, it) }
@@ -129,14 +138,17 @@
     ) {
         val current = held ?: return
         when (result) {
-            is StoreAppendResult.Appended ->
-                held =
+            is StoreAppendResult.Appended -> {
+                val renewed =
                     current.copy(
                         end = result.offset.next(),
                         renewedAt = sentAt,
                         validUntil = sentAt + settings.term,
                         clockDifference = difference,
                     )
+                held = renewed
+                if (stopping) giveBack(renewed)
+            }
             is StoreAppendResult.Conflict -> findEnd(current)
             is StoreAppendResult.Refused, is StoreAppendResult.Unknown -> {
                 renewalFailedAt = timer.now()
@@ -193,7 +205,14 @@
             if (before != null && before.end == result.next) {
                 before.copy(checkedTwice = true)
             } else {
-                Observation(result.next, record, timer.now(), checkedTwice = record == null)
+                Observation(
+                    result.next,
+                    record,
+                    timer.now(),
+                    checkedTwice = record == null,
+                    // Only one process listens at an address, so the one that held the lease there has ended.
+                    endedHere = record != null && record.address == address && record.holder != holder.value,
+                )
             }
     }
 
@@ -285,13 +304,15 @@
         val record: HolderRecord?,
         val at: Moment,
         val checkedTwice: Boolean,
+        val endedHere: Boolean,
     ) {
-        fun mayClaimAt(settings: StoreLeaseSettings): Moment = if (isFree) at else at + settings.contenderWait
+        fun mayClaimAt(settings: StoreLeaseSettings): Moment =
+            if (isFree || endedHere) at else at + settings.contenderWait
 
         /** The previous holder's last order is at least [StoreLeaseSettings.handOverPause] older. */
         fun ordersFrom(settings: StoreLeaseSettings): Moment =
             when {
-                record == null -> at
+                record == null || endedHere -> at
                 isFree -> at + settings.handOverPause
                 else -> at + settings.term + settings.handOverPause
             }
--- a/library/src/test/kotlin/plantainturn/process/control/lease/StoreLeaseTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/control/lease/StoreLeaseTest.kt
@@ -141,6 +141,37 @@
         assertFalse(holder.lease.permitsOrders())
     }
 
+    @Test
+    fun `a holder that stops while the store is away goes on until the store can hear of it`() {
+        val nodes = List(2) { Node(lease(it, settings.copy(outageTolerance = 10_000.milliseconds))) }
+        store.records.clear()
+        run(nodes, 1_000)
+        val holder = nodes.single { it.lease.permitsOrders() }
+        nodes.forEach { it.reaches = false }
+        run(nodes, 1_000)
+        holder.lease.release()
+        run(nodes, 3_000)
+        assertTrue(holder.lease.permitsOrders(), "nobody else could take over")
+        nodes.forEach { it.reaches = true }
+
+        run(nodes, 3_000) { assertTrue(nodes.count { it.lease.permitsOrders() } <= 1) }
+
+        assertTrue(nodes.single { it !== holder }.lease.permitsOrders())
+    }
+
+    @Test
+    fun `a node that starts again at the last holder's address does not wait for the term to end`() {
+        store.records.clear()
+        run(listOf(Node(lease(0))), 1_000)
+        val again = Node(lease(0, holder = "node-0-again"))
+        val other = Node(lease(1))
+
+        run(listOf(again, other), 300)
+
+        assertTrue(again.lease.permitsOrders())
+        assertFalse(other.lease.permitsOrders())
+    }
+
     @Test
     fun `never two nodes may give orders, whatever the store and the links do`() {
         for (seed in 1..40) {
@@ -194,9 +225,10 @@
     private fun lease(
         number: Int,
         settings: StoreLeaseSettings = Companion.settings,
+        holder: String = "node-$number",
     ) = StoreLease(
         store,
-        HolderIdentifier("node-$number"),
+        HolderIdentifier(holder),
         "127.0.0.1:$number",
         timer,
         { civilOffset + timer.now().nanoseconds / 1_000_000 },
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -175,7 +175,8 @@
             }
             timer.subscribe(STOP_CHECK_PERIOD) {
                 val elapsed = timer.now() - givenAt
-                val quiet = handler.inProgress == 0 && callers.size == 0
+                val issuing = lease.permitsOrders()
+                val quiet = handler.inProgress == 0 && callers.size == 0 && !issuing
                 val late = elapsed > settings.stopSeconds.seconds - STOP_MARGIN
                 if (elapsed > LAST_REQUESTS && quiet || late) stopped.countDown()
             }
