--- a/library/src/main/kotlin/plantainturn/process/control/residence/ResidenceSettings.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/ResidenceSettings.kt
@@ -12,6 +12,7 @@
  *   pays: bursts of two or three times the usual are common
  * @property promptShare part of an engine's time up to which nearly all requests begin in time
  * @property movableShare part of an engine's time below which a model's further copy relieves nothing
+ * @property slowLoad longer than callers wait for a model to be there
  * @property payback the time in which a load must bring what it costs; demand moves after about this
  * @property protectedWorth worth a second from which on a model gets a second copy in place of a silent one
  * @property waitingWorth worth a second that one waiting request counts for
@@ -26,6 +27,7 @@
     val overloadedShare: Double = 0.4,
     val promptShare: Double = 0.25,
     val movableShare: Double = 0.1,
+    val slowLoad: Duration = 2.5.seconds,
     val payback: Duration = 10.seconds,
     val protectedWorth: Double = 1.0,
     val waitingWorth: Double = 0.15,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -131,6 +131,7 @@
         knowledge = IssuerKnowledge(told.residenceRevision, told.promptsEnd)
         knowledgeFrom = from
         links.prompts.merge(told.prompts)
+        issuer.onLoads(told.loadAges.map { now - it.milliseconds })
         if (told.issuing) fleet.onResidence(told.residence?.let(::decodeResidence))
     }
 
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -14,6 +14,7 @@
  * @property suspects milliseconds for which other nodes suspect instances that answered errors
  * @property residenceRevision the revision of [residence]
  * @property residence models and their adapters at each engine, null if the node knows this revision
+ * @property loadAges milliseconds since loads from the weight store began, for an issuer that follows
  * @property prompts news of prompts that the node does not know
  * @property promptsEnd how much news of prompts there is
  * @property arrivals milliseconds until models on their way should be there
@@ -27,6 +28,7 @@
     val residenceRevision: Long,
     val residence: Map<String, Map<String, List<String>>>?,
     val arrivals: Map<String, Long>,
+    val loadAges: List<Long>,
     val prompts: List<KeptPart>,
     val promptsEnd: Long,
     val quarantines: List<QuarantineEntry>,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -41,6 +41,7 @@
                             models.map { (model, adapters) -> model.value to adapters.map { it.value } }.toMap()
                     }?.toMap(),
             arrivals = issuer.arrivals().map { (model, left) -> model.value to left.inWholeMilliseconds }.toMap(),
+            loadAges = issuer.recentLoads().map { (now - it).inWholeMilliseconds },
             prompts = promptNews.since(report.promptsKnown),
             promptsEnd = promptNews.end,
             quarantines = quarantine.snapshot(),
--- a/relay/src/main/kotlin/plantainturn/relay/residence/IssuerContext.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerContext.kt
@@ -4,6 +4,7 @@
 import plantainturn.process.control.lease.StoreLease
 import plantainturn.process.control.residence.ModelPressure
 import plantainturn.process.control.residence.ResidencePlanner
+import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.ServiceName
@@ -28,6 +29,9 @@
     /** How much each adapter is used at all nodes, by model and adapter. */
     var adapterUse: Map<Pair<ModelName, ModelName>, Double> = emptyMap()
 
+    /** When loads from the weight store began that another issuer told of, null if none did. */
+    var loadsTold: List<Moment>? = null
+
     /** Grows whenever residence may have changed. */
     var revision: Long = 0
         private set
--- a/relay/src/main/kotlin/plantainturn/relay/residence/ResidenceIssuer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/ResidenceIssuer.kt
@@ -9,6 +9,7 @@
 import plantainturn.process.control.lease.StoreLease
 import plantainturn.process.control.residence.ModelPressure
 import plantainturn.process.control.residence.ResidencePlanner
+import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.ServiceName
@@ -56,6 +57,14 @@
         context.adapterUse = adapterUse
     }
 
+    /** Takes over when loads from the weight store began lately, as the issuer told. */
+    public fun onLoads(began: List<Moment>) {
+        context.loadsTold = began
+    }
+
+    /** Returns when loads from the weight store began lately. */
+    public fun recentLoads(): List<Moment> = session?.recentLoads().orEmpty()
+
     /** Looks at every engine and begins what is due. */
     public fun step() {
         val fence = lease.fence
--- a/relay/src/main/kotlin/plantainturn/relay/residence/StoreLoadPacer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/StoreLoadPacer.kt
@@ -7,16 +7,14 @@
 /**
  * Counts loads from the weight store against its ceiling, over a sliding window.
  *
- * A new issuer does not know what the one before it began, so it uses only the ceiling's margin in its first window.
- *
- * @param first whether there was no issuer before
+ * @param known loads that issuers before this one began, as far as its node was told; null if it was not told
  */
 internal class StoreLoadPacer(
     private val window: Duration,
     private val startedAt: Moment,
-    private val first: Boolean,
+    private val known: List<Moment>?,
 ) {
-    private val begun = ArrayDeque<Moment>()
+    private val begun = ArrayDeque(known.orEmpty().sorted())
     private val doubtful = ArrayDeque<Moment>()
 
     /** Returns the loads that may begin at [now] when the store allows [perSecond]. */
@@ -24,11 +22,18 @@
         perSecond: Double,
         now: Moment,
     ): Int {
-        while (begun.firstOrNull()?.let { it < now - window } == true) begun.removeFirst()
-        while (doubtful.firstOrNull()?.let { it < now - LATEST_BEGIN - window } == true) doubtful.removeFirst()
-        val whole = (perSecond * window.inWholeSeconds * USED_SHARE).toInt().coerceAtLeast(1)
-        val unsure = !first && now - startedAt < window
-        return (if (unsure) minOf(whole, MARGIN) else whole) - begun.size - doubtful.size
+        forget(now)
+        val rated = perSecond * window.inWholeSeconds
+        val whole = (rated * USED_SHARE).toInt().coerceAtLeast(1)
+        val unsure = known == null && now - startedAt < window
+        val beside = (rated * CEILING_SHARE).toInt() + MARGIN - whole
+        return (if (unsure) minOf(whole, beside) else whole) - begun.size - doubtful.size
+    }
+
+    /** Returns when loads began in the window that ends at [now]. */
+    fun recent(now: Moment): List<Moment> {
+        forget(now)
+        return begun.toList()
     }
 
     /** Notes that a load began. */
@@ -41,14 +46,20 @@
         doubtful.addLast(now)
     }
 
+    private fun forget(now: Moment) {
+        while (begun.firstOrNull()?.let { it < now - window } == true) begun.removeFirst()
+        while (doubtful.firstOrNull()?.let { it < now - LATEST_BEGIN - window } == true) doubtful.removeFirst()
+    }
+
     private companion object {
         /** Orders that an earlier issuer gave may also begin late, and nobody tells of them. */
         const val USED_SHARE = 0.75
 
+        /** The ceiling of a window is this much of the rate and [MARGIN] loads more. */
+        const val CEILING_SHARE = 1.1
+        const val MARGIN = 3
+
         /** The platform carries unanswered orders out within 12 s. */
         val LATEST_BEGIN = 12.seconds
-
-        /** Loads that the ceiling allows in a window beyond its rate. */
-        const val MARGIN = 3
     }
 }
