Let nodes take instances' records from the issuer instead of each reading the store

The issuer reads often anyway and now hands records on with its reports; a node reads for itself as soon as the issuer's last reading is old. LeavingInstanceTest shows that the drain time holds then too.

--- a/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
@@ -9,10 +9,11 @@
 /**
  * Follows one keyed topic with one outstanding long read, and starts anew from the newest records when it must.
  *
- * A long read may hear nothing although there are records, so peers' hints of a later end are followed too. Readings
- * that are older than what is known are dropped. Confined to the thread of the node's event loop.
+ * Peers that read the same topic spare it reads: what one has read [since] is [offered][offer] to the others. A long
+ * read may hear nothing although there are records, so peers' hints of a later end are followed too. Readings that are
+ * older than what is known are dropped. Confined to the thread of the node's event loop.
  *
- * @param pace how long reads wait and rest, looked at before each
+ * @param pace how long reads wait and rest, looked at again while a read rests
  */
 public class TopicFollower(
     private val store: RecordStore,
@@ -28,11 +29,31 @@
     private var hintedAt: Moment? = null
     private var lostSince: Moment? = null
     private var failures = 0
+    private val recent = ArrayDeque<KeyedRecord>()
+    private var recentFrom: LogOffset? = null
+
+    /** When the store last answered a read, null if it has not. */
+    public var heardAt: Moment? = null
+        private set
 
     /** Where the topic ended when it was last read; 0 before the first reading. */
     public val end: LogOffset
         get() = known ?: LogOffset.FIRST
 
+    /** Returns the records from [from] on for a peer that has read up to there, null if too many have come since. */
+    public fun since(from: LogOffset): RecordsSince? {
+        val next = known ?: return null
+        val first = recentFrom ?: return null
+        if (from < first || from >= next) return null
+        return RecordsSince(from, recent.filter { it.offset >= from }, next)
+    }
+
+    /** Takes over what a peer has read, if it follows what is known here. */
+    public fun offer(offered: RecordsSince) {
+        val before = known ?: return
+        if (offered.from <= before && offered.next > before) take(offered.records, offered.next, before)
+    }
+
     /** Begins to follow. */
     public fun start(): Unit = readOn()
 
@@ -77,9 +98,21 @@
     }
 
     /** Changes come in series; each read is priced, so those that come close together are read together. */
-    private fun rest() {
-        val rest = pace().rest
-        if (rest.isPositive()) timer.schedule(rest) { readOn() } else readOn()
+    private fun rest(since: Moment) {
+        val left = since + pace().rest - timer.now()
+        if (left.isPositive()) timer.schedule(minOf(left, PACE_CHECK)) { rest(since) } else readOn()
+    }
+
+    private fun take(
+        records: List<KeyedRecord>,
+        next: LogOffset,
+        before: LogOffset,
+    ) {
+        known = maxOf(before, next)
+        val news = records.filter { it.offset >= before }
+        recent += news
+        while (recent.size > RECENT) recentFrom = recent.removeFirst().offset.next()
+        news.forEach(listener::onRecord)
     }
 
     /** Takes over [result] unless it is older than what is known, as a reading of a lagging copy may be. */
@@ -91,6 +124,8 @@
         }
         regained()
         known = result.next
+        recent.clear()
+        recentFrom = result.next
         listener.onWhole(result.records)
         return true
     }
@@ -103,10 +138,8 @@
             is StoreReadResult.Records -> {
                 if (timer.now() > due + LATE_ANSWER) noteOutage(due)
                 regained()
-                val before = end
-                known = maxOf(before, result.next)
-                result.records.filter { it.offset >= before }.forEach(listener::onRecord)
-                rest()
+                take(result.records, result.next, end)
+                rest(timer.now())
             }
             StoreReadResult.Expired -> {
                 logger.info("topic={} event=history-expired at={} action=read-newest", topic, known)
@@ -132,6 +165,7 @@
     }
 
     private fun regained() {
+        heardAt = timer.now()
         failures = 0
         val since = lostSince ?: return
         lostSince = null
@@ -140,6 +174,12 @@
     }
 
     private companion object {
+        /** Several seconds of changes, more than a peer misses between two exchanges. */
+        const val RECENT = 128
+
+        /** How soon a change of the pace is noticed. */
+        val PACE_CHECK = 100.milliseconds
+
         /** A refused read costs like any other, so a store that is down is asked a few times a second at most. */
         val RETRY_PAUSE = 250.milliseconds
         const val MAXIMUM_PAUSE_FACTOR = 3
--- a/library/src/test/kotlin/plantainturn/connection/roster/LeavingInstanceTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/roster/LeavingInstanceTest.kt
@@ -37,6 +37,33 @@
         }
     }
 
+    @Test
+    fun `a node that relies on a peer's readings reads for itself in time when these stop`() {
+        for (phase in 0 until 1_000 step 20) {
+            val late = timeInUseBehindPeer(phase.milliseconds)
+            assertTrue(late <= DRAIN - ON_THE_WAY, "phase $phase ms: in use for $late")
+        }
+    }
+
+    /** Returns how long the instance still serves at a node whose peer lost the store just before its leaving. */
+    private fun timeInUseBehindPeer(phase: Duration): Duration {
+        val timer = VirtualTimerService()
+        val store = FakeRecordStore(timer).apply { readsHearRecords = true }
+        val times = RosterTimes(DRAIN)
+        val roster = InstanceRoster(times.lapseGrace)
+        store.write("a", "ready")
+        var peerHeardAt = timer.now()
+        val relies = { timer.now() - peerHeardAt < times.peerSilence }
+        val pace = { ReadPace(8.seconds, if (relies()) 5.seconds else Duration.ZERO) }
+        TopicFollower(store, TOPIC, Fold(roster, timer), timer, pace).start()
+        timer.subscribe(times.sweepPeriod) { roster.expire(timer.now()) }
+        timer.advance(500.milliseconds)
+        store.write("b", "ready")
+        timer.advance(phase)
+        peerHeardAt = timer.now()
+        return leave(store, roster, timer, announced = false)
+    }
+
     /** Returns how long the instance still serves after its leaving is in the store, [phase] after a reading. */
     private fun timeInUse(
         phase: Duration,
@@ -53,6 +80,15 @@
         timer.advance(1.seconds)
         store.write("b", "ready")
         timer.advance(phase)
+        return leave(store, roster, timer, announced)
+    }
+
+    private fun leave(
+        store: FakeRecordStore,
+        roster: InstanceRoster,
+        timer: VirtualTimerService,
+        announced: Boolean,
+    ): Duration {
         store.write("a", if (announced) "leaving" else null)
         val leftAt = timer.now()
         while (UpstreamName("a") in roster.serving() && timer.now() - leftAt < 10.seconds) timer.advance(5.milliseconds)
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -23,6 +23,7 @@
 import plantainturn.relay.http.SmallServer
 import plantainturn.relay.peer.IssuerKnowledge
 import plantainturn.relay.peer.IssuerLink
+import plantainturn.relay.peer.IssuerReport
 import plantainturn.relay.peer.NodeReport
 import plantainturn.relay.peer.PeerEndpoint
 import plantainturn.relay.peer.PeerHub
@@ -102,21 +103,21 @@
             settings.loadWindowSeconds.seconds,
         )
     private val quarantine = QuarantineRegister(timer)
-    private val hub = PeerHub(issuer, quarantine, timer)
     private val demand = DemandMeter(timer)
     private val waiting = WaitingRequests()
+    private val configurationFollower =
+        TopicFollower(platform.store, platform.configurationTopic, configuration, timer, ::readPace)
+    private val instanceFollower =
+        TopicFollower(platform.store, platform.instanceTopic, instances, timer, ::instanceReadPace)
+    private val hub = PeerHub(issuer, quarantine, timer, instanceFollower)
     private val issuerLink: IssuerLink =
-        IssuerLink(lease, issuer, hub, caller, timer, fleet, links, quarantine, ::report, ::onHint)
+        IssuerLink(lease, issuer, hub, caller, timer, fleet, links, quarantine, ::report, ::onTold)
     private val pace = EnginePace()
     private val allowance = RepetitionAllowance(repetitions()) { issuerLink.nodes }
     private val handler = RelayHandler(context())
     private val callers = CallerServer(loop, timer, configuration, handler)
     private val small = SmallServer(loop)
     private val readiness = SmallServer(loop)
-    private val configurationFollower =
-        TopicFollower(platform.store, platform.configurationTopic, configuration, timer, ::readPace)
-    private val instanceFollower =
-        TopicFollower(platform.store, platform.instanceTopic, instances, timer, ::readPace)
     private val startedAt: Moment = timer.now()
     private var stopping = false
 
@@ -215,9 +216,17 @@
             ReadPace(LONG_WAIT, rosterTimes.readingRest)
         }
 
-    private fun onHint(ends: TopicEnds) {
-        configurationFollower.catchUp(LogOffset(ends.configuration))
-        instanceFollower.catchUp(LogOffset(ends.instances))
+    /** Instances change often, and the issuer tells of the changes that it reads. */
+    private fun instanceReadPace(): ReadPace {
+        val age = issuerLink.ageOfIssuersReading()
+        val relies = lease.fence == null && age != null && age < rosterTimes.peerSilence
+        return if (relies) ReadPace(LONG_WAIT, RELYING_REST) else readPace()
+    }
+
+    private fun onTold(told: IssuerReport) {
+        told.instances?.let { instanceFollower.offer(it.decode()) }
+        configurationFollower.catchUp(LogOffset(told.ends.configuration))
+        instanceFollower.catchUp(LogOffset(told.ends.instances))
     }
 
     private fun onConfiguration() {
@@ -328,6 +337,9 @@
         /** The issuer's hints tell of changes sooner. */
         val LONG_WAIT = 8.seconds
 
+        /** Readings beside the issuer's, in case that one misses something. */
+        val RELYING_REST = 5.seconds
+
         /** Longer than the store is usually away. */
         val OUTAGE_TOLERANCE = 12.seconds
         val CONTROL_PERIOD = 50.milliseconds
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -41,7 +41,7 @@
     private val links: InstanceLinks,
     private val quarantine: QuarantineRegister,
     private val report: (IssuerKnowledge) -> NodeReport,
-    private val onHint: (TopicEnds) -> Unit,
+    private val onTold: (IssuerReport) -> Unit,
 ) : ResidenceDesk {
     private val logger = LogManager.getLogger("issuer-link")
     private var arrivals: Map<String, Long> = emptyMap()
@@ -51,6 +51,7 @@
     private var heardAt: Moment? = null
     private var lookedAt: Moment? = null
     private var calling = false
+    private var storeHeardAt: Moment? = null
 
     /** Nodes that take part, as the issuer last told. */
     var nodes: Int = ASSUMED_NODES
@@ -59,6 +60,9 @@
     /** Whether the issuer has not been heard from for so long that another one should take over. */
     fun isIssuerMissing(): Boolean = heardAt?.let { timer.now() - it > ISSUER_SILENCE } ?: true
 
+    /** Returns how long ago the issuer heard from the store about instances, null if it has not told. */
+    fun ageOfIssuersReading(): Duration? = storeHeardAt?.let { timer.now() - it }
+
     /** Exchanges reports with the issuer, if the last exchange has ended. */
     fun step() {
         if (lease.fence != null) {
@@ -127,7 +131,8 @@
         links.onOthers(told.work.mapKeys { UpstreamName(it.key) })
         links.onSuspicions(told.suspects.map { UpstreamName(it.key) to it.value.milliseconds }.toMap())
         quarantine.merge(told.quarantines)
-        onHint(told.ends)
+        storeHeardAt = if (told.issuing) told.storeAge?.let { now - it.milliseconds } else null
+        onTold(told)
         knowledge = IssuerKnowledge(told.residenceRevision, told.promptsEnd)
         knowledgeFrom = from
         links.prompts.merge(told.prompts)
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -14,6 +14,8 @@
  * @property suspects milliseconds for which other nodes suspect instances that answered errors
  * @property residenceRevision the revision of [residence]
  * @property residence models and their adapters at each engine, null if the node knows this revision
+ * @property instances records of the instances' topic that the node has not read, null if there are none
+ * @property storeAge milliseconds since the issuer last heard from the store about instances
  * @property loadAges milliseconds since loads from the weight store began, for an issuer that follows
  * @property prompts news of prompts that the node does not know
  * @property promptsEnd how much news of prompts there is
@@ -28,6 +30,8 @@
     val residenceRevision: Long,
     val residence: Map<String, Map<String, List<String>>>?,
     val arrivals: Map<String, Long>,
+    val instances: RelayedRecords?,
+    val storeAge: Long?,
     val loadAges: List<Long>,
     val prompts: List<KeptPart>,
     val promptsEnd: Long,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -1,5 +1,7 @@
 package plantainturn.relay.peer
 
+import plantainturn.connection.log.LogOffset
+import plantainturn.connection.store.TopicFollower
 import plantainturn.process.control.residence.ModelPressure
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
@@ -14,6 +16,7 @@
     private val issuer: ResidenceIssuer,
     private val quarantine: QuarantineRegister,
     private val timer: TimerService,
+    private val instances: TopicFollower,
 ) {
     private val heard = HashMap<String, Heard>()
     private val promptNews = PromptNews()
@@ -41,6 +44,8 @@
                             models.map { (model, adapters) -> model.value to adapters.map { it.value } }.toMap()
                     }?.toMap(),
             arrivals = issuer.arrivals().map { (model, left) -> model.value to left.inWholeMilliseconds }.toMap(),
+            instances = instances.since(LogOffset(report.ends.instances))?.let(RelayedRecords::of),
+            storeAge = instances.heardAt?.let { (now - it).inWholeMilliseconds },
             loadAges = issuer.recentLoads().map { (now - it).inWholeMilliseconds },
             prompts = promptNews.since(report.promptsKnown),
             promptsEnd = promptNews.end,
