--- a/library/src/main/kotlin/plantainturn/request/relay/DispatchCandidate.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/DispatchCandidate.kt
@@ -11,6 +11,7 @@
  * @property heldTokens cache tokens that are taken
  * @property keptTokens tokens of the request's prompt that it has kept
  * @property sameDomain whether it is in the failure domain of this node
+ * @property connected whether this node has a connection there that no request uses; new ones cost
  * @property suspected whether requests should go elsewhere
  * @property answerSeconds how long it takes for a whole answer, null if unknown
  */
@@ -22,6 +23,7 @@
     val heldTokens: Int,
     val keptTokens: Int,
     val sameDomain: Boolean,
+    val connected: Boolean,
     val suspected: Boolean,
     val answerSeconds: Double?,
 )
--- a/library/src/main/kotlin/plantainturn/request/relay/EngineDispatch.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/EngineDispatch.kt
@@ -66,6 +66,7 @@
     ): Double {
         val expected = expectedFirstEvent(candidate, demand, query)
         val elsewhere = if (candidate.sameDomain) Duration.ZERO else settings.domainPenalty
+        val connecting = if (candidate.connected) Duration.ZERO else settings.connectPenalty
         val crowd = settings.runningPenalty * candidate.running
         val preferred =
             if (candidate.keptTokens >
@@ -75,7 +76,7 @@
             } else {
                 settings.affinitySpread * preference(candidate, query)
             }
-        return (expected + elsewhere + crowd + preferred).toDouble(DurationUnit.MILLISECONDS)
+        return (expected + elsewhere + connecting + crowd + preferred).toDouble(DurationUnit.MILLISECONDS)
     }
 
     /** A number from 0 to 1 that is the same at all nodes; the lowest is preferred (rendezvous hashing). */
--- a/library/src/main/kotlin/plantainturn/request/relay/EngineDispatchSettings.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/EngineDispatchSettings.kt
@@ -14,6 +14,7 @@
  * @property memoryPause what a full memory adds to the wait: about the time of one short answer
  * @property memoryShare part of the memory that requests may take before some are pushed out
  * @property domainPenalty what an engine in another failure domain must be faster; bytes between domains cost
+ * @property connectPenalty what an engine to which a connection must be made first must be faster
  * @property runningPenalty what each request there slows the others
  * @property affinitySpread how much waiting the preferred copy of a shared prompt may cost
  * @property shortestReturn the least time that a caller is told to stay away
@@ -27,6 +28,7 @@
     val memoryPause: Duration = 400.milliseconds,
     val memoryShare: Double = 0.9,
     val domainPenalty: Duration = 6.milliseconds,
+    val connectPenalty: Duration = 10.milliseconds,
     val runningPenalty: Duration = 2.milliseconds,
     val affinitySpread: Duration = 40.milliseconds,
     val shortestReturn: Duration = 150.milliseconds,
--- a/library/src/main/kotlin/plantainturn/request/relay/ServiceDispatch.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/ServiceDispatch.kt
@@ -29,7 +29,8 @@
         val answer = candidate.answerSeconds ?: UNKNOWN_ANSWER_SECONDS
         val line = (candidate.running + 1).toDouble() / candidate.concurrency.coerceAtLeast(1)
         val elsewhere = if (candidate.sameDomain) 0.0 else ELSEWHERE.toDouble(DurationUnit.SECONDS)
-        return answer * (1.0 + line) + elsewhere
+        val connecting = if (candidate.connected) 0.0 else CONNECTING.toDouble(DurationUnit.SECONDS)
+        return answer * (1.0 + line) + elsewhere + connecting
     }
 
     private companion object {
@@ -39,5 +40,8 @@
         const val UNKNOWN_ANSWER_SECONDS = 0.02
         val FULL_LINE_RETURN = 100.milliseconds
         val ELSEWHERE = 4.milliseconds
+
+        /** A round trip and what the instance does for a new connection. */
+        val CONNECTING = 6.milliseconds
     }
 }
--- a/library/src/test/kotlin/plantainturn/request/relay/EngineDispatchTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/EngineDispatchTest.kt
@@ -117,6 +117,7 @@
             heldTokens = 0,
             keptTokens = 0,
             sameDomain = true,
+            connected = true,
             suspected = suspected,
             answerSeconds = null,
         )
--- a/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
@@ -23,6 +23,10 @@
     private val idle = ArrayDeque<UpstreamConnection>()
     private var closed = false
 
+    /** Whether there is a connection that no request uses. */
+    val hasIdle: Boolean
+        get() = idle.isNotEmpty()
+
     /**
      * Gives a connection to [done].
      *
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -74,6 +74,7 @@
             heldTokens = standing.held(),
             keptTokens = demand?.let { prompts.keptTokens(instance.name, it) } ?: 0,
             sameDomain = instance.domain == ownDomain,
+            connected = link(instance).pool.hasIdle,
             suspected = standing.health.isSuspected(now),
             answerSeconds = standing.answerTime?.toDouble(DurationUnit.SECONDS),
         )
