--- a/library/src/main/kotlin/plantainturn/process/control/residence/ResidencePlanner.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/ResidencePlanner.kt
@@ -145,8 +145,10 @@
             val since = engine.residentSince[resident]
             val stay = maxOf(settings.minimumResidence, coldLoadOf(resident) * settings.residencePerLoad)
             if (since != null && input.now - since < stay) return false
-            val isAwaited = need == Need.MISSING && pressure(wanted.name).waiting > 0 && load <= settings.slowLoad
-            val factor = if (copiesOf(resident) > 1 || isAwaited) 1.0 else settings.worthFactor
+            val isAwaited = need == Need.MISSING && pressure(wanted.name).waiting > 0
+            val isSilent = pressure(resident).worthPerSecond < silentWorth
+            val isEven = copiesOf(resident) > 1 || isAwaited && (isSilent || load <= settings.slowLoad)
+            val factor = if (isEven) 1.0 else settings.worthFactor
             val cost = if (need == Need.OVERLOADED) costOf(load) else 0.0
             return lossOf(resident) * factor + cost < gainOf(wanted.name, need, engine, resident)
         }
--- a/library/src/main/kotlin/plantainturn/request/relay/EnginePace.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/EnginePace.kt
@@ -30,6 +30,13 @@
         outputTokens: Int,
     ): Duration = (initial.perToken * unreadTokens + initial.perOutputToken * outputTokens) * factorOf(model)
 
+    /** Returns the engine time that a request with [demand] usually takes, wherever it goes. */
+    public fun usualTime(demand: GenerationDemand): Duration {
+        val own = demand.parts.lastOrNull()?.tokens ?: demand.promptTokens
+        val sharedRead = (demand.promptTokens - own).coerceAtLeast(0) * SHARED_READ
+        return engineTime(demand.model, own + sharedRead.toInt(), demand.outputTokens)
+    }
+
     /** Takes in that a request with nothing ahead of it had its first event after [seen]. */
     public fun learn(
         model: ModelName,
@@ -66,6 +73,9 @@
         const val SMALLEST = 0.1
         const val LARGEST = 4.0
 
+        /** Part of the shared tokens of prompts that engines read; of played days' tokens about a fifth. */
+        const val SHARED_READ = 0.2
+
         /** About the tokens that are read in the time that an empty prompt takes. */
         const val LEAST_TELLING = 1_000
     }
--- a/relay/src/main/kotlin/plantainturn/relay/request/DemandMeter.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/DemandMeter.kt
@@ -9,22 +9,33 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** Measures what callers of this node want of each model and adapter, as averages that fade over seconds. */
+/**
+ * Measures what callers of this node want of each model and adapter, as averages that fade over seconds.
+ *
+ * Load pattern: demand moves to a model that is resident nowhere. What it will need counts from when requests arrive,
+ * not from when engines get them, so that it is brought to as many engines as it needs at once.
+ */
 internal class DemandMeter(
     private val timer: TimerService,
 ) {
     private val models = HashMap<ModelName, Faded>()
     private val work = HashMap<ModelName, Faded>()
     private val adapters = HashMap<Pair<ModelName, ModelName>, Faded>()
+    private var firstAt: Moment? = null
     private val running = HashMap<Pair<ModelName, ModelName>, Int>()
 
-    /** Notes that a request arrived. */
+    /** Notes that a request arrived that will take [engineTime] of an engine. */
     fun onRequest(
         demand: GenerationDemand,
         worth: Double,
+        engineTime: Duration,
     ) {
         val now = timer.now()
+        if (firstAt == null) firstAt = now
         models.getOrPut(demand.model) { Faded(now, WORTH_MEMORY_SECONDS) }.add(now, worth)
+        work
+            .getOrPut(demand.model) { Faded(now, WORK_MEMORY_SECONDS) }
+            .add(now, engineTime.toDouble(DurationUnit.SECONDS))
         val adapter = demand.adapter ?: return
         adapters.getOrPut(demand.model to adapter) { Faded(now, WORTH_MEMORY_SECONDS) }.add(now, worth)
     }
@@ -44,17 +55,6 @@
         }
     }
 
-    /** Notes that a request was sent that takes [engineTime] of an engine. */
-    fun onWork(
-        demand: GenerationDemand,
-        engineTime: Duration,
-    ) {
-        val now = timer.now()
-        work
-            .getOrPut(demand.model) { Faded(now, WORK_MEMORY_SECONDS) }
-            .add(now, engineTime.toDouble(DurationUnit.SECONDS))
-    }
-
     /** Notes that a request that uses an adapter was sent or has ended. */
     fun onAdapterRunning(
         demand: GenerationDemand,
@@ -73,7 +73,7 @@
         }
     }
 
-    private class Faded(
+    private inner class Faded(
         private var at: Moment,
         private val memorySeconds: Double,
     ) {
@@ -89,11 +89,17 @@
 
         fun perSecond(now: Moment): Double {
             fade(now)
-            return sum / memorySeconds
+            return sum / (memorySeconds * measuredShare(now))
         }
 
         fun isForgotten(now: Moment): Boolean = perSecond(now) < NEGLIGIBLE
 
+        /** Averages over a time that has not passed yet would be too low, and a busy model would look idle. */
+        private fun measuredShare(now: Moment): Double {
+            val measured = firstAt?.let { (now - it).toDouble(DurationUnit.SECONDS) } ?: 0.0
+            return 1.0 - exp(-maxOf(measured, SHORTEST_MEASURED_SECONDS) / memorySeconds)
+        }
+
         private fun fade(now: Moment) {
             sum *= exp(-(now - at).toDouble(DurationUnit.SECONDS) / memorySeconds)
             at = now
@@ -101,8 +107,11 @@
     }
 
     private companion object {
-        /** About a load from the weight store: what is wanted for a shorter time is not worth one. */
-        const val WORTH_MEMORY_SECONDS = 8.0
+        /** Below a load from a far weight store; what is wanted for a shorter time is not worth one. */
+        const val WORTH_MEMORY_SECONDS = 5.0
+
+        /** A node sees a few requests in this time. */
+        const val SHORTEST_MEASURED_SECONDS = 0.5
 
         /** Short against the time in which load rises. */
         const val WORK_MEMORY_SECONDS = 3.0
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -66,7 +66,7 @@
     fun start() {
         timer = context.timer.schedule(timeLeft()) { onDeadline() }
         context.allowance.onRequest(service.name, context.timer.now())
-        request.demand?.let { context.demand.onRequest(it, RelayTimes.REQUEST_WORTH) }
+        request.demand?.let { context.demand.onRequest(it, RelayTimes.REQUEST_WORTH, context.pace.usualTime(it)) }
         dispatch()
     }
 
@@ -149,9 +149,6 @@
         val rank = if (request.demand == null) null else decision.rank
         val terms = SendTerms(instance.name, timeLeft(), rank, splitter.lastIdentifier ?: request.resumeAfter)
         val work = placement.workAt(instance.name)
-        request.demand?.let {
-            context.demand.onWork(it, context.pace.engineTime(it.model, work.unreadTokens, it.outputTokens))
-        }
         val made = RelayAttempt(context, this, instance, terms, work, decision)
         attempt = made
         context.journal.note(
--- a/relay/src/main/kotlin/plantainturn/relay/residence/AdapterBringer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/AdapterBringer.kt
@@ -38,7 +38,7 @@
                         .residents[model]
                         .orEmpty()
             }
-        val target = able.firstOrNull { !session.ledgers.getValue(it).isChanging }
+        val target = able.firstOrNull(::canBeOrdered) ?: able.firstOrNull { !session.ledgers.getValue(it).isChanging }
         val step = target?.let { adapterStep(fleet, it, model, adapter) }
         when {
             !isCurrent() || holding != null || triesLeft <= 0 || !context.lease.permitsOrders() ->
@@ -66,9 +66,14 @@
         val ledger = session.ledgers[engine] ?: return false
         return model in ledger.residents &&
             session.leavingModel(engine, ledger) != model &&
+            session.answers(engine) &&
             context.roster.instances[engine]?.leaving == false
     }
 
+    /** An engine that was refused or did not answer is asked first; another one takes the adapter sooner. */
+    private fun canBeOrdered(engine: UpstreamName): Boolean =
+        session.ledgers.getValue(engine).let { !it.isChanging && !it.needsReading && !it.calling }
+
     /** The load itself, or the unload of the least used adapter that makes room for it; null if all are in use. */
     private fun adapterStep(
         fleet: EngineFleet,
--- a/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
@@ -382,11 +382,14 @@
         }
     }
 
-    /** Lets the engine be asked at once. */
+    /** Lets the engine be asked at once, unless it did not answer. */
     fun askSoon(engine: UpstreamName) {
-        askedAt.remove(engine)
+        if (answers(engine)) askedAt.remove(engine)
     }
 
+    /** Whether the engine answered when it was last asked. */
+    fun answers(engine: UpstreamName): Boolean = engine !in failedReadings
+
     private companion object {
         /** Nodes hear of a departing model within an exchange or two. */
         val DEPARTURE_NOTICE = 300.milliseconds
