--- a/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
@@ -29,6 +29,8 @@
     private var hintedAt: Moment? = null
     private var lostSince: Moment? = null
     private var failures = 0
+    private var readNumber = 0L
+    private var resting = false
     private val recent = ArrayDeque<KeyedRecord>()
     private var recentFrom: LogOffset? = null
 
@@ -58,8 +60,8 @@
     public fun start(): Unit = readOn()
 
     /**
-     * Reads the newest records if the topic is known to end at [hinted], and the outstanding read or rest has not told
-     * so within the usual rest.
+     * Reads the newest records if the topic is known to end at [hinted], and the outstanding read has not told so
+     * meanwhile.
      */
     public fun catchUp(hinted: LogOffset) {
         val before = known
@@ -68,7 +70,7 @@
             return
         }
         val since = hintedAt ?: timer.now().also { hintedAt = it }
-        if (catchingUp || timer.now() - since < pace().rest) return
+        if (catchingUp || timer.now() - since < HINT_PATIENCE) return
         catchingUp = true
         logger.info("topic={} event=catch-up known={} hinted={}", topic, before, hinted)
         store.readNewest(topic) { result ->
@@ -79,12 +81,30 @@
 
     private fun readOn() {
         val from = known
+        val number = ++readNumber
         if (from == null || expired) {
             store.readNewest(topic) { whole(it) }
         } else {
             val sent = timer.now()
             val longest = pace().wait
-            store.read(topic, from, longest) { further(it, sent + longest) }
+            store.read(topic, from, longest) { if (number == readNumber) further(it, sent + longest) }
+            watch(number, sent)
+        }
+    }
+
+    /** A connection may have gone silent under a long read; when the pace becomes short, another read replaces it. */
+    private fun watch(
+        number: Long,
+        sent: Moment,
+    ) {
+        timer.schedule(PACE_CHECK) {
+            if (number != readNumber || resting) return@schedule
+            if (timer.now() - sent > pace().wait + LATE_ANSWER) {
+                logger.info("topic={} event=read-replaced after={}", topic, timer.now() - sent)
+                readOn()
+            } else {
+                watch(number, sent)
+            }
         }
     }
 
@@ -100,7 +120,8 @@
     /** Changes come in series; each read is priced, so those that come close together are read together. */
     private fun rest(since: Moment) {
         val left = since + pace().rest - timer.now()
-        if (left.isPositive()) timer.schedule(minOf(left, PACE_CHECK)) { rest(since) } else readOn()
+        resting = left.isPositive()
+        if (resting) timer.schedule(minOf(left, PACE_CHECK)) { rest(since) } else readOn()
     }
 
     private fun take(
@@ -153,8 +174,12 @@
     private fun lost(result: StoreReadResult) {
         if (lostSince == null) noteOutage(timer.now())
         failures++
+        resting = true
         logger.debug("topic={} event=read-failed result={}", topic, result)
-        timer.schedule(RETRY_PAUSE * minOf(failures, MAXIMUM_PAUSE_FACTOR)) { readOn() }
+        timer.schedule(RETRY_PAUSE * minOf(failures, MAXIMUM_PAUSE_FACTOR)) {
+            resting = false
+            readOn()
+        }
     }
 
     private fun noteOutage(since: Moment) {
@@ -177,6 +202,9 @@
         /** Several seconds of changes, more than a peer misses between two exchanges. */
         const val RECENT = 128
 
+        /** The outstanding read hears of a record at about the same time as the peer that hints at it. */
+        val HINT_PATIENCE = 250.milliseconds
+
         /** How soon a change of the pace is noticed. */
         val PACE_CHECK = 100.milliseconds
 
--- a/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
@@ -67,9 +67,7 @@
     private fun goesOnInOutage(
         current: Held,
         now: Moment,
-    ): Boolean {
-        return isUnanswered(current) && now < current.validUntil + settings.outageTolerance
-    }
+    ): Boolean = isUnanswered(current) && now < current.validUntil + settings.outageTolerance
 
     private fun isUnanswered(current: Held): Boolean = renewalFailedAt?.let { it > current.renewedAt } ?: false
 
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/internal/ResidenceWorth.kt
@@ -0,0 +1,119 @@
+package plantainturn.process.control.residence.internal
+
+import plantainturn.process.control.residence.EngineSituation
+import plantainturn.process.control.residence.ModelPressure
+import plantainturn.process.control.residence.ResidenceInput
+import plantainturn.process.control.residence.ResidenceSettings
+import plantainturn.version.configuration.ModelName
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** What models at engines are worth to callers while a plan is made, moves that it has begun included. */
+internal class ResidenceWorth(
+    private val input: ResidenceInput,
+    private val settings: ResidenceSettings,
+) {
+    private val copies = HashMap<ModelName, Int>()
+    private val shares = HashMap<ModelName, Double>()
+
+    /** Demand moves: a model that nobody asks for now may be the next one that many ask for. */
+    val silentWorth: Double =
+        settings.silentShare * input.pressure.values.sumOf { it.worthPerSecond } /
+            input.fleet.models.size
+                .coerceAtLeast(1)
+
+    init {
+        for (engine in input.engines) engine.holding.forEach { copies.merge(it, 1, Int::plus) }
+        input.pressure.keys.forEach(::noteShare)
+    }
+
+    /** Notes that a move brings [model] to one more engine. */
+    fun noteComing(model: ModelName) {
+        copies.merge(model, 1, Int::plus)
+        noteShare(model)
+    }
+
+    /** Notes that a move takes [model] from an engine. */
+    fun noteLeaving(model: ModelName) {
+        copies.merge(model, -1, Int::plus)
+        noteShare(model)
+    }
+
+    /** Worth a second that [wanted] gains by one more copy at [engine] in place of [victim]. */
+    fun gainOf(
+        wanted: ModelName,
+        need: ResidenceNeed,
+        engine: EngineSituation,
+        victim: ModelName?,
+    ): Double {
+        val pressure = pressure(wanted)
+        return when (need) {
+            ResidenceNeed.MISSING ->
+                maxOf(wantOf(wanted), if (pressure.waiting > 0) silentWorth + settings.waitingWorth else 0.0)
+            ResidenceNeed.OVERLOADED -> {
+                val relief = shareOf(wanted) - pressure.engineSharesWanted / (copiesOf(wanted) + 1)
+                val there = utilisation(engine) - (victim?.let(::shareOf) ?: 0.0) + shareOf(wanted) - relief
+                val after = (leastUtilisation(wanted) - relief + there) / 2
+                pressure.worthPerSecond * (missedAt(wanted) - missedShare(after))
+            }
+            ResidenceNeed.UNPROTECTED -> 0.0
+        }
+    }
+
+    /** Worth a second that is lost while [resident] has one copy less. */
+    fun lossOf(resident: ModelName): Double {
+        val count = copiesOf(resident)
+        val pressure = pressure(resident)
+        if (count <= 1) return maxOf(pressure.worthPerSecond, silentWorth)
+        val surplus = pressure.engineSharesWanted / (count - 1) - shareOf(resident)
+        val missed = missedShare(leastUtilisation(resident) + surplus) - missedAt(resident)
+        return maxOf(pressure.worthPerSecond * missed, MINIMAL_GAIN / 2)
+    }
+
+    /** Worth a second that a load must bring to be worth its time. */
+    fun costOf(load: Duration): Double =
+        load.toDouble(DurationUnit.SECONDS) * settings.loadSecondCost /
+            settings.payback.toDouble(DurationUnit.SECONDS)
+
+    /** Worth a second that is missed while [model] is resident nowhere. */
+    fun wantOf(model: ModelName): Double =
+        pressure(model).let { it.worthPerSecond + it.waiting * settings.waitingWorth }
+
+    /** The utilisation of the engine that can best take requests for [model]. */
+    fun leastUtilisation(model: ModelName): Double =
+        input.engines.filter { model in it.holding }.minOfOrNull(::utilisation) ?: 0.0
+
+    fun missedAt(model: ModelName): Double = missedShare(leastUtilisation(model))
+
+    /** The part of the worth of requests that an engine at [utilisation] does not earn: late ones earn little. */
+    private fun missedShare(utilisation: Double): Double =
+        when {
+            utilisation <= settings.promptShare -> 0.0
+            utilisation >= 1.0 -> 1.0 - FULL_ENGINE_EARNS / (utilisation * utilisation)
+            else -> (1 - FULL_ENGINE_EARNS) * (utilisation - settings.promptShare) / (1 - settings.promptShare)
+        }
+
+    fun utilisation(engine: EngineSituation): Double = engine.holding.sumOf { shareOf(it) }
+
+    /** Worth a second of requests that could want an adapter here, which no engine takes in during a load. */
+    fun adaptersBlocked(engine: EngineSituation): Double =
+        engine.holding.sumOf { pressure(it).adapterWorthPerSecond / copiesOf(it).coerceAtLeast(1) }
+
+    fun pressure(model: ModelName): ModelPressure = input.pressure[model] ?: NO_PRESSURE
+
+    fun copiesOf(model: ModelName): Int = copies[model] ?: 0
+
+    fun shareOf(model: ModelName): Double = shares[model] ?: 0.0
+
+    private fun noteShare(model: ModelName) {
+        shares[model] = pressure(model).engineSharesWanted / copiesOf(model).coerceAtLeast(1)
+    }
+
+    private companion object {
+        val NO_PRESSURE = ModelPressure()
+        const val MINIMAL_GAIN = 0.001
+
+        /** Part of the worth that requests earn at an engine that is just full: about half of them are late. */
+        const val FULL_ENGINE_EARNS = 0.5
+    }
+}
--- a/library/src/test/kotlin/plantainturn/connection/store/TopicFollowerTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/store/TopicFollowerTest.kt
@@ -6,6 +6,8 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class TopicFollowerTest {
@@ -16,8 +18,8 @@
     fun `a follower takes over what a peer has read and reads it no more`() {
         write("a")
         val heard = ArrayList<String>()
-        val reader = follower(ArrayList(), 0)
-        val other = follower(heard, 60)
+        val reader = follower(ArrayList(), restMilliseconds = 0)
+        val other = follower(heard, restMilliseconds = 60_000)
         timer.advance(1.seconds)
         write("b")
         timer.advance(1.seconds)
@@ -37,7 +39,7 @@
     fun `records after a gap are not taken over`() {
         write("a")
         val heard = ArrayList<String>()
-        val other = follower(heard, 60)
+        val other = follower(heard, restMilliseconds = 60_000)
         timer.advance(1.seconds)
 
         other.offer(RecordsSince(LogOffset(2), listOf(KeyedRecord("c", ByteArray(1), LogOffset(2))), LogOffset(3)))
@@ -46,13 +48,48 @@
         assertEquals(LogOffset(1), other.end)
     }
 
+    /** Found by hamasaki-keg, trouble-3 of snapshot 2127b7ca: a configuration was in force 2.1 s after its ack. */
+    @Test
+    fun `a hint of a later end is followed while a long read hears nothing`() {
+        write("a")
+        store.readsHearRecords = false
+        val heard = ArrayList<String>()
+        val follower = follower(heard, restMilliseconds = 800)
+        timer.advance(1.seconds)
+        write("b")
+        val hinting = timer.subscribe(200.milliseconds) { follower.catchUp(LogOffset(2)) }
+        timer.advance(700.milliseconds)
+        hinting.cancel()
+
+        assertEquals(listOf("a", "a", "b"), heard)
+    }
+
+    @Test
+    fun `a long read that hears nothing is given up when the pace becomes short`() {
+        write("a")
+        store.readsHearRecords = false
+        val heard = ArrayList<String>()
+        var wait = 8.seconds
+        follower(heard, restMilliseconds = 800) { wait }
+        timer.advance(1.seconds)
+        store.readsHearRecords = true
+        wait = 800.milliseconds
+        timer.advance(600.milliseconds)
+        write("b")
+
+        timer.advance(300.milliseconds)
+
+        assertEquals(listOf("a", "b"), heard)
+    }
+
     private fun write(key: String) {
         store.records += KeyedRecord(key, ByteArray(1), LogOffset(store.records.size.toLong()))
     }
 
     private fun follower(
         heard: MutableList<String>,
-        restSeconds: Int,
+        restMilliseconds: Int,
+        wait: () -> Duration = { 8.seconds },
     ): TopicFollower {
         val listener =
             object : TopicListener {
@@ -62,7 +99,7 @@
                     heard += record.key
                 }
             }
-        val pace = ReadPace(8.seconds, restSeconds.seconds)
-        return TopicFollower(store, TopicName("topic", keyed = true), listener, timer) { pace }.also { it.start() }
+        val pace = { ReadPace(wait(), restMilliseconds.milliseconds) }
+        return TopicFollower(store, TopicName("topic", keyed = true), listener, timer, pace).also { it.start() }
     }
 }
--- a/library/src/test/kotlin/plantainturn/process/control/residence/ResidencePlannerTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/control/residence/ResidencePlannerTest.kt
@@ -138,7 +138,10 @@
     fun `slow loads of rare models leave most engines free for demand that moves`() {
         val engines = listOf("one", "two", "three", "four").map { engine(it) }
         val input =
-            input(*engines.toTypedArray(), pressure = mapOf("a" to busy(9.0, 0.2), "b" to RARE, "c" to RARE, "d" to RARE))
+            input(
+                *engines.toTypedArray(),
+                pressure = mapOf("a" to busy(9.0, 0.2), "b" to RARE, "c" to RARE, "d" to RARE),
+            )
 
         val moves = planner.plan(input)
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -40,7 +40,12 @@
     /** Returns which instances this node suspects for errors that they answered, and for how much longer. */
     public fun suspicions(): Map<UpstreamName, Duration> {
         val now = timer.now()
-        return links.mapNotNull { (name, link) -> link.standing.health.suspicionToTell(now)?.let { name to it } }.toMap()
+        return links
+            .mapNotNull { (name, link) ->
+                link.standing.health
+                    .suspicionToTell(now)
+                    ?.let { name to it }
+            }.toMap()
     }
 
     /** Takes over which instances the other nodes suspect. */
