Give no more long prompts to an engine that only reads

An engine with a backlog of prompts makes one token for each stream in the time in which it reads 2,048 prompt tokens, about 55 ms. Late prompts kept engines reading without a pause.

--- a/library/src/main/kotlin/plantainturn/request/relay/DispatchCandidate.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/DispatchCandidate.kt
@@ -8,6 +8,7 @@
  * @property concurrency requests that it runs at once
  * @property running requests of all nodes that are there
  * @property unreadTokens prompt tokens ahead of the request
+ * @property readingShare part of its time that it lately spent on reading prompts
  * @property heldTokens cache tokens that are taken
  * @property keptTokens tokens of the request's prompt that it has kept
  * @property sameDomain whether it is in the failure domain of this node
@@ -20,6 +21,7 @@
     val concurrency: Int,
     val running: Int,
     val unreadTokens: Int,
+    val readingShare: Double,
     val heldTokens: Int,
     val keptTokens: Int,
     val sameDomain: Boolean,
--- a/library/src/main/kotlin/plantainturn/request/relay/EngineDispatch.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/EngineDispatch.kt
@@ -9,8 +9,9 @@
  * Load patterns that it answers. A burst on one kind of request: work that is expected late is ranked behind work that
  * is still in time, so that it takes only what is left over, and is turned away at once when even that will not do. A
  * burst atop a crash: the copies that are left fill up to what can still be in time. Repeating callers: each is told a
- * time at which the present backlog is worked off. While an engine has free places and nothing ahead, nothing is turned
- * away. Requests that share a prompt prefer the same copy at every node, unless it is busier.
+ * time at which the present backlog is worked off. Long prompts without end: between the pieces of prompts that it reads
+ * an engine makes one token for each stream, so that one which only reads lets every long stream run out of time; what
+ * would take it there is turned away. While an engine has free places and nothing ahead, nothing is turned away. Requests that share a prompt prefer the same copy at every node, unless it is busier.
  */
 public class EngineDispatch(
     private val pace: EnginePace,
@@ -22,12 +23,14 @@
         candidates: List<DispatchCandidate>,
     ): DispatchDecision {
         val demand = requireNotNull(query.demand) { "a request without a demand goes to a plain service" }
-        val usable = candidates.filter { !it.suspected }.ifEmpty { candidates }
+        val sound = candidates.filter { !it.suspected }.ifEmpty { candidates }
+        val usable = sound.filter { !isReadingTooMuch(it, demand) }.ifEmpty { sound }
         val best = usable.minByOrNull { cost(it, demand, query) } ?: return DispatchDecision.NoCandidate
         val expected = expectedFirstEvent(best, demand, query)
         val inTime = expected <= query.objectiveLeft
         val placesFree = best.running < best.concurrency * settings.freeShare && hasMemory(best, demand, query)
         return when {
+            isReadingTooMuch(best, demand) -> DispatchDecision.TurnAway(comeBackAfter(expected, query), expected)
             inTime || placesFree && expected < query.timeLeft -> send(best, query, expected, inTime)
             expected <= query.timeLeft * settings.lateShare && best.running < settings.fullFactor * best.concurrency ->
                 send(best, query, expected, inTime = false)
@@ -49,6 +52,14 @@
         return reading + queueing + memory
     }
 
+    private fun isReadingTooMuch(
+        candidate: DispatchCandidate,
+        demand: GenerationDemand,
+    ): Boolean {
+        val own = demand.promptTokens - candidate.keptTokens
+        return own >= settings.longReading && candidate.readingShare > settings.readingLimit
+    }
+
     private fun send(
         candidate: DispatchCandidate,
         query: DispatchQuery,
@@ -67,6 +78,7 @@
         val expected = expectedFirstEvent(candidate, demand, query)
         val elsewhere = if (candidate.sameDomain) Duration.ZERO else settings.domainPenalty
         val connecting = if (candidate.connected) Duration.ZERO else settings.connectPenalty
+        val reading = settings.readingPenalty * candidate.readingShare
         val crowd = settings.runningPenalty * candidate.running
         val preferred =
             if (candidate.keptTokens >
@@ -76,7 +88,7 @@
             } else {
                 settings.affinitySpread * preference(candidate, query)
             }
-        return (expected + elsewhere + connecting + crowd + preferred).toDouble(DurationUnit.MILLISECONDS)
+        return (expected + elsewhere + connecting + reading + crowd + preferred).toDouble(DurationUnit.MILLISECONDS)
     }
 
     /** A number from 0 to 1 that is the same at all nodes; the lowest is preferred (rendezvous hashing). */
--- a/library/src/main/kotlin/plantainturn/request/relay/EngineDispatchSettings.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/EngineDispatchSettings.kt
@@ -15,6 +15,10 @@
  * @property memoryShare part of the memory that requests may take before some are pushed out
  * @property domainPenalty what an engine in another failure domain must be faster; bytes between domains cost
  * @property connectPenalty what an engine to which a connection must be made first must be faster
+ * @property readingLimit part of an engine's time for reading beyond which it is given no long prompts: a step that
+ *   reads takes about twelve times as long as one that does not, and streams of 300 tokens have 15 s
+ * @property longReading prompt tokens from which on reading slows others: half of what a step reads
+ * @property readingPenalty what an engine that only reads must be faster than one that reads nothing
  * @property runningPenalty what each request there slows the others
  * @property affinitySpread how much waiting the preferred copy of a shared prompt may cost
  * @property shortestReturn the least time that a caller is told to stay away
@@ -29,6 +33,9 @@
     val memoryShare: Double = 0.9,
     val domainPenalty: Duration = 6.milliseconds,
     val connectPenalty: Duration = 10.milliseconds,
+    val readingLimit: Double = 0.75,
+    val longReading: Int = 1_024,
+    val readingPenalty: Duration = 100.milliseconds,
     val runningPenalty: Duration = 2.milliseconds,
     val affinitySpread: Duration = 40.milliseconds,
     val shortestReturn: Duration = 150.milliseconds,
--- a/library/src/main/kotlin/plantainturn/request/relay/InstanceStanding.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/InstanceStanding.kt
@@ -3,6 +3,8 @@
 import plantainturn.process.time.Moment
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /**
  * What this node knows of the work at one instance: its own requests exactly, those of the other nodes as last told.
@@ -30,6 +32,7 @@
     /** The same of the other nodes together. */
     public var others: WorkTotals = WorkTotals.NONE
 
+    private val reading = FadingSum(READING_MEMORY)
     private var reported: ReportedLoad? = null
     private var reportedAt: Moment = Moment.ORIGIN
 
@@ -38,7 +41,11 @@
         private set
 
     /** Notes that a request was sent. */
-    public fun begin(work: RequestWork) {
+    public fun begin(
+        work: RequestWork,
+        now: Moment,
+    ) {
+        reading.add(work.readingTime.toDouble(DurationUnit.SECONDS), now)
         ownRunning += 1
         ownUnread += work.unreadTokens
         ownHeld += work.heldTokens
@@ -87,7 +94,15 @@
     /** Returns cache tokens that all nodes' requests take. */
     public fun held(): Int = ownHeld + others.heldTokens
 
+    /** Returns the part of the instance's time that this node's requests lately took for reading. */
+    public fun ownReadingShare(now: Moment): Double = reading.perSecond(now)
+
+    /** Returns the part of the instance's time that all nodes' requests lately took for reading. */
+    public fun readingShare(now: Moment): Double = ownReadingShare(now) + others.readingShare
+
     private companion object {
+        /** A few of the longest prompts; a stream that is slowed for this long still ends in time. */
+        val READING_MEMORY = 2.seconds
         const val KEPT = 0.8
 
         /** An answer's load is that of its beginning; later it says little. */
--- a/library/src/main/kotlin/plantainturn/request/relay/WorkTotals.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/WorkTotals.kt
@@ -2,16 +2,26 @@
 
 import kotlinx.serialization.Serializable
 
-/** Work at one instance, summed over requests. */
+/**
+ * Work at one instance, summed over requests.
+ *
+ * @property readingShare part of an engine's time that it lately spent on reading prompts
+ */
 @Serializable
 public data class WorkTotals(
     val running: Int,
     val unreadTokens: Int,
     val heldTokens: Int,
+    val readingShare: Double = 0.0,
 ) {
     /** Returns the sum of both. */
     public operator fun plus(other: WorkTotals): WorkTotals =
-        WorkTotals(running + other.running, unreadTokens + other.unreadTokens, heldTokens + other.heldTokens)
+        WorkTotals(
+            running + other.running,
+            unreadTokens + other.unreadTokens,
+            heldTokens + other.heldTokens,
+            readingShare + other.readingShare,
+        )
 
     /** Returns what is left without [other], never below nothing. */
     public operator fun minus(other: WorkTotals): WorkTotals =
@@ -19,6 +29,7 @@
             (running - other.running).coerceAtLeast(0),
             (unreadTokens - other.unreadTokens).coerceAtLeast(0),
             (heldTokens - other.heldTokens).coerceAtLeast(0),
+            (readingShare - other.readingShare).coerceAtLeast(0.0),
         )
 
     public companion object {
--- a/library/src/test/kotlin/plantainturn/request/relay/EngineDispatchTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/EngineDispatchTest.kt
@@ -82,6 +82,23 @@
         assertTrue(assertIs<DispatchDecision.Send>(elsewhere).instance != preferred)
     }
 
+    @Test
+    fun `an engine that only reads gets no more long prompts, and another one takes them`() {
+        val turnedAway = decide(candidate("reading", readingShare = 0.9))
+        val elsewhere = decide(candidate("reading", readingShare = 0.9), candidate("busy", unread = 9_000))
+
+        assertIs<DispatchDecision.TurnAway>(turnedAway)
+        assertEquals(UpstreamName("busy"), assertIs<DispatchDecision.Send>(elsewhere).instance)
+    }
+
+    @Test
+    fun `short prompts go to an engine that only reads all the same`() {
+        val short = query(prompt = 600)
+        val decision = dispatch.decide(short, listOf(candidate("reading", readingShare = 0.9)))
+
+        assertIs<DispatchDecision.Send>(decision)
+    }
+
     @Test
     fun `without an engine there is no candidate`() {
         assertEquals(DispatchDecision.NoCandidate, decide())
@@ -93,9 +110,12 @@
         const val PROMPT = 3_000
         val LONGEST_RETURN = 1_500.milliseconds
 
-        fun query(affinity: Long = 0) =
+        fun query(
+            affinity: Long = 0,
+            prompt: Int = PROMPT,
+        ) =
             DispatchQuery(
-                demand = GenerationDemand(ModelName("model"), null, PROMPT, 50, persistentListOf()),
+                demand = GenerationDemand(ModelName("model"), null, prompt, 50, persistentListOf()),
                 urgency = 1,
                 objectiveLeft = 600.milliseconds,
                 timeLeft = 2_400.milliseconds,
@@ -109,11 +129,13 @@
             running: Int = 0,
             unread: Int = 0,
             suspected: Boolean = false,
+            readingShare: Double = 0.0,
         ) = DispatchCandidate(
             name = UpstreamName(name),
             concurrency = 64,
             running = running,
             unreadTokens = unread,
+            readingShare = readingShare,
             heldTokens = 0,
             keptTokens = 0,
             sameDomain = true,
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -26,11 +26,15 @@
     internal val prompts: PromptMemory = PromptMemory()
 
     /** Returns this node's own work at each instance. */
-    public fun ownTotals(): Map<UpstreamName, WorkTotals> =
-        links
+    public fun ownTotals(): Map<UpstreamName, WorkTotals> {
+        val now = timer.now()
+        return links
             .mapValues { (_, link) ->
-                WorkTotals(link.standing.ownRunning, link.standing.ownUnread, link.standing.ownHeld)
+                val standing = link.standing
+                val reading = standing.ownReadingShare(now)
+                WorkTotals(standing.ownRunning, standing.ownUnread, standing.ownHeld, reading)
             }.filterValues { it.running > 0 }
+    }
 
     /** Takes over the work of the other nodes. */
     public fun onOthers(totals: Map<UpstreamName, WorkTotals>) {
@@ -76,6 +80,7 @@
             concurrency = instance.concurrency,
             running = standing.running(now),
             unreadTokens = standing.unread(),
+            readingShare = standing.readingShare(now),
             heldTokens = standing.held(),
             keptTokens = demand?.let { prompts.keptTokens(instance.name, it) } ?: 0,
             sameDomain = instance.domain == ownDomain,
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -54,7 +54,7 @@
         private set
 
     fun begin(reuse: Duration) {
-        standing.begin(work)
+        standing.begin(work, begunAt)
         exchange.request.demand?.let {
             context.demand.onAdapterRunning(it, 1)
             context.links.prompts.onSend(instance.name, it)
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
@@ -41,7 +41,8 @@
     fun workAt(instance: UpstreamName): RequestWork {
         val demand = request.demand ?: return RequestWork.NONE
         val unread = (demand.promptTokens - context.links.prompts.keptTokens(instance, demand)).coerceAtLeast(0)
-        return RequestWork(unread, unread + demand.outputTokens)
+        val reading = context.pace.engineTime(demand.model, unread, outputTokens = 0)
+        return RequestWork(unread, unread + demand.outputTokens, reading)
     }
 
     private fun atEngine(
