--- a/library/src/main/kotlin/plantainturn/request/relay/EngineDispatch.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/EngineDispatch.kt
@@ -9,9 +9,10 @@
  * Load patterns that it answers. A burst on one kind of request: work that is expected late is ranked behind work that
  * is still in time, so that it takes only what is left over, and is turned away at once when even that will not do. A
  * burst atop a crash: the copies that are left fill up to what can still be in time. Repeating callers: each is told a
- * time at which the present backlog is worked off. Long prompts without end: between the pieces of prompts that it reads
- * an engine makes one token for each stream, so that one which only reads lets every long stream run out of time; what
- * would take it there is turned away. While an engine has free places and nothing ahead, nothing is turned away. Requests that share a prompt prefer the same copy at every node, unless it is busier.
+ * time at which the present backlog is worked off. Long prompts without end: between the pieces of prompts that it
+ * reads an engine makes one token for each stream, so that one which only reads lets every long stream run out of time;
+ * what would take it there is turned away. While an engine has free places and nothing ahead, nothing is turned away.
+ * Requests that share a prompt prefer the same copy at every node, unless it is busier.
  */
 public class EngineDispatch(
     private val pace: EnginePace,
@@ -28,25 +29,34 @@
         val best = usable.minByOrNull { cost(it, demand, query) } ?: return DispatchDecision.NoCandidate
         val expected = expectedFirstEvent(best, demand, query)
         val inTime = expected <= query.objectiveLeft
+        val late = expectedFirstEvent(best, demand, query, query.urgency + settings.lateRank)
         val placesFree = best.running < best.concurrency * settings.freeShare && hasMemory(best, demand, query)
         return when {
             isReadingTooMuch(best, demand) ->
-                DispatchDecision.TurnAway(maxOf(comeBackAfter(expected, query), readingReturn(query)), expected)
-            inTime || placesFree && expected < query.timeLeft -> send(best, query, expected, inTime)
-            expected <= query.timeLeft * settings.lateShare && best.running < settings.fullFactor * best.concurrency ->
-                send(best, query, expected, inTime = false)
-            else -> DispatchDecision.TurnAway(comeBackAfter(expected, query), expected)
+                DispatchDecision.TurnAway(maxOf(comeBackAfter(late, query), readingReturn(query)), late)
+            inTime -> send(best, query, expected, inTime = true)
+            placesFree && late < query.timeLeft -> send(best, query, late, inTime = false)
+            late <= query.timeLeft * settings.lateShare && best.running < settings.fullFactor * best.concurrency ->
+                send(best, query, late, inTime = false)
+            else -> DispatchDecision.TurnAway(comeBackAfter(late, query), late)
         }
     }
 
-    /** Returns the expected time to the first event of a request with [demand] at [candidate]. */
+    /**
+     * Returns the expected time to the first event of a request with [demand] at [candidate], sent with [rank].
+     *
+     * What goes behind it does not hold it up, but for the piece that is just being read.
+     */
     public fun expectedFirstEvent(
         candidate: DispatchCandidate,
         demand: GenerationDemand,
         query: DispatchQuery,
+        rank: Int = query.urgency,
     ): Duration {
+        val before = candidate.unread.upTo(rank)
+        val piece = minOf(candidate.unread.total - before, settings.pieceTokens)
         val own = demand.promptTokens - candidate.keptTokens
-        val reading = pace.firstEvent(demand.model, candidate.unreadTokens + own)
+        val reading = pace.firstEvent(demand.model, before + piece + own)
         val surplus = candidate.running + 1 - candidate.concurrency
         val queueing = if (surplus > 0) settings.placePause * surplus else Duration.ZERO
         val memory = if (hasMemory(candidate, demand, query)) Duration.ZERO else settings.memoryPause
@@ -68,7 +78,7 @@
         inTime: Boolean,
     ): DispatchDecision {
         val rank = if (inTime) query.urgency else query.urgency + settings.lateRank
-        return DispatchDecision.Send(candidate.name, rank.coerceIn(0, LAST_RANK), expected, candidate.unreadTokens)
+        return DispatchDecision.Send(candidate.name, rank.coerceIn(0, LAST_RANK), expected, candidate.unread.total)
     }
 
     private fun cost(
--- a/library/src/main/kotlin/plantainturn/request/relay/WorkTotals.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/WorkTotals.kt
@@ -10,7 +10,7 @@
 @Serializable
 public data class WorkTotals(
     val running: Int,
-    val unreadTokens: Int,
+    val unread: UnreadTokens,
     val heldTokens: Int,
     val readingShare: Double = 0.0,
 ) {
@@ -18,22 +18,13 @@
     public operator fun plus(other: WorkTotals): WorkTotals =
         WorkTotals(
             running + other.running,
-            unreadTokens + other.unreadTokens,
+            unread + other.unread,
             heldTokens + other.heldTokens,
             readingShare + other.readingShare,
         )
 
-    /** Returns what is left without [other], never below nothing. */
-    public operator fun minus(other: WorkTotals): WorkTotals =
-        WorkTotals(
-            (running - other.running).coerceAtLeast(0),
-            (unreadTokens - other.unreadTokens).coerceAtLeast(0),
-            (heldTokens - other.heldTokens).coerceAtLeast(0),
-            (readingShare - other.readingShare).coerceAtLeast(0.0),
-        )
-
     public companion object {
         /** No work. */
-        public val NONE: WorkTotals = WorkTotals(0, 0, 0)
+        public val NONE: WorkTotals = WorkTotals(0, UnreadTokens(), 0)
     }
 }
