--- a/relay/src/main/kotlin/plantainturn/relay/residence/ResidenceIssuer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/ResidenceIssuer.kt
@@ -62,8 +62,8 @@
         context.loadsTold = began
     }
 
-    /** Returns when loads from the weight store began lately. */
-    public fun recentLoads(): List<Moment> = session?.recentLoads().orEmpty()
+    /** Returns when loads from the weight store began lately, as this node's orders or another issuer tell. */
+    public fun recentLoads(): List<Moment> = session?.recentLoads() ?: context.loadsTold.orEmpty()
 
     /** Looks at every engine and begins what is due. */
     public fun step() {
--- a/relay/src/main/kotlin/plantainturn/relay/residence/StoreLoadPacer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/StoreLoadPacer.kt
@@ -26,7 +26,7 @@
         val rated = perSecond * window.inWholeSeconds
         val whole = (rated * USED_SHARE).toInt().coerceAtLeast(1)
         val unsure = known == null && now - startedAt < window
-        val beside = (rated * CEILING_SHARE).toInt() + MARGIN - whole
+        val beside = (rated * CEILING_SHARE).toInt() + MARGIN - whole - LATE_LOADS
         return (if (unsure) minOf(whole, beside) else whole) - begun.size - doubtful.size
     }
 
@@ -59,6 +59,9 @@
         const val CEILING_SHARE = 1.1
         const val MARGIN = 3
 
+        /** Loads of an issuer before that begin late, and of which nobody tells. */
+        const val LATE_LOADS = 2
+
         /** The platform carries unanswered orders out within 12 s. */
         val LATEST_BEGIN = 12.seconds
     }
--- /dev/null
+++ b/relay/src/test/kotlin/plantainturn/relay/residence/ResidenceIssuerTest.kt
@@ -0,0 +1,78 @@
+package plantainturn.relay.residence
+
+import org.junit.jupiter.api.Test
+import plantainturn.connection.log.LogOffset
+import plantainturn.connection.roster.InstanceRoster
+import plantainturn.connection.roster.UpstreamInstance
+import plantainturn.connection.store.RecordStore
+import plantainturn.connection.store.StoreAppendResult
+import plantainturn.connection.store.StoreReadResult
+import plantainturn.connection.store.TopicName
+import plantainturn.process.control.lease.HolderIdentifier
+import plantainturn.process.control.lease.StoreLease
+import plantainturn.process.control.residence.EngineReading
+import plantainturn.process.control.residence.SequencedOrder
+import plantainturn.process.control.residence.SequencedOrderResult
+import plantainturn.process.time.VirtualTimerService
+import plantainturn.version.route.RoutingConfiguration
+import plantainturn.version.route.RoutingSource
+import kotlin.test.assertEquals
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class ResidenceIssuerTest {
+    private val timer = VirtualTimerService()
+
+    /** Found by cucu-valtellina, trouble-2 of snapshot ac0a8e53: more than 14 loads in five seconds. */
+    @Test
+    fun `a node that has just become the issuer still tells of the loads before its first orders`() {
+        val lease = StoreLease(SilentStore, HolderIdentifier("node"), "127.0.0.1:1", timer, { 0 })
+        val issuer =
+            ResidenceIssuer(lease, "node", InstanceRoster(), NoRouting, SilentEngines, timer, ceilingWindow = 5.seconds)
+        val loads = listOf(timer.now())
+
+        issuer.onLoads(loads)
+
+        assertEquals(loads, issuer.recentLoads())
+    }
+
+    private object NoRouting : RoutingSource {
+        override val current: RoutingConfiguration? = null
+    }
+
+    private object SilentStore : RecordStore {
+        override fun append(
+            topic: TopicName,
+            key: String,
+            value: ByteArray,
+            at: LogOffset?,
+            done: (StoreAppendResult) -> Unit,
+        ) = Unit
+
+        override fun readNewest(
+            topic: TopicName,
+            done: (StoreReadResult) -> Unit,
+        ) = Unit
+
+        override fun read(
+            topic: TopicName,
+            from: LogOffset,
+            wait: Duration,
+            done: (StoreReadResult) -> Unit,
+        ) = Unit
+    }
+
+    private object SilentEngines : EngineControl {
+        override fun read(
+            engine: UpstreamInstance,
+            done: (EngineReading?) -> Unit,
+        ) = Unit
+
+        override fun order(
+            engine: UpstreamInstance,
+            order: SequencedOrder,
+            holder: String,
+            done: (SequencedOrderResult) -> Unit,
+        ) = Unit
+    }
+}
