--- a/library/src/main/kotlin/plantainturn/request/relay/DispatchCandidate.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/DispatchCandidate.kt
@@ -7,7 +7,7 @@
  *
  * @property concurrency requests that it runs at once
  * @property running requests of all nodes that are there
- * @property unread prompt tokens that it has still to read
+ * @property unreadTokens prompt tokens ahead of the request
  * @property readingShare part of its time that it lately spent on reading prompts
  * @property heldTokens cache tokens that are taken
  * @property keptTokens tokens of the request's prompt that it has kept
@@ -20,7 +20,7 @@
     val name: UpstreamName,
     val concurrency: Int,
     val running: Int,
-    val unread: UnreadTokens,
+    val unreadTokens: Int,
     val readingShare: Double,
     val heldTokens: Int,
     val keptTokens: Int,
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -79,7 +79,7 @@
             name = instance.name,
             concurrency = instance.concurrency,
             running = standing.running(now),
-            unread = standing.unread(),
+            unreadTokens = standing.unread(),
             readingShare = standing.readingShare(now),
             heldTokens = standing.held(),
             keptTokens = demand?.let { prompts.keptTokens(instance.name, it) } ?: 0,
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -148,7 +148,7 @@
         arrivals += 1
         val rank = if (request.demand == null) null else decision.rank
         val terms = SendTerms(instance.name, timeLeft(), rank, splitter.lastIdentifier ?: request.resumeAfter)
-        val work = placement.workAt(instance.name, decision.rank)
+        val work = placement.workAt(instance.name)
         val made = RelayAttempt(context, this, instance, terms, work, decision)
         attempt = made
         context.journal.note(
