--- a/library/src/main/kotlin/plantainturn/connection/roster/RosterTimes.kt
+++ b/library/src/main/kotlin/plantainturn/connection/roster/RosterTimes.kt
@@ -15,7 +15,7 @@
 public data class RosterTimes(
     val drain: Duration,
 ) {
-    /** The longest rest between two readings of the entries; each reading is priced. */
+    /** The longest rest between two readings of the entries; each reading is billed. */
     val readingRest: Duration = drain * REST_SHARE
 
     /** The age of a peer's last reading from which on a node reads for itself. */
--- a/library/src/main/kotlin/plantainturn/connection/store/RecordStore.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/RecordStore.kt
@@ -7,7 +7,7 @@
  * The platform's store, as topics of keyed records with conditional appends.
  *
  * Calls return at once and later call back exactly once, on the thread of the node's event loop. They throw nothing;
- * every failure is a result. Each call is priced by the platform.
+ * every failure is a result. The platform bills each call.
  */
 public interface RecordStore {
     /**
--- a/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
@@ -117,7 +117,7 @@
         }
     }
 
-    /** Changes come in series; each read is priced, so those that come close together are read together. */
+    /** Changes come in series; each read is billed, so those that come close together are read together. */
     private fun rest(since: Moment) {
         val left = since + pace().rest - timer.now()
         resting = left.isPositive()
--- a/library/src/main/kotlin/plantainturn/process/control/residence/EngineLedger.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/EngineLedger.kt
@@ -254,8 +254,8 @@
     )
 
     private companion object {
-        /** The platform carries unanswered orders out within 12 s. */
-        val DEFAULT_DELAY_BOUND = 13.seconds
+        /** A second more than an order may be late, as the restart itself shows late. */
+        val DEFAULT_DELAY_BOUND = SequencedOrder.LATEST_EXECUTION + 1.seconds
 
         fun <K, V> PersistentMap<K, V>.mapValuesPersistent(transform: (K, V) -> V): PersistentMap<K, V> {
             val builder = builder()
--- a/library/src/main/kotlin/plantainturn/process/control/residence/SequencedOrder.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/SequencedOrder.kt
@@ -2,6 +2,8 @@
 
 import plantainturn.connection.engine.FenceNumber
 import plantainturn.version.configuration.UpstreamName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * An order that its engine carries out only as its next one after [expectedSequence] others.
@@ -14,4 +16,9 @@
     val action: ResidenceAction,
     val expectedSequence: Long,
     val fence: FenceNumber,
-)
+) {
+    public companion object {
+        /** The longest time after which an engine carries out an order that it did not answer; the platform's bound. */
+        public val LATEST_EXECUTION: Duration = 12.seconds
+    }
+}
--- a/library/src/main/kotlin/plantainturn/process/control/residence/internal/ResidenceWorth.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/internal/ResidenceWorth.kt
@@ -67,7 +67,7 @@
         if (count <= 1) return maxOf(pressure.worthPerSecond, silentWorth)
         val surplus = pressure.engineSharesWanted / (count - 1) - shareOf(resident)
         val missed = missedShare(leastUtilisation(resident) + surplus) - missedAt(resident)
-        return maxOf(pressure.worthPerSecond * missed, MINIMAL_GAIN / 2)
+        return maxOf(pressure.worthPerSecond * missed, LEAST_LOSS)
     }
 
     /** Worth a second that a load must bring to be worth its time. */
@@ -83,16 +83,18 @@
     fun leastUtilisation(model: ModelName): Double =
         input.engines.filter { model in it.holding }.minOfOrNull(::utilisation) ?: 0.0
 
+    /** The part of the worth of requests for [model] that is lost, as its engines are too busy. */
     fun missedAt(model: ModelName): Double = missedShare(leastUtilisation(model))
 
-    /** The part of the worth of requests that an engine at [utilisation] does not earn: late ones earn little. */
+    /** The part of the worth of requests that is lost at an engine with [utilisation]: late ones are worth little. */
     private fun missedShare(utilisation: Double): Double =
         when {
             utilisation <= settings.promptShare -> 0.0
-            utilisation >= 1.0 -> 1.0 - FULL_ENGINE_EARNS / (utilisation * utilisation)
-            else -> (1 - FULL_ENGINE_EARNS) * (utilisation - settings.promptShare) / (1 - settings.promptShare)
+            utilisation >= 1.0 -> 1.0 - KEPT_AT_FULL_ENGINE / (utilisation * utilisation)
+            else -> (1 - KEPT_AT_FULL_ENGINE) * (utilisation - settings.promptShare) / (1 - settings.promptShare)
         }
 
+    /** The part of the time of [engine] that its models are wanted for. */
     fun utilisation(engine: EngineSituation): Double = engine.holding.sumOf { shareOf(it) }
 
     /** Worth a second of requests that could want an adapter here, which no engine takes in during a load. */
@@ -101,8 +103,10 @@
 
     fun pressure(model: ModelName): ModelPressure = input.pressure[model] ?: NO_PRESSURE
 
+    /** Engines that hold or get [model]. */
     fun copiesOf(model: ModelName): Int = copies[model] ?: 0
 
+    /** The part of an engine's time that one copy of [model] is wanted for. */
     fun shareOf(model: ModelName): Double = shares[model] ?: 0.0
 
     private fun noteShare(model: ModelName) {
@@ -111,9 +115,11 @@
 
     private companion object {
         val NO_PRESSURE = ModelPressure()
-        const val MINIMAL_GAIN = 0.001
 
-        /** Part of the worth that requests earn at an engine that is just full: about half of them are late. */
-        const val FULL_ENGINE_EARNS = 0.5
+        /** A copy that nobody misses still counts a little, so that nothing moves for nothing. */
+        const val LEAST_LOSS = 0.0005
+
+        /** The part that is kept at an engine that is just full: about half of its requests are late. */
+        const val KEPT_AT_FULL_ENGINE = 0.5
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/http/EventLoopTimerService.kt
+++ b/library/src/main/kotlin/plantainturn/process/time/ExecutorTimerService.kt
@@ -1,19 +1,20 @@
-package plantainturn.relay.http
+package plantainturn.process.time
 
-import io.netty.channel.EventLoop
 import org.apache.logging.log4j.LogManager
-import plantainturn.process.time.Moment
-import plantainturn.process.time.TimerService
-import plantainturn.process.time.TimerSubscription
+import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
-/** A [TimerService] that runs its actions on one event loop, beside that loop's input and output. */
-public class EventLoopTimerService(
-    private val loop: EventLoop,
+/**
+ * A [TimerService] on the machine's monotonic clock that runs its actions on [executor], such as an event loop.
+ *
+ * The executor's owner ends it.
+ */
+public class ExecutorTimerService(
+    private val executor: ScheduledExecutorService,
 ) : TimerService {
-    private val logger = LogManager.getLogger(EventLoopTimerService::class.java)
+    private val logger = LogManager.getLogger(ExecutorTimerService::class.java)
 
     override fun now(): Moment = Moment(System.nanoTime())
 
@@ -22,7 +23,7 @@
         action: () -> Unit,
     ): TimerSubscription {
         val nanoseconds = delay.inWholeNanoseconds.coerceAtLeast(0)
-        return cancellation(loop.schedule({ runLogged(action) }, nanoseconds, TimeUnit.NANOSECONDS))
+        return cancellation(executor.schedule({ runLogged(action) }, nanoseconds, TimeUnit.NANOSECONDS))
     }
 
     override fun subscribe(
@@ -32,7 +33,7 @@
         require(period.isPositive()) { "period must be positive: $period" }
         val nanoseconds = period.inWholeNanoseconds
         return cancellation(
-            loop.scheduleWithFixedDelay({ runLogged(action) }, nanoseconds, nanoseconds, TimeUnit.NANOSECONDS),
+            executor.scheduleWithFixedDelay({ runLogged(action) }, nanoseconds, nanoseconds, TimeUnit.NANOSECONDS),
         )
     }
 
--- a/library/src/main/kotlin/plantainturn/request/relay/FadingSum.kt
+++ b/library/src/main/kotlin/plantainturn/process/time/FadingSum.kt
@@ -1,6 +1,5 @@
-package plantainturn.request.relay
+package plantainturn.process.time
 
-import plantainturn.process.time.Moment
 import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -22,12 +21,24 @@
         sum += amount
     }
 
-    /** Returns the amount added per second, as an average over about the memory. */
-    public fun perSecond(now: Moment): Double {
+    /** Multiplies the sum by [factor] at [now], as if that part of what was added had not been. */
+    public fun scale(
+        factor: Double,
+        now: Moment,
+    ) {
+        fade(now)
+        sum *= factor
+    }
+
+    /** Returns what is left of the sum. */
+    public fun value(now: Moment): Double {
         fade(now)
-        return sum / memorySeconds
+        return sum
     }
 
+    /** Returns the amount added per second, as an average over about the memory. */
+    public fun perSecond(now: Moment): Double = value(now) / memorySeconds
+
     private fun fade(now: Moment) {
         sum *= exp(-(now - at).toDouble(DurationUnit.SECONDS) / memorySeconds)
         at = now
--- a/library/src/main/kotlin/plantainturn/request/admission/ModelMeter.kt
+++ b/library/src/main/kotlin/plantainturn/request/admission/ModelMeter.kt
@@ -1,11 +1,10 @@
 package plantainturn.request.admission
 
+import plantainturn.process.time.FadingSum
 import plantainturn.process.time.Moment
 import plantainturn.version.placement.ModelDemand
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
-import kotlin.math.exp
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -13,8 +12,8 @@
 /** The demand for one model or adapter. */
 internal class ModelMeter {
     private val lock = ReentrantLock()
-    private val fast = DecayingRate(FAST_WINDOW)
-    private val slow = DecayingRate(SLOW_WINDOW)
+    private val fast = FadingSum(FAST_WINDOW)
+    private val slow = FadingSum(SLOW_WINDOW)
     private val peaks = DoubleArray(PEAK_SLOTS)
     private var peakSlot = 0L
     private var tokensPerRequest = 0.0
@@ -22,8 +21,8 @@
 
     fun recordArrival(now: Moment): Unit =
         lock.withLock {
-            slow.record(now)
-            fast.record(now)
+            slow.add(1.0, now)
+            fast.add(1.0, now)
             lastArrival = now
             recordPeak(now)
         }
@@ -42,8 +41,8 @@
         lock.withLock {
             clearOldPeaks(now)
             ModelDemand(
-                fastRequestsPerSecond = fast.read(now),
-                slowRequestsPerSecond = slow.read(now),
+                fastRequestsPerSecond = fast.perSecond(now),
+                slowRequestsPerSecond = slow.perSecond(now),
                 peakRequestsPerSecond = peaks.max(),
                 tokensPerRequest = tokensPerRequest,
                 waiting = waiting,
@@ -56,7 +55,7 @@
     private fun recordPeak(now: Moment) {
         clearOldPeaks(now)
         val index = peakSlot.mod(PEAK_SLOTS)
-        peaks[index] = maxOf(peaks[index], fast.read(now))
+        peaks[index] = maxOf(peaks[index], fast.perSecond(now))
     }
 
     private fun clearOldPeaks(now: Moment) {
@@ -66,23 +65,6 @@
         peakSlot = maxOf(slot, peakSlot)
     }
 
-    private class DecayingRate(
-        private val window: Duration,
-    ) {
-        private var rate = 0.0
-        private var at: Moment? = null
-
-        fun record(now: Moment) {
-            rate = read(now) + 1.0 / (window / 1.seconds)
-            at = now
-        }
-
-        fun read(now: Moment): Double {
-            val since = at ?: return 0.0
-            return rate * exp(-((now - since) / window))
-        }
-    }
-
     private companion object {
         const val SMOOTHING = 0.1
         const val PEAK_SLOTS = 12
--- a/library/src/main/kotlin/plantainturn/request/relay/InstanceHealth.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/InstanceHealth.kt
@@ -1,11 +1,10 @@
 package plantainturn.request.relay
 
+import plantainturn.process.time.FadingSum
 import plantainturn.process.time.Moment
-import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 
 /**
  * What the outcomes of requests say about one instance; its own probe is not asked, as it may lie.
@@ -16,8 +15,7 @@
  * what may be the fault of a link does not.
  */
 public class InstanceHealth {
-    private var score = 0.0
-    private var scoredAt = Moment.ORIGIN
+    private val score = FadingSum(MEMORY)
     private var suspectedUntil: Moment? = null
     private var pause = INITIAL_PAUSE
     private var trialRunning = false
@@ -51,11 +49,10 @@
 
     /** Notes that a request was answered. */
     public fun onSuccess(now: Moment) {
-        fade(now)
-        score *= SUCCESS_FACTOR
+        score.scale(SUCCESS_FACTOR, now)
         val wasTrial = trialRunning
         trialRunning = false
-        if (suspectedUntil != null && (wasTrial || score < CLEARED)) {
+        if (suspectedUntil != null && (wasTrial || score.value(now) < CLEARED)) {
             suspectedUntil = null
             pause = INITIAL_PAUSE
         }
@@ -71,31 +68,24 @@
         kind: FailureKind,
         now: Moment,
     ): Boolean {
-        fade(now)
-        score += kind.weight
+        score.add(kind.weight, now)
         val wasTrial = trialRunning
         trialRunning = false
-        if (score < SUSPECT && !wasTrial) return false
+        if (score.value(now) < SUSPECT && !wasTrial) return false
         val already = suspectedUntil?.let { now < it } ?: false
         if (already) return false
         suspectedUntil = now + pause
         answeredErrors = kind == FailureKind.ERROR
         pause = minOf(pause * 2, LONGEST_PAUSE)
-        score = minOf(score, SUSPECT)
+        score.scale(minOf(1.0, SUSPECT / score.value(now)), now)
         return true
     }
 
-    private fun fade(now: Moment) {
-        val elapsed = (now - scoredAt).toDouble(DurationUnit.SECONDS)
-        score *= exp(-elapsed / FADING_SECONDS)
-        scoredAt = now
-    }
-
     private companion object {
         const val SUSPECT = 1.0
         const val CLEARED = 0.3
         const val SUCCESS_FACTOR = 0.6
-        const val FADING_SECONDS = 4.0
+        val MEMORY: Duration = 4.seconds
         val INITIAL_PAUSE: Duration = 400.milliseconds
         val LONGEST_PAUSE: Duration = 3.seconds
     }
--- a/library/src/main/kotlin/plantainturn/request/relay/InstanceStanding.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/InstanceStanding.kt
@@ -1,5 +1,6 @@
 package plantainturn.request.relay
 
+import plantainturn.process.time.FadingSum
 import plantainturn.process.time.Moment
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/library/src/test/kotlin/plantainturn/connection/roster/InstanceRosterTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/roster/InstanceRosterTest.kt
@@ -1,11 +1,7 @@
 package plantainturn.connection.roster
 
-import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
 import org.junit.jupiter.api.Test
 import plantainturn.process.time.Moment
-import plantainturn.version.configuration.FailureDomain
-import plantainturn.version.configuration.ServiceName
 import plantainturn.version.configuration.UpstreamName
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -68,21 +64,5 @@
 
     private companion object {
         fun at(milliseconds: Int): Moment = Moment.ORIGIN + milliseconds.milliseconds
-
-        fun instance(
-            name: String,
-            leaving: Boolean = false,
-        ) = UpstreamInstance(
-            name = UpstreamName(name),
-            service = ServiceName("service"),
-            location = SocketLocation("127.0.0.1", 1),
-            domain = FailureDomain("domain"),
-            startedAt = 1,
-            concurrency = 1,
-            leaving = leaving,
-            residents = persistentMapOf(),
-            hostCopies = persistentSetOf(),
-            diskCopies = persistentSetOf(),
-        )
     }
 }
--- a/library/src/test/kotlin/plantainturn/connection/roster/LeavingInstanceTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/roster/LeavingInstanceTest.kt
@@ -1,7 +1,5 @@
 package plantainturn.connection.roster
 
-import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
 import org.junit.jupiter.api.Test
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.store.FakeRecordStore
@@ -11,8 +9,6 @@
 import plantainturn.connection.store.TopicListener
 import plantainturn.connection.store.TopicName
 import plantainturn.process.time.VirtualTimerService
-import plantainturn.version.configuration.FailureDomain
-import plantainturn.version.configuration.ServiceName
 import plantainturn.version.configuration.UpstreamName
 import kotlin.test.assertTrue
 import kotlin.time.Duration
@@ -124,21 +120,5 @@
         ) {
             records += KeyedRecord(key, value?.toByteArray(), LogOffset(records.size.toLong()))
         }
-
-        fun instance(
-            name: String,
-            leaving: Boolean,
-        ) = UpstreamInstance(
-            name = UpstreamName(name),
-            service = ServiceName("service"),
-            location = SocketLocation("127.0.0.1", 1),
-            domain = FailureDomain("domain"),
-            startedAt = 1,
-            concurrency = 1,
-            leaving = leaving,
-            residents = persistentMapOf(),
-            hostCopies = persistentSetOf(),
-            diskCopies = persistentSetOf(),
-        )
     }
 }
--- a/library/src/test/kotlin/plantainturn/connection/store/TopicFollowerTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/store/TopicFollowerTest.kt
@@ -48,7 +48,7 @@
         assertEquals(LogOffset(1), other.end)
     }
 
-    /** Found by hamasaki-keg, trouble-3 of snapshot 2127b7ca: a configuration was in force 2.1 s after its ack. */
+    /** Found by hamasaki-keg, trouble-3 of snapshot 2127b7ca: a configuration was in force 2.1 s after its writing. */
     @Test
     fun `a hint of a later end is followed while a long read hears nothing`() {
         write("a")
--- a/library/src/test/kotlin/plantainturn/process/control/residence/ResidencePlannerTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/control/residence/ResidencePlannerTest.kt
@@ -125,8 +125,12 @@
 
     @Test
     fun `a model that a request waits for takes the place of one that nobody asks for`() {
-        val near = engine("two", "c", "d", disk = setOf("e"))
-        val input = input(engine("one", "a", "b"), near, pressure = mapOf("a" to busy(9.0, 0.2), "e" to RARE))
+        val input =
+            input(
+                engine("one", "a", "b"),
+                engine("two", "c", "d"),
+                pressure = mapOf("a" to busy(9.0, 0.2), "e" to RARE),
+            )
 
         val move = planner.plan(input).single()
 
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -15,9 +15,9 @@
 import plantainturn.process.control.lease.HolderIdentifier
 import plantainturn.process.control.lease.StoreLease
 import plantainturn.process.control.lease.StoreLeaseSettings
+import plantainturn.process.time.ExecutorTimerService
 import plantainturn.process.time.Moment
 import plantainturn.relay.http.CallerServer
-import plantainturn.relay.http.EventLoopTimerService
 import plantainturn.relay.http.HttpCaller
 import plantainturn.relay.http.SmallAnswer
 import plantainturn.relay.http.SmallServer
@@ -69,7 +69,7 @@
     private val logger = LogManager.getLogger(RelayNode::class.java)
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next() as EventLoop
-    private val timer = EventLoopTimerService(loop)
+    private val timer = ExecutorTimerService(loop)
     private val incarnation = "${settings.node}/${UUID.randomUUID()}"
     private val caller = HttpCaller(loop, timer)
     private val platform = connect(loop, caller, location(settings.store))
@@ -176,8 +176,9 @@
             }
             timer.subscribe(STOP_CHECK_PERIOD) {
                 val elapsed = timer.now() - givenAt
-                val issuing = lease.permitsOrders()
-                val quiet = handler.inProgress == 0 && callers.size == 0 && !issuing
+                // While the store is away nobody can take the issuer's place, so it stays as long as it may.
+                val isIssuer = lease.permitsOrders()
+                val quiet = handler.inProgress == 0 && callers.size == 0 && !isIssuer
                 val late = elapsed > settings.stopSeconds.seconds - STOP_MARGIN
                 if (elapsed > LAST_REQUESTS && quiet || late) stopped.countDown()
             }
@@ -206,7 +207,7 @@
         }
     }
 
-    /** Every read is priced, so one node reads often and tells the others; alone, each reads often. */
+    /** Every read is billed, so one node reads often and tells the others; alone, each reads often. */
     private fun readPace(): ReadPace =
         if (lease.fence != null ||
             issuerLink.isIssuerMissing()
@@ -286,14 +287,13 @@
                 demand.adapterUse().map { (adapter, use) ->
                     NodeReport.AdapterUse(adapter.first.value, adapter.second.value, rounded(use))
                 },
-            residenceRevision = known.residenceRevision,
+            known = known,
             prompts = links.prompts.takeUntold(),
-            promptsKnown = known.prompts,
             quarantines = quarantine.snapshot(),
             ends = TopicEnds(configurationFollower.end.value, instanceFollower.end.value),
         )
 
-    /** Bytes between failure domains are priced; more digits than this decide nothing. */
+    /** Bytes between failure domains are billed; more digits than this decide nothing. */
     private fun rounded(value: Double): Double = Math.round(value * ROUNDING) / ROUNDING
 
     private fun serveSmall() {
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -133,7 +133,7 @@
         quarantine.merge(told.quarantines)
         storeHeardAt = if (told.issuing) told.storeAge?.let { now - it.milliseconds } else null
         onTold(told)
-        knowledge = IssuerKnowledge(told.residenceRevision, told.promptsEnd)
+        knowledge = told.known
         knowledgeFrom = from
         links.prompts.merge(told.prompts)
         issuer.onLoads(told.loadAges.map { now - it.milliseconds })
@@ -189,7 +189,7 @@
         private val ISSUER_SILENCE = 900.milliseconds
         private val ARRIVALS_FRESHNESS = 1.seconds
 
-        /** Each look is a priced call. */
+        /** Each look is a call that is billed. */
         private val LOOK_PAUSE = 400.milliseconds
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -12,13 +12,12 @@
  * @property nodes nodes that it heard from lately, itself included
  * @property work the work of all other nodes at each instance
  * @property suspects milliseconds for which other nodes suspect instances that answered errors
- * @property residenceRevision the revision of [residence]
- * @property residence models and their adapters at each engine, null if the node knows this revision
+ * @property known what the node has from this issuer once it has this report
+ * @property residence models and their adapters at each engine, null if the node has them
  * @property instances records of the instances' topic that the node has not read, null if there are none
  * @property storeAge milliseconds since the issuer last heard from the store about instances
  * @property loadAges milliseconds since loads from the weight store began, for an issuer that follows
  * @property prompts news of prompts that the node does not know
- * @property promptsEnd how much news of prompts there is
  * @property arrivals milliseconds until models on their way should be there
  */
 @Serializable
@@ -27,14 +26,13 @@
     val nodes: Int,
     val work: Map<String, WorkTotals>,
     val suspects: Map<String, Long>,
-    val residenceRevision: Long,
+    val known: IssuerKnowledge,
     val residence: Map<String, Map<String, List<String>>>?,
     val arrivals: Map<String, Long>,
     val instances: RelayedRecords?,
     val storeAge: Long?,
     val loadAges: List<Long>,
     val prompts: List<KeptPart>,
-    val promptsEnd: Long,
     val quarantines: List<QuarantineEntry>,
     val ends: TopicEnds,
 )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -13,9 +13,8 @@
  * @property suspects milliseconds for which it suspects instances that answered errors
  * @property pressure what its callers want, by base model
  * @property adapterUse how much its callers use each adapter
- * @property residenceRevision the newest revision of residence that it knows
+ * @property known what it has from this issuer already
  * @property prompts shared parts of prompts that engines have read for its callers since its last report
- * @property promptsKnown how much of the issuer's news of prompts it knows
  */
 @Serializable
 internal data class NodeReport(
@@ -24,9 +23,8 @@
     val suspects: Map<String, Long>,
     val pressure: Map<String, PressureReport>,
     val adapterUse: List<AdapterUse>,
-    val residenceRevision: Long,
+    val known: IssuerKnowledge,
     val prompts: List<KeptPart>,
-    val promptsKnown: Long,
     val quarantines: List<QuarantineEntry>,
     val ends: TopicEnds,
 ) {
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -30,13 +30,13 @@
         promptNews.add(report.prompts)
         tellIssuer()
         val others = heard.values.map { it.report }.filter { it.node != report.node }
-        val residence = issuer.residence().takeIf { issuer.revision != report.residenceRevision }
+        val residence = issuer.residence().takeIf { issuer.revision != report.known.residenceRevision }
         return IssuerReport(
             issuing = issuer.isActive,
             nodes = heard.size,
             work = sum(others),
             suspects = suspects(others),
-            residenceRevision = issuer.revision,
+            known = IssuerKnowledge(issuer.revision, promptNews.end),
             residence =
                 residence
                     ?.map { (engine, models) ->
@@ -47,8 +47,7 @@
             instances = instances.since(LogOffset(report.ends.instances))?.let(RelayedRecords::of),
             storeAge = instances.heardAt?.let { (now - it).inWholeMilliseconds },
             loadAges = issuer.recentLoads().map { (now - it).inWholeMilliseconds },
-            prompts = promptNews.since(report.promptsKnown),
-            promptsEnd = promptNews.end,
+            prompts = promptNews.since(report.known.prompts),
             quarantines = quarantine.snapshot(),
             ends = heard.values.map { it.report.ends }.reduce(TopicEnds::latest),
         )
--- a/relay/src/main/kotlin/plantainturn/relay/request/DemandMeter.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/DemandMeter.kt
@@ -1,9 +1,9 @@
 package plantainturn.relay.request
 
 import plantainturn.process.control.residence.ModelPressure
+import plantainturn.process.time.FadingSum
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
-import plantainturn.request.relay.FadingSum
 import plantainturn.request.relay.GenerationDemand
 import plantainturn.version.configuration.ModelName
 import kotlin.math.exp
--- a/relay/src/main/kotlin/plantainturn/relay/residence/AdapterBringer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/AdapterBringer.kt
@@ -66,7 +66,7 @@
         val ledger = session.ledgers[engine] ?: return false
         return model in ledger.residents &&
             session.leavingModel(engine, ledger) != model &&
-            session.answers(engine) &&
+            session.inquiries.answers(engine) &&
             context.roster.instances[engine]?.leaving == false
     }
 
@@ -104,7 +104,7 @@
         if (step.kind == ResidenceAction.Kind.UNLOAD) {
             grantedAt[Triple(engine, step.model, adapter)] = context.timer.now()
         }
-        session.askSoon(engine)
+        session.inquiries.askSoon(engine)
     }
 
     private companion object {
--- a/relay/src/main/kotlin/plantainturn/relay/residence/EngineControl.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/EngineControl.kt
@@ -7,7 +7,7 @@
 
 /** An engine's own interface. Calls return at once and later call back exactly once, on the event loop. */
 public interface EngineControl {
-    /** Asks [engine] what it holds; null if it does not answer. Each question is priced. */
+    /** Asks [engine] what it holds; null if it does not answer. Each question is billed. */
     public fun read(
         engine: UpstreamInstance,
         done: (EngineReading?) -> Unit,
--- a/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
@@ -37,11 +37,11 @@
     /** What each engine holds. */
     val ledgers = HashMap<UpstreamName, EngineLedger>()
     private val startedAt = HashMap<UpstreamName, Long?>()
-    private val asking = HashSet<UpstreamName>()
-    private val askedAt = HashMap<UpstreamName, Moment>()
+
+    /** Which engines were asked, and which answer. */
+    val inquiries = EngineInquiries(context.timer)
     private val tasks = HashMap<UpstreamName, EngineTask>()
     private val residentSince = HashMap<UpstreamName, MutableMap<ModelName, Moment>>()
-    private val failedReadings = HashMap<UpstreamName, Int>()
     private val pacer =
         StoreLoadPacer(
             context.ceilingWindow,
@@ -60,6 +60,7 @@
         }
     }
 
+    /** Returns when loads from the weight store began lately. */
     fun recentLoads(): List<Moment> = pacer.recent(context.timer.now())
 
     fun residence(): PersistentMap<UpstreamName, PersistentMap<ModelName, PersistentSet<ModelName>>> =
@@ -94,7 +95,7 @@
             ledgers.remove(it)
             tasks.remove(it)
             startedAt.remove(it)
-            failedReadings.remove(it)
+            inquiries.forget(it)
             residentSince.remove(it)
             context.noteChange()
         }
@@ -117,18 +118,12 @@
         engine: UpstreamName,
         ledger: EngineLedger,
     ): Boolean {
-        if (engine in asking || ledger.calling) return false
-        val now = context.timer.now()
-        val last = askedAt[engine]
-        val rested = last == null || now - last >= readingPause(engine)
+        if (ledger.calling || !inquiries.mayAsk(engine)) return false
         val ordered = ledger.orderedAt
-        val done = ordered != null && now >= ordered + expectedDuration(engine, ledger)
-        return rested && (ledger.needsReading || ledger.isBusyWithUnknown || ledger.isChanging && done)
+        val done = ordered != null && context.timer.now() >= ordered + expectedDuration(engine, ledger)
+        return ledger.needsReading || ledger.isBusyWithUnknown || ledger.isChanging && done
     }
 
-    private fun readingPause(engine: UpstreamName): Duration =
-        READING_PAUSE * (1 shl minOf(failedReadings[engine] ?: 0, MAXIMUM_PAUSE_DOUBLINGS))
-
     private fun expectedDuration(
         engine: UpstreamName,
         ledger: EngineLedger,
@@ -143,17 +138,15 @@
         ledger: EngineLedger,
     ) {
         val now = context.timer.now()
-        asking += engine.name
-        askedAt[engine.name] = now
+        inquiries.onAsked(engine.name)
         context.control.read(engine) { reading ->
-            asking -= engine.name
             if (!isCurrent(this)) return@read
             if (reading == null) {
-                failedReadings.merge(engine.name, 1, Int::plus)
-                logger.info("engine={} event=reading-failed times={}", engine.name, failedReadings[engine.name])
+                val times = inquiries.onFailure(engine.name)
+                logger.info("engine={} event=reading-failed times={}", engine.name, times)
                 return@read
             }
-            failedReadings.remove(engine.name)
+            inquiries.onAnswer(engine.name)
             val before = ledger.residents.keys
             ledger.onReading(reading, now)
             noteResidence(engine.name, before, ledger.residents.keys)
@@ -297,7 +290,7 @@
         engines: List<UpstreamInstance>,
     ) {
         val unread = engines.filter { ledgers[it.name]?.readAt == null }
-        if (unread.any { it.name !in failedReadings } && context.timer.now() - beganAt < FIRST_READINGS) return
+        if (unread.any { inquiries.answers(it.name) } && context.timer.now() - beganAt < FIRST_READINGS) return
         val now = context.timer.now()
         val input =
             ResidenceInput(
@@ -382,14 +375,6 @@
         }
     }
 
-    /** Lets the engine be asked at once, unless it did not answer. */
-    fun askSoon(engine: UpstreamName) {
-        if (answers(engine)) askedAt.remove(engine)
-    }
-
-    /** Whether the engine answered when it was last asked. */
-    fun answers(engine: UpstreamName): Boolean = engine !in failedReadings
-
     private companion object {
         /** Nodes hear of a departing model within an exchange or two. */
         val DEPARTURE_NOTICE = 300.milliseconds
@@ -400,12 +385,6 @@
         /** A reading shows what was true some 100 ms before. */
         val READING_LAG = 150.milliseconds
 
-        /** Each reading is priced like a probe. */
-        val READING_PAUSE = 250.milliseconds
-
-        /** An engine that does not answer is soon dropped, or comes back in seconds. */
-        const val MAXIMUM_PAUSE_DOUBLINGS = 3
-
         /** Plans before all engines were read would load what an unread one holds. */
         val FIRST_READINGS = 1.seconds
 
--- a/relay/src/main/kotlin/plantainturn/relay/residence/StoreLoadPacer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/StoreLoadPacer.kt
@@ -1,8 +1,8 @@
 package plantainturn.relay.residence
 
+import plantainturn.process.control.residence.SequencedOrder
 import plantainturn.process.time.Moment
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Counts loads from the weight store against its ceiling, over a sliding window.
@@ -48,7 +48,11 @@
 
     private fun forget(now: Moment) {
         while (begun.firstOrNull()?.let { it < now - window } == true) begun.removeFirst()
-        while (doubtful.firstOrNull()?.let { it < now - LATEST_BEGIN - window } == true) doubtful.removeFirst()
+        while (doubtful.firstOrNull()?.let { it < now - SequencedOrder.LATEST_EXECUTION - window } ==
+            true
+        ) {
+            doubtful.removeFirst()
+        }
     }
 
     private companion object {
@@ -61,8 +65,5 @@
 
         /** Loads of an issuer before that begin late, and of which nobody tells. */
         const val LATE_LOADS = 2
-
-        /** The platform carries unanswered orders out within 12 s. */
-        val LATEST_BEGIN = 12.seconds
     }
 }
