Log what each repetition and each refusal was decided by

A line for each repetition now has the requests, the limit and the number of nodes that it was decided by; a line for each refusal and for each answer that was left aside has the identifier it bore and how many requests its connection had carried before. A change in the number of nodes is logged too. Peers can be told another address than the one a node listens at, so that the links between nodes can be harmed from outside.

--- a/library/src/main/kotlin/plantainturn/request/relay/RepetitionAllowance.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/RepetitionAllowance.kt
@@ -26,18 +26,18 @@
         windowOf(service).requests.addLast(now)
     }
 
-    /** Takes one repetition at [service], if there is one left, and returns whether there was. */
+    /** Takes one repetition at [service], if there is one left. */
     public fun tryRepeat(
         service: ServiceName,
         now: Moment,
-    ): Boolean {
+    ): RepetitionDecision {
         val window = windowOf(service)
         window.forget(now - settings.window)
-        val allowed =
-            settings.usedShare * (settings.ratio * window.requests.size + settings.fixed / nodes().coerceAtLeast(1))
-        if (window.repetitions.size + 1 > allowed) return false
-        window.repetitions.addLast(now)
-        return true
+        val nodes = nodes().coerceAtLeast(1)
+        val limit = settings.usedShare * (settings.ratio * window.requests.size + settings.fixed / nodes)
+        val granted = window.repetitions.size + 1 <= limit
+        if (granted) window.repetitions.addLast(now)
+        return RepetitionDecision(granted, window.repetitions.size, limit, window.requests.size, nodes)
     }
 
     private fun windowOf(service: ServiceName): Window = windows.getOrPut(service) { Window() }
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/relay/RepetitionDecision.kt
@@ -0,0 +1,18 @@
+package plantainturn.request.relay
+
+/**
+ * Whether a request may be given to a further instance, and what that was decided by.
+ *
+ * @property granted whether it may
+ * @property used repetitions of this node in the window, this one included if it was granted
+ * @property limit how many it might use
+ * @property requests requests of this node's callers in the window
+ * @property nodes the number of nodes that share the fixed part
+ */
+public data class RepetitionDecision(
+    val granted: Boolean,
+    val used: Int,
+    val limit: Double,
+    val requests: Int,
+    val nodes: Int,
+)
--- a/library/src/test/kotlin/plantainturn/request/relay/RepetitionAllowanceTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/RepetitionAllowanceTest.kt
@@ -21,7 +21,7 @@
             val allowance = allowances[time / 10 % nodes]
             allowance.onRequest(service, at(time))
             requests++
-            repeat(2) { if (allowance.tryRepeat(service, at(time))) repetitions++ }
+            repeat(2) { if (allowance.tryRepeat(service, at(time)).granted) repetitions++ }
         }
 
         assertTrue(repetitions <= BOUND.ratio * requests + BOUND.fixed, "$repetitions for $requests")
@@ -31,12 +31,15 @@
     @Test
     fun `repetitions come back as the window slides`() {
         val allowance = RepetitionAllowance(BOUND) { 1 }
-        val first = generateSequence { allowance.tryRepeat(service, at(0)) }.takeWhile { it }.count()
+        val first = allowance.takeAll(at(0))
 
-        assertEquals(false, allowance.tryRepeat(service, at(9_000)))
-        assertEquals(first, generateSequence { allowance.tryRepeat(service, at(10_001)) }.takeWhile { it }.count())
+        assertEquals(false, allowance.tryRepeat(service, at(9_000)).granted)
+        assertEquals(first, allowance.takeAll(at(10_001)))
     }
 
+    private fun RepetitionAllowance.takeAll(now: Moment): Int =
+        generateSequence { tryRepeat(service, now) }.takeWhile { it.granted }.count()
+
     private companion object {
         val BOUND = RepetitionSettings(ratio = 0.2, fixed = 56.0, window = 10.seconds)
 
--- a/relay/src/main/kotlin/plantainturn/relay/http/AnswerReceiver.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/AnswerReceiver.kt
@@ -5,8 +5,15 @@
 
 /** Receives the answer to one request on an [UpstreamConnection]. Exactly one of [onEnd] and [onBroken] ends it. */
 internal interface AnswerReceiver {
-    /** Returns whether [head] begins the answer to this request, and not a left-over one to another. */
-    fun accepts(head: HttpResponse): Boolean
+    /**
+     * Returns whether [head] begins the answer to this request, and not a left-over one to another.
+     *
+     * @param earlier how many requests the connection had carried before this one
+     */
+    fun accepts(
+        head: HttpResponse,
+        earlier: Int,
+    ): Boolean
 
     /** The answer begins. */
     fun onHead(head: HttpResponse)
--- a/relay/src/main/kotlin/plantainturn/relay/http/HttpCaller.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/HttpCaller.kt
@@ -102,7 +102,10 @@
             )
         }
 
-        override fun accepts(head: HttpResponse): Boolean = true
+        override fun accepts(
+            head: HttpResponse,
+            earlier: Int,
+        ): Boolean = true
 
         override fun onHead(head: HttpResponse) {
             this.head = head
--- a/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
@@ -34,6 +34,7 @@
     private var answering = false
     private var reusable = true
     private var failure: String? = null
+    private var carried = 0
 
     /** When the connection last became idle. */
     var idleSince: Moment = Moment.ORIGIN
@@ -56,6 +57,7 @@
     ) {
         check(this.receiver == null) { "the connection is in use" }
         this.receiver = receiver
+        carried += 1
         decoder.method = request.method()
         sending = context.writeAndFlush(request)
     }
@@ -105,7 +107,7 @@
             head.decoderResult().isFailure -> fail("not an answer: ${head.decoderResult().cause()?.message}")
             current == null || answering -> fail("an answer that nobody waits for")
             head.status().codeClass() == HttpStatusClass.INFORMATIONAL -> skipping = true
-            !current.accepts(head) -> {
+            !current.accepts(head, carried - 1) -> {
                 skipping = true
                 reusable = false
             }
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -84,7 +84,7 @@
         StoreLease(
             platform.store,
             HolderIdentifier(incarnation),
-            settings.peers,
+            settings.advertisedPeers ?: settings.peers,
             timer,
             System::currentTimeMillis,
             StoreLeaseSettings(
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelaySettings.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelaySettings.kt
@@ -11,6 +11,7 @@
  * @property callers where it listens for callers, `ip:port`
  * @property readiness where it answers the balancer's probe
  * @property peers where it answers its peers and serves metrics and dumps
+ * @property advertisedPeers where peers reach it, if that is another address than [peers]
  * @property store where the platform's store listens
  * @property stopSeconds how long it may take to stop
  * @property drainMilliseconds how soon after an upstream's leaving is known requests to it must have ended
@@ -29,6 +30,7 @@
     val readiness: String,
     val peers: String,
     val store: String,
+    val advertisedPeers: String? = null,
     val stopSeconds: Double = 8.0,
     val drainMilliseconds: Long = 2_000,
     val handOverMilliseconds: Long = 3_000,
@@ -46,6 +48,7 @@
                 "callers" to callers,
                 "readiness" to readiness,
                 "peers" to peers,
+                "advertisedPeers" to (advertisedPeers ?: peers),
                 "store" to store,
             )) {
                 if (SocketLocation.parse(value) == null) add("$name: \"$value\" is not ip:port")
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -124,6 +124,7 @@
     ) {
         val now = timer.now()
         if (heardAt == null || isIssuerMissing()) logger.info("event=issuer-heard issuer={} nodes={}", from, told.nodes)
+        if (nodes != told.nodes) logger.info("event=nodes-counted issuer={} before={} now={}", from, nodes, told.nodes)
         heardAt = now
         nodes = told.nodes
         arrivals = told.arrivals
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -35,6 +35,7 @@
     private var facts: AnswerFacts? = null
     private var gathered: ByteBuf = Unpooled.EMPTY_BUFFER
     private var promptRead = false
+    private var earlierOnConnection = 0
     private var ended = false
 
     /** When the request was written to the instance, null if it was not. */
@@ -109,10 +110,23 @@
         exchange.onNotSent(this, reason)
     }
 
-    override fun accepts(head: HttpResponse): Boolean {
+    override fun accepts(
+        head: HttpResponse,
+        earlier: Int,
+    ): Boolean {
         val identifier = context.dialect.answerFacts(head).identifier
         val own = identifier == exchange.request.identifier.value
-        return own || identifier == null && head.status().code() >= FIRST_FAILURE_STATUS
+        val accepted = own || identifier == null && head.status().code() >= FIRST_FAILURE_STATUS
+        earlierOnConnection = earlier
+        if (!accepted) {
+            context.metrics.onOtherAnswer()
+            context.journal.note(
+                exchange.request.identifier,
+                "other-answer",
+                "$this answered=$identifier status=${head.status().code()} earlierOnConnection=$earlier",
+            )
+        }
+        return accepted
     }
 
     override fun onHead(head: HttpResponse) {
@@ -182,7 +196,8 @@
     ) {
         if (told.misdirected) standing.health.onNeutral() else failed(FailureKind.REFUSED)
         context.metrics.onSend("refused")
-        exchange.onRefused(this, told.misdirected, status)
+        val evidence = "status=$status answered=${told.identifier} earlierOnConnection=$earlierOnConnection"
+        exchange.onRefused(this, told.misdirected, evidence)
     }
 
     private fun answered(
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -166,7 +166,10 @@
     private fun mayArriveAgain(): Boolean {
         if (arrivals == 0) return true
         if (runs >= route.attempts || arrivals >= RelayTimes.MAXIMUM_ARRIVALS) return false
-        return context.allowance.tryRepeat(service.name, context.timer.now())
+        val decision = context.allowance.tryRepeat(service.name, context.timer.now())
+        context.metrics.onRepetition(decision.granted)
+        context.journal.note(request.identifier, "repetition", "service=${service.name} $decision")
+        return decision.granted
     }
 
     private fun awaitAdapter(step: PlacementStep.NeedsAdapter) {
@@ -287,14 +290,14 @@
         }
     }
 
-    /** The instance stated that it did not run the request. */
+    /** The instance stated that it did not run the request; [evidence] tells which answer said so. */
     fun onRefused(
         refused: RelayAttempt,
         misdirected: Boolean,
-        status: Int,
+        evidence: String,
     ) {
         context.quarantine.ended(fingerprint, refused.instance.name)
-        context.journal.note(request.identifier, "refused", "$refused status=$status misdirected=$misdirected")
+        context.journal.note(request.identifier, "refused", "$refused misdirected=$misdirected $evidence")
         attempt = null
         avoided += refused.instance.name
         val demand = request.demand
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
@@ -25,6 +25,19 @@
             .help("Sends to instances by outcome.")
             .labelNames("outcome")
             .register(registry)
+    private val repetitions =
+        Counter
+            .builder()
+            .name("plantainturn_relay_repetitions_total")
+            .help("Requests for a further arrival of a request at an instance, by whether the bound allowed it.")
+            .labelNames("granted")
+            .register(registry)
+    private val otherAnswers =
+        Counter
+            .builder()
+            .name("plantainturn_relay_other_answers_total")
+            .help("Answers on connections to instances that were not taken for the answer to the request in progress.")
+            .register(registry)
     private val firstByte =
         Histogram
             .builder()
@@ -53,6 +66,14 @@
         sends.labelValues(outcome).inc()
     }
 
+    internal fun onRepetition(granted: Boolean) {
+        repetitions.labelValues(granted.toString()).inc()
+    }
+
+    internal fun onOtherAnswer() {
+        otherAnswers.inc()
+    }
+
     internal fun onFirstByte(elapsed: Duration) {
         firstByte.observe(elapsed.toDouble(DurationUnit.SECONDS))
     }
