Believe a refusal only if it can be the answer to this very send

What callers saw: a request that may run once was answered 503, the promise that it did not run, and had run.

Cause: an answer was matched to a send by the request's identifier alone. After all instances had refused a request it went to the first of them again, over the connection of the first send. A second copy of the first refusal, which servers and networks produce, arrived where the answer to the second send was due and was believed; the instance ran the second send. Likewise an answer without an identifier was believed on a connection that had carried other requests; the request was then even sent, and run, a second time.

The relay's log of the request has event=refused with earlierOnConnection=1, 7 ms after its send; the instance recorded the run of that send 8 ms before the 503.

Fix: a send to an instance that got the request before uses a new connection, and an answer without an identifier on a connection that carried another request leaves the outcome unknown. An answer can then belong to no other send.

LeftOverAnswerTest failed before: 503 for a request that ran, and two runs of a request that may run once.

--- a/relay/src/main/kotlin/plantainturn/relay/http/AnswerReceiver.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/AnswerReceiver.kt
@@ -6,14 +6,14 @@
 /** Receives the answer to one request on an [UpstreamConnection]. Exactly one of [onEnd] and [onBroken] ends it. */
 internal interface AnswerReceiver {
     /**
-     * Returns whether [head] begins the answer to this request, and not a left-over one to another.
+     * Returns whether [head] begins the answer to this request.
      *
      * @param earlier how many requests the connection had carried before this one
      */
-    fun accepts(
+    fun ownershipOf(
         head: HttpResponse,
         earlier: Int,
-    ): Boolean
+    ): AnswerOwnership
 
     /** The answer begins. */
     fun onHead(head: HttpResponse)
--- a/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
@@ -31,12 +31,13 @@
      * Gives a connection to [done].
      *
      * @param reuse how long a connection may have been idle if its server does not tell how long it keeps idle ones: a
-     * request that crosses the server's close may have run
+     * request that crosses the server's close may have run; null if only a new connection will do
      */
     fun acquire(
-        reuse: Duration,
+        reuse: Duration?,
         done: (ConnectionResult) -> Unit,
     ) {
+        if (reuse == null) return connect(done)
         val now = timer.now()
         while (idle.isNotEmpty()) {
             val connection = idle.removeLast()
--- a/relay/src/main/kotlin/plantainturn/relay/http/HttpCaller.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/HttpCaller.kt
@@ -102,10 +102,10 @@
             )
         }
 
-        override fun accepts(
+        override fun ownershipOf(
             head: HttpResponse,
             earlier: Int,
-        ): Boolean = true
+        ): AnswerOwnership = AnswerOwnership.OWN
 
         override fun onHead(head: HttpResponse) {
             this.head = head
--- a/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
@@ -107,15 +107,25 @@
             head.decoderResult().isFailure -> fail("not an answer: ${head.decoderResult().cause()?.message}")
             current == null || answering -> fail("an answer that nobody waits for")
             head.status().codeClass() == HttpStatusClass.INFORMATIONAL -> skipping = true
-            !current.accepts(head, carried - 1) -> {
-                skipping = true
-                reusable = false
-            }
-            else -> {
+            else -> beginAnswer(current, head)
+        }
+    }
+
+    private fun beginAnswer(
+        current: AnswerReceiver,
+        head: HttpResponse,
+    ) {
+        when (current.ownershipOf(head, carried - 1)) {
+            AnswerOwnership.OWN -> {
                 answering = true
                 noteReuse(head)
                 current.onHead(head)
             }
+            AnswerOwnership.OTHER -> {
+                skipping = true
+                reusable = false
+            }
+            AnswerOwnership.UNCLEAR -> fail("an answer that names no request")
         }
     }
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.process.time.Moment
+import plantainturn.relay.http.AnswerOwnership
 import plantainturn.relay.http.AnswerReceiver
 import plantainturn.relay.http.ConnectionResult
 import plantainturn.relay.http.UpstreamConnection
@@ -54,7 +55,8 @@
     var isStreaming: Boolean = false
         private set
 
-    fun begin(reuse: Duration) {
+    /** Sends the request on a connection that was idle for [reuse] at most, or on a new one if it is null. */
+    fun begin(reuse: Duration?) {
         standing.begin(work, begunAt)
         exchange.request.demand?.let {
             context.demand.onAdapterRunning(it, 1)
@@ -110,15 +112,21 @@
         exchange.onNotSent(this, reason)
     }
 
-    override fun accepts(
+    /** A refusal is believed only if it can't be the answer to another request, or to an earlier send of this one. */
+    override fun ownershipOf(
         head: HttpResponse,
         earlier: Int,
-    ): Boolean {
+    ): AnswerOwnership {
         val identifier = context.dialect.answerFacts(head).identifier
-        val own = identifier == exchange.request.identifier.value
-        val accepted = own || identifier == null && head.status().code() >= FIRST_FAILURE_STATUS
+        val ownership =
+            when {
+                identifier == exchange.request.identifier.value -> AnswerOwnership.OWN
+                identifier != null || head.status().code() < FIRST_FAILURE_STATUS -> AnswerOwnership.OTHER
+                earlier == 0 -> AnswerOwnership.OWN
+                else -> AnswerOwnership.UNCLEAR
+            }
         earlierOnConnection = earlier
-        if (!accepted) {
+        if (ownership != AnswerOwnership.OWN) {
             context.metrics.onOtherAnswer()
             context.journal.note(
                 exchange.request.identifier,
@@ -126,7 +134,7 @@
                 "$this answered=$identifier status=${head.status().code()} earlierOnConnection=$earlier",
             )
         }
-        return accepted
+        return ownership
     }
 
     override fun onHead(head: HttpResponse) {
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -41,6 +41,7 @@
     private val fingerprint = fingerprintOf(request, service)
     private val placement = RelayPlacement(context, request, route, service, fingerprint)
     private val avoided = LinkedHashSet<UpstreamName>()
+    private val sentTo = HashSet<UpstreamName>()
     private var attempt: RelayAttempt? = null
     private var kept: KeptAnswer? = null
     private var arrivals = 0
@@ -158,10 +159,18 @@
                 "arrival=$arrivals model=${request.demand?.model} adapter=${request.demand?.adapter} " +
                 "left=${timeLeft()}",
         )
-        made.begin(if (route.repetition.repeatable) RelayTimes.ANY_IDLE else RelayTimes.FRESH_IDLE)
+        made.begin(longestIdle(instance.name))
         watchSilence(made)
     }
 
+    /** A second answer to an earlier send could be taken for that to a later one on the same connection. */
+    private fun longestIdle(instance: UpstreamName): Duration? =
+        when {
+            !sentTo.add(instance) -> null
+            route.repetition.repeatable -> RelayTimes.ANY_IDLE
+            else -> RelayTimes.FRESH_IDLE
+        }
+
     /** A further arrival of a request at an instance draws on the bound that all nodes share. */
     private fun mayArriveAgain(): Boolean {
         if (arrivals == 0) return true
