Divide the fixed repetitions by parts that are held, not by a count of nodes

Cause: each node took the fixed part divided by the number of nodes that the issuer had heard of. An issuer that is cut off, or has just taken over, counts itself alone and takes the whole fixed part; a process that starts again has its share anew within the same window. Nothing takes back what was used at a wrong count.

Parts that are in use, or were within a window, never add up to more than all: a process that is silent keeps its part until it must have lapsed and left the window, a node without a part has the ratio of its own requests, and a new holder of the lease only confirms what nodes have until all that are silent have lapsed. Only a holder whose term has not ended confirms.

--- a/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
@@ -55,6 +55,14 @@
     public val isFree: Boolean
         get() = holderRecord?.holder == NOBODY
 
+    /** Whether no other node can hold the lease now; orders may be permitted for longer. */
+    public val isExclusive: Boolean
+        get() = held?.let { timer.now() < it.validUntil && !wasSuspended(it) } ?: false
+
+    /** Whether nobody held the lease before this node, whose record is the first in the topic. */
+    public val isFirstHolder: Boolean
+        get() = held?.fence?.value == 0L
+
     /** Returns whether this node may issue orders now. */
     public fun permitsOrders(): Boolean {
         val current = held ?: return false
--- a/library/src/main/kotlin/plantainturn/request/relay/RepetitionAllowance.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/RepetitionAllowance.kt
@@ -5,16 +5,17 @@
 
 /**
  * Bounds how often this node gives a request to a further instance, so that all nodes together stay within the
- * deployment's bound without asking each other.
+ * deployment's bound without asking each other for each request.
  *
  * Load pattern: all instances of a service fail part of their requests while callers repeat by themselves. Each node
  * may use a part of its own requests in a window, and its share of the deployment's fixed part. Confined to one thread.
  *
- * @param settings the deployment's bound; part of it is left unused, as nodes join and windows slide
+ * @param settings the deployment's bound; part of it is left unused, as windows slide
+ * @param share the part of the fixed repetitions that this node may use; those of all processes add up to 1 at most
  */
 public class RepetitionAllowance(
     public var settings: RepetitionSettings,
-    private val nodes: () -> Int,
+    private val share: (Moment) -> Double,
 ) {
     private val windows = HashMap<ServiceName, Window>()
 
@@ -33,11 +34,11 @@
     ): RepetitionDecision {
         val window = windowOf(service)
         window.forget(now - settings.window)
-        val nodes = nodes().coerceAtLeast(1)
-        val limit = settings.usedShare * (settings.ratio * window.requests.size + settings.fixed / nodes)
+        val part = share(now)
+        val limit = settings.usedShare * (settings.ratio * window.requests.size + settings.fixed * part)
         val granted = window.repetitions.size + 1 <= limit
         if (granted) window.repetitions.addLast(now)
-        return RepetitionDecision(granted, window.repetitions.size, limit, window.requests.size, nodes)
+        return RepetitionDecision(granted, window.repetitions.size, limit, window.requests.size, part)
     }
 
     private fun windowOf(service: ServiceName): Window = windows.getOrPut(service) { Window() }
--- a/library/src/main/kotlin/plantainturn/request/relay/RepetitionDecision.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/RepetitionDecision.kt
@@ -7,12 +7,12 @@
  * @property used repetitions of this node in the window, this one included if it was granted
  * @property limit how many it might use
  * @property requests requests of this node's callers in the window
- * @property nodes the number of nodes that share the fixed part
+ * @property share the part of the fixed repetitions that this node may use
  */
 public data class RepetitionDecision(
     val granted: Boolean,
     val used: Int,
     val limit: Double,
     val requests: Int,
-    val nodes: Int,
+    val share: Double,
 )
--- a/library/src/test/kotlin/plantainturn/request/relay/RepetitionAllowanceTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/RepetitionAllowanceTest.kt
@@ -14,7 +14,7 @@
     @Test
     fun `all nodes together stay within the bound of the deployment`() {
         val nodes = 8
-        val allowances = List(nodes) { RepetitionAllowance(BOUND) { nodes } }
+        val allowances = List(nodes) { RepetitionAllowance(BOUND) { 1.0 / nodes } }
         var requests = 0
         var repetitions = 0
         for (time in 0 until 10_000 step 10) {
@@ -30,7 +30,7 @@
 
     @Test
     fun `repetitions come back as the window slides`() {
-        val allowance = RepetitionAllowance(BOUND) { 1 }
+        val allowance = RepetitionAllowance(BOUND) { 1.0 }
         val first = allowance.takeAll(at(0))
 
         assertEquals(false, allowance.tryRepeat(service, at(9_000)).granted)
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
@@ -20,6 +20,7 @@
     val fence: Long?,
     val mayOrder: Boolean,
     val nodes: Int,
+    val repetitionShare: Double,
     val inProgress: Int,
     val waiting: Int,
     val instances: Map<String, InstanceDump>,
@@ -51,6 +52,7 @@
             inProgress: Int,
             waiting: Int,
             nodes: Int,
+            repetitionShare: Double,
         ): RelayDump {
             val work = links.ownTotals()
             return RelayDump(
@@ -61,6 +63,7 @@
                 fence = lease.fence?.value,
                 mayOrder = lease.permitsOrders(),
                 nodes = nodes,
+                repetitionShare = repetitionShare,
                 inProgress = inProgress,
                 waiting = waiting,
                 instances =
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -43,6 +43,8 @@
 import plantainturn.request.relay.EnginePace
 import plantainturn.request.relay.RepetitionAllowance
 import plantainturn.request.relay.RepetitionSettings
+import plantainturn.request.relay.RepetitionShare
+import plantainturn.request.relay.RepetitionShareTerms
 import plantainturn.request.relay.ServiceDispatch
 import plantainturn.version.configuration.FailureDomain
 import java.io.ByteArrayOutputStream
@@ -109,17 +111,32 @@
         TopicFollower(platform.store, platform.configurationTopic, configuration, timer, ::readPace)
     private val instanceFollower =
         TopicFollower(platform.store, platform.instanceTopic, instances, timer, ::instanceReadPace)
-    private val hub = PeerHub(issuer, quarantine, timer, instanceFollower)
+    private val shareTerms = RepetitionShareTerms(settings.repetitionWindowSeconds.seconds)
+    private val repetitionShare = RepetitionShare(shareTerms)
+    private val hub = PeerHub(issuer, lease, shareTerms, quarantine, timer, instanceFollower)
     private val issuerLink: IssuerLink =
-        IssuerLink(lease, issuer, hub, caller, timer, fleet, links, quarantine, ::report, ::onTold)
+        IssuerLink(
+            lease,
+            issuer,
+            hub,
+            caller,
+            timer,
+            fleet,
+            links,
+            quarantine,
+            repetitionShare,
+            ::report,
+            ::onTold,
+        )
     private val pace = EnginePace()
-    private val allowance = RepetitionAllowance(repetitions()) { issuerLink.nodes }
+    private val allowance = RepetitionAllowance(repetitions(), repetitionShare::partAt)
     private val handler = RelayHandler(context())
     private val callers = CallerServer(loop, timer, configuration, handler)
     private val small = SmallServer(loop)
     private val readiness = SmallServer(loop)
     private val startedAt: Moment = timer.now()
     private var stopping = false
+    private var reports = 0L
 
     /** Listens and begins to follow the store; returns once it listens or could not, with what went wrong. */
     public fun start(): List<Throwable> {
@@ -269,6 +286,8 @@
     private fun report(known: IssuerKnowledge): NodeReport =
         NodeReport(
             node = incarnation,
+            sequence = reports++,
+            repetitionShare = repetitionShare.largestWithinWindow(timer.now()),
             work = links.ownTotals().mapKeys { it.key.value },
             suspects = links.suspicions().map { it.key.value to it.value.inWholeMilliseconds }.toMap(),
             pressure =
@@ -322,6 +341,7 @@
                 inProgress = handler.inProgress,
                 waiting = waiting.size,
                 nodes = issuerLink.nodes,
+                repetitionShare = repetitionShare.partAt(timer.now()),
             ).toJson()
 
     private companion object {
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -19,6 +19,7 @@
 import plantainturn.relay.request.ResidenceDesk
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.quarantine.QuarantineRegister
+import plantainturn.request.relay.RepetitionShare
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.ServiceName
 import plantainturn.version.configuration.UpstreamName
@@ -40,6 +41,7 @@
     private val fleet: FleetView,
     private val links: InstanceLinks,
     private val quarantine: QuarantineRegister,
+    private val repetitionShare: RepetitionShare,
     private val report: (IssuerKnowledge) -> NodeReport,
     private val onTold: (IssuerReport) -> Unit,
 ) : ResidenceDesk {
@@ -54,7 +56,7 @@
     private var storeHeardAt: Moment? = null
 
     /** Nodes that take part, as the issuer last told. */
-    var nodes: Int = ASSUMED_NODES
+    var nodes: Int = 1
         private set
 
     /** Whether the issuer has not been heard from for so long that another one should take over. */
@@ -66,7 +68,7 @@
     /** Exchanges reports with the issuer, if the last exchange has ended. */
     fun step() {
         if (lease.fence != null) {
-            take(hub.exchange(report(knownFrom(SELF))), SELF)
+            take(hub.exchange(report(knownFrom(SELF))), SELF, timer.now())
             return
         }
         val location = issuerLocation()
@@ -103,13 +105,14 @@
     private fun call(location: SocketLocation) {
         calling = true
         val from = location.toString()
+        val sentAt = timer.now()
         val body = Json.encodeToString(NodeReport.serializer(), report(knownFrom(from))).toByteArray()
         caller.call(location, HttpCall(HttpMethod.POST, EXCHANGE_PATH, body), EXCHANGE_TIMEOUT) { result ->
             calling = false
             val told = decode(result, IssuerReport.serializer())
             when {
                 told == null -> logger.debug("issuer={} event=exchange-failed result={}", location, result)
-                told.issuing -> take(told, from)
+                told.issuing -> take(told, from, sentAt)
                 else -> lookForIssuer()
             }
         }
@@ -121,12 +124,14 @@
     private fun take(
         told: IssuerReport,
         from: String,
+        sentAt: Moment,
     ) {
         val now = timer.now()
         if (heardAt == null || isIssuerMissing()) logger.info("event=issuer-heard issuer={} nodes={}", from, told.nodes)
         if (nodes != told.nodes) logger.info("event=nodes-counted issuer={} before={} now={}", from, nodes, told.nodes)
         heardAt = now
         nodes = told.nodes
+        told.repetitionShare?.let { confirmShare(it, from, sentAt) }
         arrivals = told.arrivals
         arrivalsAt = now
         links.onOthers(told.work.mapKeys { UpstreamName(it.key) })
@@ -141,6 +146,19 @@
         if (told.issuing) fleet.onResidence(told.residence?.let(::decodeResidence))
     }
 
+    private fun confirmShare(
+        part: Double,
+        from: String,
+        sentAt: Moment,
+    ) {
+        val now = timer.now()
+        val before = repetitionShare.partAt(now)
+        if (part != before) {
+            logger.info("event=repetition-share issuer={} before={} now={} nodes={}", from, before, part, nodes)
+        }
+        repetitionShare.confirm(part, sentAt, now)
+    }
+
     private fun decodeResidence(told: Map<String, Map<String, List<String>>>) =
         told
             .map { (engine, models) ->
@@ -181,8 +199,6 @@
         private const val SELF = "self"
         private const val OK = 200
 
-        /** Shares of what all nodes may use are small until the number of nodes is known. */
-        private const val ASSUMED_NODES = 16
         private val EXCHANGE_TIMEOUT = 500.milliseconds
         private val ADAPTER_TIMEOUT = 400.milliseconds
 
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -10,6 +10,7 @@
  *
  * @property issuing whether the answering node holds the lease
  * @property nodes nodes that it heard from lately, itself included
+ * @property repetitionShare the part of the fixed repetitions that the node may use, null if this node can't tell
  * @property work the work of all other nodes at each instance
  * @property suspects milliseconds for which other nodes suspect instances that answered errors
  * @property known what the node has from this issuer once it has this report
@@ -24,6 +25,7 @@
 internal data class IssuerReport(
     val issuing: Boolean,
     val nodes: Int,
+    val repetitionShare: Double?,
     val work: Map<String, WorkTotals>,
     val suspects: Map<String, Long>,
     val known: IssuerKnowledge,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -14,11 +14,15 @@
  * @property pressure what its callers want, by base model
  * @property adapterUse how much its callers use each adapter
  * @property known what it has from this issuer already
+ * @property sequence grows with each report of this run of the node
+ * @property repetitionShare the largest part of the fixed repetitions that it may have used lately
  * @property prompts shared parts of prompts that engines have read for its callers since its last report
  */
 @Serializable
 internal data class NodeReport(
     val node: String,
+    val sequence: Long,
+    val repetitionShare: Double,
     val work: Map<String, WorkTotals>,
     val suspects: Map<String, Long>,
     val pressure: Map<String, PressureReport>,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -1,12 +1,16 @@
 package plantainturn.relay.peer
 
+import plantainturn.connection.engine.FenceNumber
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.store.TopicFollower
+import plantainturn.process.control.lease.StoreLease
 import plantainturn.process.control.residence.ModelPressure
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.quarantine.QuarantineRegister
+import plantainturn.request.relay.RepetitionShareTerms
+import plantainturn.request.relay.RepetitionShares
 import plantainturn.request.relay.WorkTotals
 import plantainturn.version.configuration.ModelName
 import kotlin.time.Duration.Companion.milliseconds
@@ -14,12 +18,16 @@
 /** Gathers the reports of all nodes at the issuer of orders, and tells each node the sum. */
 internal class PeerHub(
     private val issuer: ResidenceIssuer,
+    private val lease: StoreLease,
+    private val shareTerms: RepetitionShareTerms,
     private val quarantine: QuarantineRegister,
     private val timer: TimerService,
     private val instances: TopicFollower,
 ) {
     private val heard = HashMap<String, Heard>()
     private val promptNews = PromptNews()
+    private var sharesFence: FenceNumber? = null
+    private var shares = RepetitionShares(shareTerms, Moment.ORIGIN)
 
     /** Takes in [report] and returns the answer to it. */
     fun exchange(report: NodeReport): IssuerReport {
@@ -34,6 +42,7 @@
         return IssuerReport(
             issuing = issuer.isActive,
             nodes = heard.size,
+            repetitionShare = shareFor(report, now),
             work = sum(others),
             suspects = suspects(others),
             known = IssuerKnowledge(issuer.revision, promptNews.end),
@@ -53,6 +62,21 @@
         )
     }
 
+    /** Two nodes that answered at once could give the same part away, so that only a sole holder of the lease does. */
+    private fun shareFor(
+        report: NodeReport,
+        now: Moment,
+    ): Double? {
+        val fence = lease.fence
+        if (fence == null || !lease.isExclusive) return null
+        if (fence != sharesFence) {
+            sharesFence = fence
+            val unsettled = if (lease.isFirstHolder) RepetitionShares.ABSENT_AFTER else shareTerms.settledAfter
+            shares = RepetitionShares(shareTerms, now + unsettled)
+        }
+        return shares.renew(report.node, report.repetitionShare, report.sequence, now)
+    }
+
     private fun tellIssuer() {
         val reports = heard.values.map { it.report }
         val pressure = HashMap<ModelName, ModelPressure>()
