--- a/library/src/main/kotlin/plantainturn/request/relay/RepetitionShares.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/RepetitionShares.kt
@@ -49,8 +49,9 @@
     ): Double {
         val reporting = holdings.values.count { now - it.heardAt <= ABSENT_AFTER }
         val wanted = 1.0 / (reporting + SPARE_PROCESSES)
+        if (wanted <= holding.bound) return wanted
         val free = 1.0 - holdings.values.sumOf { it.bound }
-        return if (wanted <= holding.bound) wanted else holding.bound + minOf(wanted - holding.bound, maxOf(free, 0.0))
+        return if (free < LEAST_PART) holding.bound else holding.bound + minOf(wanted - holding.bound, free)
     }
 
     private class Holding(
@@ -71,5 +72,8 @@
 
         /** Parts that are left for processes that start anew while those before them still count. */
         private const val SPARE_PROCESSES = 2
+
+        /** Less than this is what rounding leaves, or too little for one repetition of any deployment. */
+        private const val LEAST_PART = 0.001
     }
 }
