--- a/library/src/main/kotlin/plantainturn/request/relay/RepetitionDecision.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/RepetitionDecision.kt
@@ -1,5 +1,7 @@
 package plantainturn.request.relay
 
+import java.util.Locale
+
 /**
  * Whether a request may be given to a further instance, and what that was decided by.
  *
@@ -15,4 +17,8 @@
     val limit: Double,
     val requests: Int,
     val share: Double,
-)
+) {
+    /** The facts as `name=value` pairs, for logs. */
+    override fun toString(): String =
+        "granted=$granted used=$used limit=${"%.2f".format(Locale.ROOT, limit)} requests=$requests share=$share"
+}
--- a/library/src/main/kotlin/plantainturn/request/relay/RepetitionShare.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/RepetitionShare.kt
@@ -14,7 +14,7 @@
     private var validUntil = Moment.ORIGIN
     private val earlier = ArrayDeque<Earlier>()
 
-    /** Takes over the part that the answer to a report sent at [sentAt] confirms, from now on until the term is over. */
+    /** Takes over the [part] that the answer to a report sent at [sentAt] confirms; it lapses when the term is over. */
     public fun confirm(
         part: Double,
         sentAt: Moment,
--- a/library/src/main/kotlin/plantainturn/request/relay/RepetitionShares.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/RepetitionShares.kt
@@ -5,12 +5,12 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Divides what all nodes may repeat among the processes that report, so that the parts never add up to more than all.
+ * Divides what all nodes may repeat among the processes that report; the parts never add up to more than all.
  *
- * Load pattern: instances refuse, and so repetitions are wanted everywhere, while nodes are cut off, end, start again and
- * hand this duty over. A part that a process may use, or may have used within a window, is not given to another one. A
- * successor in this duty knows nothing of its predecessor's processes that don't report to it, so it only confirms what
- * the others have until those that are silent can hold nothing any more. Confined to one thread.
+ * Load pattern: instances refuse, and so repetitions are wanted everywhere, while nodes are cut off, end, start again
+ * and hand this duty over. A part that a process may use, or may have used within a window, is not given to another
+ * one. A successor in this duty knows nothing of its predecessor's processes that don't report to it, so it only
+ * confirms what the others have until those that are silent can hold nothing any more. Confined to one thread.
  *
  * @param settledFrom when every part that another holder of this duty confirmed has lapsed, unless its process reported
  */
--- a/library/src/test/kotlin/plantainturn/request/relay/RepetitionSharesTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/RepetitionSharesTest.kt
@@ -77,7 +77,7 @@
         }
     }
 
-    /** Nodes that repeat whenever they may, while one after the other has the duty of dividing, at most one at a time. */
+    /** Nodes that repeat whenever they may, while at most one at a time has the duty of dividing. */
     private inner class Run(
         private val random: Random,
         private val troubled: Boolean = true,
