Build before the README's first command starts a process

What was seen: on a clean clone bin/try-local ended with "log did not start". Its three first processes wait for one build, which takes longer than the 30 s in which a process must report its port.

--- a/bin/lib/processes.sh
+++ b/bin/lib/processes.sh
@@ -22,6 +22,9 @@
 }
 trap end_all EXIT
 
+# A build takes longer than a process may take to start, so that it comes before the first of them.
+"$root/plantainturn" codes >/dev/null || exit 1
+
 # step TEXT: prints that a check held.
 step() { printf 'ok    %s\n' "$1"; }
 
