Send one protective value with each gossip message before other news

Cause: urgent news is passed on at once, but by an ordinary message of 900 bytes, which is filled from the queue of members and then from one queue of all values in the order in which they came. After a join the members alone fill it, and a quarantine waits behind all demand that is yet to be told. Synchronisation had put protective values first before, the messages that carry news had not.

Fix: each message takes one protective value first, then members, the other protective values and the rest. One in a message leaves members their room.

--- a/library/src/main/kotlin/plantainturn/process/membership/internal/GossipTable.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/internal/GossipTable.kt
@@ -17,7 +17,8 @@
  * All entries that a node holds, the newest of each key, and the turn in which they are sent.
  *
  * An entry that is new here is queued and sent a bounded number of times; each time it goes to the end of the queue,
- * so that however many there are, each gets its turn. Entries about members go before values.
+ * so that however many there are, each gets its turn. Each message has room for one protective value first; then entries
+ * about members go before values, and protective values before others.
  */
 internal class GossipTable {
     private class Held(
@@ -31,6 +32,7 @@
     private val lock = ReentrantLock()
     private val held = TreeMap<String, Held>()
     private val memberQueue = LinkedHashMap<String, Int>()
+    private val protectionQueue = LinkedHashMap<String, Int>()
     private val valueQueue = LinkedHashMap<String, Int>()
 
     /** Takes [entry] if it is newer than what is held, and queues it to be sent [repeats] times. */
@@ -92,7 +94,9 @@
     ): List<GossipEntry> =
         lock.withLock {
             val budget = ByteBudget(bytes)
-            take(memberQueue, budget, now) + take(valueQueue, budget, now)
+            val first = take(protectionQueue, budget, now, atMost = 1)
+            val others = listOf(memberQueue, protectionQueue, valueQueue).flatMap { take(it, budget, now) }
+            (first + others).distinctBy { it.key }
         }
 
     /** Returns the versions held from the key [from] on, as many as fit in [bytes]. */
@@ -141,9 +145,10 @@
         queue: LinkedHashMap<String, Int>,
         budget: ByteBudget,
         now: Moment,
+        atMost: Int = Int.MAX_VALUE,
     ): List<GossipEntry> {
         val taken = mutableListOf<GossipEntry>()
-        for (key in queue.keys.toList()) {
+        for (key in queue.keys.take(atMost)) {
             val entry = held.getValue(key)
             if (!budget.take(entry.bytes)) break
             taken += aged(entry, now)
@@ -155,12 +160,14 @@
 
     private fun drop(key: String) {
         held.remove(key)
-        memberQueue.remove(key)
-        valueQueue.remove(key)
+        listOf(memberQueue, protectionQueue, valueQueue).forEach { it.remove(key) }
     }
 
     private fun queueOf(entry: GossipEntry): LinkedHashMap<String, Int> =
-        if (entry is GossipEntry.Membership) memberQueue else valueQueue
+        when (entry) {
+            is GossipEntry.Membership -> memberQueue
+            is GossipEntry.Published -> if (entry.value.protective) protectionQueue else valueQueue
+        }
 
     private fun publishedAt(
         entry: GossipEntry,
--- a/library/src/test/kotlin/plantainturn/process/membership/GossipMembershipTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/membership/GossipMembershipTest.kt
@@ -174,6 +174,22 @@
         assertTrue(timer.now() - start < 900.milliseconds, "took ${timer.now() - start}")
     }
 
+    /** A member has just joined, so that messages are full of members, and demand waits to be told. */
+    @Test
+    fun `a quarantine reaches all within a period, however much other news waits`() {
+        settled(4)
+        peers.start(address(9))
+        for (member in peers.running.values) {
+            repeat(40) { member.publish(GossipValue.Demand(it, persistentMapOf(ModelName("m") to ModelDemand(1.0)))) }
+        }
+        timer.advance(1_500.milliseconds)
+        val start = timer.now()
+        peers.running.getValue(address(2)).publish(quarantine(1, quarantined = true))
+        val lacking = { peers.running.filterValues { it.values(GossipValue.Quarantine::class).isEmpty() }.keys }
+        while (lacking().isNotEmpty() && timer.now() - start < 20.seconds) timer.advance(10.milliseconds)
+        assertTrue(timer.now() - start < 1.seconds, "took ${timer.now() - start}")
+    }
+
     @Test
     fun `messages stay within their limit and every value gets its turn`() {
         settled(5)
@@ -292,14 +308,17 @@
 
     private fun sends(upstream: String) = GossipValue.RecentSends(persistentMapOf(UpstreamName(upstream) to 1))
 
-    private fun quarantine(number: Int): GossipValue {
+    private fun quarantine(
+        number: Int,
+        quarantined: Boolean = false,
+    ): GossipValue {
         val fingerprint =
             RequestFingerprint(number.toLong())
         val entry =
             QuarantineEntry(
                 fingerprint,
                 persistentListOf(),
-                false,
+                quarantined,
                 3_600_000,
             )
         return GossipValue.Quarantine(entry)
