--- a/library/src/main/kotlin/plantainturn/process/membership/internal/GossipTable.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/internal/GossipTable.kt
@@ -17,8 +17,8 @@
  * All entries that a node holds, the newest of each key, and the turn in which they are sent.
  *
  * An entry that is new here is queued and sent a bounded number of times; each time it goes to the end of the queue,
- * so that however many there are, each gets its turn. Each message has room for one protective value first; then entries
- * about members go before values, and protective values before others.
+ * so that however many there are, each gets its turn. Each message has room for one protective value first; then
+ * entries about members go before values, and protective values before others.
  */
 internal class GossipTable {
     private class Held(
