Drop a request whose caller left before the node could read it

Cause: a node that lags reads a request's bytes and, later, the end of its connection. Handling began in between. Ruled out: slow connecting (the sends followed the reads at once in the same turn of the loop). Now a connection is read until nothing is left, and the request is handed over after that. CallerServerTest failed before (handled instead of gone).

--- a/relay/src/main/kotlin/plantainturn/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/CallerConnection.kt
@@ -183,7 +183,23 @@
         readingSince = null
         val answer = Reply(keepAlive = HttpUtil.isKeepAlive(request))
         reply = answer
-        val heard = server.handler.handle(CallerRequest(request, whole, headAt), answer)
+        val caller = CallerRequest(request, whole, headAt)
+        context.executor().execute { handOver(caller, answer) }
+    }
+
+    /**
+     * Runs after the connection was read to the end of what has arrived: on a node that lags behind, a request may be
+     * read together with the end of its connection.
+     */
+    private fun handOver(
+        request: CallerRequest,
+        answer: Reply,
+    ) {
+        if (reply !== answer || !context.channel().isActive) {
+            server.handler.onAlreadyGone(request)
+            return
+        }
+        val heard = server.handler.handle(request, answer)
         if (reply === answer) watch = heard
     }
 
--- a/relay/src/main/kotlin/plantainturn/relay/http/CallerHandler.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/CallerHandler.kt
@@ -8,6 +8,9 @@
         reply: CallerReply,
     ): CallerWatch
 
+    /** Drops [request], whose caller left before it could be handled. */
+    public fun onAlreadyGone(request: CallerRequest)
+
     /**
      * Answers a request that could not be read to its end.
      *
--- a/relay/src/main/kotlin/plantainturn/relay/http/CallerServer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/CallerServer.kt
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.ByteBuf
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
@@ -54,6 +55,7 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, untilNothingIsLeft())
             .childHandler(
                 object : ChannelInitializer<Channel>() {
                     override fun initChannel(channel: Channel) {
@@ -92,6 +94,13 @@
         connections -= connection
     }
 
+    /** Reads go on until one finds nothing, so that the end of a connection is seen together with its last bytes. */
+    private fun untilNothingIsLeft() =
+        AdaptiveRecvByteBufAllocator().apply {
+            maxMessagesPerRead(MAXIMUM_READS)
+            respectMaybeMoreData(false)
+        }
+
     private class ByteWatch(
         private val connection: CallerConnection,
     ) : ChannelInboundHandlerAdapter() {
@@ -107,6 +116,9 @@
     private companion object {
         /** Callers that arrive together wait here; a full line costs them seconds. */
         const val BACKLOG = 1_024
+
+        /** Reads of one connection before the others have their turn. */
+        const val MAXIMUM_READS = 16
         val TIME_CHECK_PERIOD = 250.milliseconds
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
@@ -63,6 +63,18 @@
         return exchange
     }
 
+    override fun onAlreadyGone(request: CallerRequest) {
+        val identifier =
+            when (val decoded = context.dialect.decode(request)) {
+                is DecodedRequest.Malformed -> decoded.identifier
+                is DecodedRequest.Accepted -> decoded.request.identifier
+            }
+        request.body.release()
+        val waited = context.timer.now() - request.receivedAt
+        context.metrics.onEnd(null, ResultCode.CANCELLED, waited)
+        context.journal.end(identifier, ResultCode.CANCELLED, ResultCode.CANCELLED.httpStatus, "handled=false")
+    }
+
     override fun onUnreadable(
         reply: CallerReply,
         status: Int,
--- /dev/null
+++ b/relay/src/test/kotlin/plantainturn/relay/http/CallerServerTest.kt
@@ -0,0 +1,98 @@
+package plantainturn.relay.http
+
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import plantainturn.connection.roster.SocketLocation
+import plantainturn.process.time.ExecutorTimerService
+import plantainturn.version.route.RoutingConfiguration
+import plantainturn.version.route.RoutingSource
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.test.assertEquals
+
+class CallerServerTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next() as EventLoop
+    private val port = ServerSocket(0, 1, LOOPBACK).use { it.localPort }
+    private val handler = Recorder()
+
+    @AfterEach
+    fun close() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await()
+    }
+
+    /** Found by the small twin of vdw-ijsbeker-grown, trouble-1: requests reached servers after their callers had left. */
+    @Test
+    fun `a request whose caller left while the node lagged behind is not handled`() {
+        listen()
+        val lag = CountDownLatch(1)
+        loop.execute { lag.await() }
+        Socket(LOOPBACK, port).use { it.getOutputStream().write(REQUEST) }
+        lag.countDown()
+
+        assertEquals("gone", handler.events.poll(LONGEST_SECONDS, TimeUnit.SECONDS))
+    }
+
+    @Test
+    fun `a request whose caller waits is handled`() {
+        listen()
+        Socket(LOOPBACK, port).use {
+            it.getOutputStream().write(REQUEST)
+            assertEquals("handled", handler.events.poll(LONGEST_SECONDS, TimeUnit.SECONDS))
+        }
+    }
+
+    private fun listen() {
+        val listening = CountDownLatch(1)
+        val server = CallerServer(loop, ExecutorTimerService(loop), NoRouting, handler)
+        server.listen(SocketLocation(LOOPBACK.hostAddress, port)) { listening.countDown() }
+        listening.await()
+    }
+
+    private object NoRouting : RoutingSource {
+        override val current: RoutingConfiguration? = null
+    }
+
+    private class Recorder : CallerHandler {
+        val events = LinkedBlockingQueue<String>()
+
+        override fun handle(
+            request: CallerRequest,
+            reply: CallerReply,
+        ): CallerWatch {
+            events += "handled"
+            return Unwatched
+        }
+
+        override fun onAlreadyGone(request: CallerRequest) {
+            events += "gone"
+        }
+
+        override fun onUnreadable(
+            reply: CallerReply,
+            status: Int,
+            reason: String,
+        ) {
+            events += "unreadable"
+        }
+    }
+
+    private object Unwatched : CallerWatch {
+        override fun onCallerGone() = Unit
+
+        override fun onWritable(writable: Boolean) = Unit
+    }
+
+    private companion object {
+        const val LONGEST_SECONDS = 10L
+        val LOOPBACK: InetAddress = InetAddress.getByName("127.0.0.1")
+        val REQUEST = "GET /x HTTP/1.1\r\nHost: host\r\n\r\n".toByteArray()
+    }
+}
