Keep off upstreams that leave or ask for a rest in their answers; bound bytes that are no answer

- An answer of any kind, also a refusal or a late one, may say that its instance leaves.
From then on it counts as leaving until another run of it begins, whatever its entry says; peers hear of it through the issuer.
- An instance that refuses with 503 may ask for a rest.
Nothing goes there until it is over: no request, repetition, trial, order or question of the issuer.
If all rest, the caller is told at once when the first is back (3009).
- Bytes without end are bounded: what comes beside the awaited body on a connection, bodies of calls to the store, peers and engines, and single events of a stream, which were passed on in parts and gathered with quadratic copying.

--- a/library/src/main/kotlin/plantainturn/connection/roster/InstanceRoster.kt
+++ b/library/src/main/kotlin/plantainturn/connection/roster/InstanceRoster.kt
@@ -13,7 +13,8 @@
  *
  * An entry also lapses when its writer could not reach the store, so an instance whose entry went without an
  * announcement is kept for a moment: for [lapseGrace] in general, and until [returnGrace] after the store's return if
- * the store was away. Confined to one thread.
+ * the store was away. An instance that says in an answer that it leaves counts as leaving until another run of it
+ * begins, whatever its entry says and however often that goes and comes back. Confined to one thread.
  *
  * @param lapseGrace shorter than the time within which requests to an instance that left must end
  * @param returnGrace the time in which entries that lapsed during an outage come back
@@ -25,6 +26,7 @@
     private var storeAway = false
     private var storeReturnedAt: Moment? = null
     private val lapsing = HashMap<UpstreamName, Moment>()
+    private val departures = LinkedHashSet<InstanceRun>()
 
     /** The instances by name. */
     public var instances: PersistentMap<UpstreamName, UpstreamInstance> = persistentMapOf()
@@ -33,9 +35,23 @@
     /** Takes over the entry of one instance. */
     public fun put(instance: UpstreamInstance) {
         lapsing.remove(instance.name)
-        instances = instances.put(instance.name, instance)
+        val told = if (instance.run in departures) instance.copy(leaving = true) else instance
+        instances = instances.put(instance.name, told)
     }
 
+    /** Notes that [run] itself said that it leaves, and returns whether that is news. */
+    public fun announceLeaving(run: InstanceRun): Boolean {
+        if (!departures.add(run)) return false
+        if (departures.size > DEPARTURES_KEPT) departures.remove(departures.first())
+        instances[run.name]?.takeIf { it.run == run }?.let {
+            instances = instances.put(run.name, it.copy(leaving = true))
+        }
+        return true
+    }
+
+    /** Returns which of the instances that have an entry said by themselves that they leave. */
+    public fun departures(): List<InstanceRun> = departures.filter { instances[it.name]?.run == it }
+
     /** Notes that the entry of [name] is gone. */
     public fun remove(
         name: UpstreamName,
@@ -96,5 +112,8 @@
     private companion object {
         val DEFAULT_LAPSE_GRACE = 1_200.milliseconds
         val DEFAULT_RETURN_GRACE = 2_200.milliseconds
+
+        /** Far more runs than can leave before their entries go for good. */
+        const val DEPARTURES_KEPT = 4_096
     }
 }
--- a/library/src/main/kotlin/plantainturn/connection/roster/UpstreamInstance.kt
+++ b/library/src/main/kotlin/plantainturn/connection/roster/UpstreamInstance.kt
@@ -29,4 +29,8 @@
     val residents: PersistentMap<ModelName, PersistentSet<ModelName>>,
     val hostCopies: PersistentSet<ModelName>,
     val diskCopies: PersistentSet<ModelName>,
-)
+) {
+    /** Names this run. */
+    val run: InstanceRun
+        get() = InstanceRun(name, startedAt)
+}
--- a/library/src/main/kotlin/plantainturn/request/relay/DispatchCandidate.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/DispatchCandidate.kt
@@ -1,6 +1,7 @@
 package plantainturn.request.relay
 
 import plantainturn.version.configuration.UpstreamName
+import kotlin.time.Duration
 
 /**
  * An instance that could take a request, as the decision sees it.
@@ -15,6 +16,7 @@
  * @property connected whether this node has a connection there that no request uses; new ones cost
  * @property suspected whether requests should go elsewhere
  * @property answerSeconds how long it takes for a whole answer, null if unknown
+ * @property restsFor how much longer it asked to be sent nothing, null if it did not
  */
 public data class DispatchCandidate(
     val name: UpstreamName,
@@ -28,4 +30,5 @@
     val connected: Boolean,
     val suspected: Boolean,
     val answerSeconds: Double?,
+    val restsFor: Duration? = null,
 )
--- a/library/src/main/kotlin/plantainturn/request/relay/DispatchDecision.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/DispatchDecision.kt
@@ -25,6 +25,11 @@
         val expected: Duration,
     ) : DispatchDecision
 
+    /** Each instance that could take it asked to be sent nothing; the first such rest ends after [comeBackAfter]. */
+    public data class Resting(
+        val comeBackAfter: Duration,
+    ) : DispatchDecision
+
     /** No instance can take it at all. */
     public data object NoCandidate : DispatchDecision
 }
--- a/library/src/main/kotlin/plantainturn/request/relay/EngineDispatch.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/EngineDispatch.kt
@@ -24,9 +24,11 @@
         candidates: List<DispatchCandidate>,
     ): DispatchDecision {
         val demand = requireNotNull(query.demand) { "a request without a demand goes to a plain service" }
-        val sound = candidates.filter { !it.suspected }.ifEmpty { candidates }
+        val awake = candidates.filter { it.restsFor == null }
+        if (awake.isEmpty()) return withoutAwake(candidates)
+        val sound = awake.filter { !it.suspected }.ifEmpty { awake }
         val usable = sound.filter { !isReadingTooMuch(it, demand) }.ifEmpty { sound }
-        val best = usable.minByOrNull { cost(it, demand, query) } ?: return DispatchDecision.NoCandidate
+        val best = usable.minBy { cost(it, demand, query) }
         val expected = expectedFirstEvent(best, demand, query)
         val inTime = expected <= query.objectiveLeft
         val placesFree = best.running < best.concurrency * settings.freeShare && hasMemory(best, demand, query)
--- a/library/src/main/kotlin/plantainturn/request/relay/ServiceDispatch.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/ServiceDispatch.kt
@@ -17,8 +17,10 @@
         query: DispatchQuery,
         candidates: List<DispatchCandidate>,
     ): DispatchDecision {
-        val usable = candidates.filter { !it.suspected }.ifEmpty { candidates }
-        val best = usable.minByOrNull { cost(it) } ?: return DispatchDecision.NoCandidate
+        val awake = candidates.filter { it.restsFor == null }
+        if (awake.isEmpty()) return withoutAwake(candidates)
+        val usable = awake.filter { !it.suspected }.ifEmpty { awake }
+        val best = usable.minBy { cost(it) }
         val full = best.running >= best.concurrency * LINE_FACTOR
         if (!full) return DispatchDecision.Send(best.name, query.urgency, Duration.ZERO)
         val wait = minOf(query.longestReturn, FULL_LINE_RETURN)
--- a/library/src/test/kotlin/plantainturn/connection/roster/InstanceRosterTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/roster/InstanceRosterTest.kt
@@ -62,6 +62,49 @@
         assertEquals(setOf(UpstreamName("b")), roster.serving().keys)
     }
 
+    @Test
+    fun `an instance that says in an answer that it leaves serves no more, whatever its entry says`() {
+        roster.put(instance("a"))
+        assertTrue(roster.announceLeaving(InstanceRun(a, startedAt = 1)))
+        assertFalse(a in roster.serving())
+
+        roster.put(instance("a"))
+        assertFalse(a in roster.serving(), "its entry was renewed")
+        roster.replace(listOf(instance("a")), at(0))
+        assertFalse(a in roster.serving(), "all entries were read anew")
+        assertFalse(roster.announceLeaving(InstanceRun(a, startedAt = 1)), "it is known")
+    }
+
+    @Test
+    fun `a leaving instance is still known after its entry went and came back`() {
+        roster.put(instance("a"))
+        roster.announceLeaving(InstanceRun(a, startedAt = 1))
+        roster.remove(a, at(0))
+        roster.expire(at(60_000))
+        roster.put(instance("a"))
+
+        assertFalse(a in roster.serving())
+    }
+
+    @Test
+    fun `another run of an instance that left serves`() {
+        roster.put(instance("a"))
+        roster.announceLeaving(InstanceRun(a, startedAt = 1))
+        roster.put(instance("a").copy(startedAt = 2))
+
+        assertTrue(a in roster.serving())
+        assertEquals(emptyList(), roster.departures())
+    }
+
+    @Test
+    fun `a peer's news of a leaving instance is kept until its entry is read`() {
+        assertTrue(roster.announceLeaving(InstanceRun(a, startedAt = 1)))
+        roster.put(instance("a"))
+
+        assertFalse(a in roster.serving())
+        assertEquals(listOf(InstanceRun(a, startedAt = 1)), roster.departures())
+    }
+
     private companion object {
         fun at(milliseconds: Int): Moment = Moment.ORIGIN + milliseconds.milliseconds
     }
--- a/library/src/test/kotlin/plantainturn/request/relay/EngineDispatchTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/EngineDispatchTest.kt
@@ -7,7 +7,9 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class EngineDispatchTest {
     private val dispatch = EngineDispatch(EnginePace())
@@ -28,6 +30,15 @@
         assertEquals(UpstreamName("suspect"), assertIs<DispatchDecision.Send>(only).instance)
     }
 
+    @Test
+    fun `an engine that asked for a rest gets nothing, and if all rest the first end is told`() {
+        val other = decide(candidate("resting", restsFor = 3.seconds), candidate("busy", unread = 8_000))
+        val none = decide(candidate("a", restsFor = 3.seconds), candidate("b", restsFor = 2.seconds))
+
+        assertEquals(UpstreamName("busy"), assertIs<DispatchDecision.Send>(other).instance)
+        assertEquals(DispatchDecision.Resting(2.seconds), none)
+    }
+
     @Test
     fun `work in time keeps its rank and late work goes behind all of it`() {
         val inTime = decide(candidate("engine", running = 30, unread = 4_000))
@@ -129,6 +140,7 @@
             unread: Int = 0,
             suspected: Boolean = false,
             readingShare: Double = 0.0,
+            restsFor: Duration? = null,
         ) = DispatchCandidate(
             name = UpstreamName(name),
             concurrency = 64,
@@ -141,6 +153,7 @@
             connected = true,
             suspected = suspected,
             answerSeconds = null,
+            restsFor = restsFor,
         )
     }
 }
--- /dev/null
+++ b/library/src/test/kotlin/plantainturn/request/relay/ServiceDispatchTest.kt
@@ -0,0 +1,75 @@
+package plantainturn.request.relay
+
+import org.junit.jupiter.api.Test
+import plantainturn.version.configuration.UpstreamName
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ServiceDispatchTest {
+    private val dispatch = ServiceDispatch()
+
+    /** Load pattern: overrun instances name the time that they need, one after the other. */
+    @Test
+    fun `an instance that asked for a rest gets nothing while another one serves, however busy that is`() {
+        val sent = decide(candidate("resting", restsFor = 2.seconds), candidate("busy", running = 10))
+
+        assertEquals(UpstreamName("busy"), assertIs<DispatchDecision.Send>(sent).instance)
+    }
+
+    @Test
+    fun `a resting instance is no way out when all others are suspected`() {
+        val sent = decide(candidate("resting", restsFor = 2.seconds), candidate("suspect", suspected = true))
+
+        assertEquals(UpstreamName("suspect"), assertIs<DispatchDecision.Send>(sent).instance)
+    }
+
+    @Test
+    fun `when all instances rest the caller is told at once when the first of them is back`() {
+        val decision = decide(candidate("a", restsFor = 2.seconds), candidate("b", restsFor = 700.milliseconds))
+
+        assertEquals(DispatchDecision.Resting(700.milliseconds), decision)
+    }
+
+    @Test
+    fun `without any instance nobody rests`() {
+        assertEquals(DispatchDecision.NoCandidate, decide())
+    }
+
+    private fun decide(vararg candidates: DispatchCandidate) = dispatch.decide(QUERY, candidates.toList())
+
+    private companion object {
+        val QUERY =
+            DispatchQuery(
+                demand = null,
+                urgency = 1,
+                objectiveLeft = 200.milliseconds,
+                timeLeft = 1.seconds,
+                longestReturn = 300.milliseconds,
+                cacheTokens = 0,
+                affinity = 0,
+            )
+
+        fun candidate(
+            name: String,
+            running: Int = 0,
+            suspected: Boolean = false,
+            restsFor: Duration? = null,
+        ) = DispatchCandidate(
+            name = UpstreamName(name),
+            concurrency = 6,
+            running = running,
+            unreadTokens = 0,
+            readingShare = 0.0,
+            heldTokens = 0,
+            keptTokens = 0,
+            sameDomain = true,
+            connected = true,
+            suspected = suspected,
+            answerSeconds = null,
+            restsFor = restsFor,
+        )
+    }
+}
--- a/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
@@ -8,17 +8,23 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponse
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.process.time.TimerService
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** The connections of this node to one location; those that were used last are used first. */
+/**
+ * The connections of this node to one location; those that were used last are used first.
+ *
+ * @param onHead sees the head of every answer that comes, also of one that nobody waits for
+ */
 internal class ConnectionPool(
     private val loop: EventLoop,
     private val location: SocketLocation,
     val timer: TimerService,
+    val onHead: (HttpResponse) -> Unit = {},
 ) {
     private val idle = ArrayDeque<UpstreamConnection>()
     private var closed = false
--- a/relay/src/main/kotlin/plantainturn/relay/http/HttpCaller.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/HttpCaller.kt
@@ -112,7 +112,12 @@
         }
 
         override fun onContent(content: ByteBuf) {
-            content.readBytes(body, content.readableBytes())
+            if (body.size() + content.readableBytes() > MAXIMUM_BODY_BYTES) {
+                connection?.abandon()
+                end(HttpCallResult.NoAnswer("an answer of more than $MAXIMUM_BODY_BYTES bytes"))
+            } else {
+                content.readBytes(body, content.readableBytes())
+            }
         }
 
         override fun onEnd() {
@@ -131,6 +136,9 @@
     }
 
     private companion object {
+        /** Several times the largest page of the store, and the largest report of the issuer. */
+        const val MAXIMUM_BODY_BYTES = 4_194_304
+
         /** Calls can be repeated or are settled by reading, so that any idle connection will do. */
         val REUSE = 20.seconds
     }
--- a/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpResponse
@@ -20,7 +21,7 @@
 /**
  * One connection to a server, with one request on it at a time.
  *
- * Left-over answers to other requests are skipped. The connection is used again only after a complete answer with a
+ * Left-over answers to other requests are skipped, and what comes beside the own answer is bounded. The connection is used again only after a complete answer with a
  * length, with the request's body sent and no byte beyond the answer.
  */
 internal class UpstreamConnection(
@@ -59,13 +60,26 @@
         this.receiver = receiver
         carried += 1
         decoder.method = request.method()
+        decoder.surplus.onRequest()
         sending = context.writeAndFlush(request)
     }
 
-    /** Ends the request, if there is one, without telling its receiver, and closes the connection. */
+    /**
+     * Ends the request, if there is one, without telling its receiver, and closes the connection.
+     *
+     * The server sees at once that nothing is wanted any more. An answer that it has just sent is still looked at, as it
+     * may tell something of the server.
+     */
     fun abandon() {
+        val channel = context.channel()
+        val awaitsAnswer = receiver != null && !answering && sending?.isDone == true
         receiver = null
-        context.close()
+        if (awaitsAnswer && channel is SocketChannel && channel.isActive) {
+            channel.shutdownOutput()
+            pool.timer.schedule(LAST_ANSWER_WAIT) { context.close() }
+        } else {
+            context.close()
+        }
     }
 
     /** Stops or goes on with reading, for a reader that can't keep up. */
@@ -103,6 +117,7 @@
 
     private fun onHead(head: HttpResponse) {
         val current = receiver
+        if (head.decoderResult().isSuccess) pool.onHead(head)
         when {
             head.decoderResult().isFailure -> fail("not an answer: ${head.decoderResult().cause()?.message}")
             current == null || answering -> fail("an answer that nobody waits for")
@@ -156,6 +171,7 @@
         content: ByteBuf,
         last: Boolean,
     ) {
+        decoder.surplus.onBody(content.readableBytes())
         if (content.isReadable) current.onContent(content)
         if (!last || receiver !== current) return
         if (failure != null) {
@@ -197,5 +213,8 @@
 
         /** The server's time-out runs from when it sent, and its close takes a moment to arrive. */
         val KEEP_ALIVE_MARGIN = 400.milliseconds
+
+        /** Many round trips; a server that does not see that its caller is gone works on no longer than this. */
+        val LAST_ANSWER_WAIT = 200.milliseconds
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
@@ -6,6 +6,7 @@
 import plantainturn.process.control.lease.StoreLease
 import plantainturn.relay.request.FleetView
 import plantainturn.relay.request.InstanceLinks
+import plantainturn.relay.request.InstanceNotices
 import plantainturn.request.relay.WorkTotals
 import plantainturn.version.route.RoutingConfiguration
 import kotlin.time.Duration
@@ -33,6 +34,7 @@
         val leaving: Boolean,
         val models: Map<String, List<String>>,
         val ownWork: WorkTotals?,
+        val restMilliseconds: Long?,
     )
 
     fun toJson(): String = FORMAT.encodeToString(serializer(), this)
@@ -47,6 +49,7 @@
             roster: InstanceRoster,
             fleet: FleetView,
             links: InstanceLinks,
+            notices: InstanceNotices,
             lease: StoreLease,
             uptime: Duration,
             inProgress: Int,
@@ -80,6 +83,7 @@
                                     instance.leaving,
                                     models.toMap(),
                                     work[name],
+                                    notices.restOf(instance)?.inWholeMilliseconds,
                                 )
                         }.toMap(),
             )
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -8,6 +8,8 @@
 import org.apache.logging.log4j.LogManager
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.roster.InstanceRoster
+import plantainturn.connection.roster.InstanceRun
+import plantainturn.connection.roster.RestRequests
 import plantainturn.connection.roster.RosterTimes
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.connection.store.ReadPace
@@ -27,10 +29,12 @@
 import plantainturn.relay.peer.NodeReport
 import plantainturn.relay.peer.PeerEndpoint
 import plantainturn.relay.peer.PeerHub
+import plantainturn.relay.peer.RelayedDeparture
 import plantainturn.relay.peer.TopicEnds
 import plantainturn.relay.request.DemandMeter
 import plantainturn.relay.request.FleetView
 import plantainturn.relay.request.InstanceLinks
+import plantainturn.relay.request.InstanceNotices
 import plantainturn.relay.request.RelayContext
 import plantainturn.relay.request.RelayHandler
 import plantainturn.relay.request.RelayMetrics
@@ -79,7 +83,9 @@
     private val rosterTimes = RosterTimes(settings.drainMilliseconds.milliseconds)
     private val roster = InstanceRoster(rosterTimes.lapseGrace)
     private val fleet = FleetView(roster, timer)
-    private val links = InstanceLinks(loop, timer, FailureDomain(settings.failureDomain))
+    private val notices = InstanceNotices(roster, RestRequests(), timer, ::onDeparture)
+    private val links =
+        InstanceLinks(loop, timer, FailureDomain(settings.failureDomain), notices, platform.dialect::notice)
     private val configuration = ConfigurationWatch(platform.records, ::onConfiguration)
     private val instances = InstanceWatch(platform.records, roster, timer, ::onRoster)
     private val lease =
@@ -103,6 +109,7 @@
             platform.engines,
             timer,
             settings.loadWindowSeconds.seconds,
+            notices,
         )
     private val quarantine = QuarantineRegister(timer)
     private val demand = DemandMeter(timer)
@@ -124,6 +131,7 @@
             fleet,
             links,
             quarantine,
+            notices,
             repetitionShare,
             ::report,
             ::onTold,
@@ -256,6 +264,11 @@
         fleet.onRosterChange()
     }
 
+    private fun onDeparture(run: InstanceRun) {
+        links.drain(run)
+        fleet.onRosterChange()
+    }
+
     private fun context(): RelayContext =
         RelayContext(
             timer = timer,
@@ -307,6 +320,7 @@
                     NodeReport.AdapterUse(adapter.first.value, adapter.second.value, rounded(use))
                 },
             known = known,
+            departures = roster.departures().map(RelayedDeparture::of),
             prompts = links.prompts.takeUntold(),
             quarantines = quarantine.snapshot(),
             ends = TopicEnds(configurationFollower.end.value, instanceFollower.end.value),
@@ -336,6 +350,7 @@
                 roster = roster,
                 fleet = fleet,
                 links = links,
+                notices = notices,
                 lease = lease,
                 uptime = timer.now() - startedAt,
                 inProgress = handler.inProgress,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -16,6 +16,7 @@
 import plantainturn.relay.http.HttpCaller
 import plantainturn.relay.request.FleetView
 import plantainturn.relay.request.InstanceLinks
+import plantainturn.relay.request.InstanceNotices
 import plantainturn.relay.request.ResidenceDesk
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.quarantine.QuarantineRegister
@@ -41,6 +42,7 @@
     private val fleet: FleetView,
     private val links: InstanceLinks,
     private val quarantine: QuarantineRegister,
+    private val notices: InstanceNotices,
     private val repetitionShare: RepetitionShare,
     private val report: (IssuerKnowledge) -> NodeReport,
     private val onTold: (IssuerReport) -> Unit,
@@ -137,6 +139,7 @@
         links.onOthers(told.work.mapKeys { UpstreamName(it.key) })
         links.onSuspicions(told.suspects.map { UpstreamName(it.key) to it.value.milliseconds }.toMap())
         quarantine.merge(told.quarantines)
+        notices.hear(told.departures.map { it.run() })
         storeHeardAt = if (told.issuing) told.storeAge?.let { now - it.milliseconds } else null
         onTold(told)
         knowledge = told.known
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -13,6 +13,7 @@
  * @property repetitionShare the part of the fixed repetitions that the node may use, null if this node can't tell
  * @property work the work of all other nodes at each instance
  * @property suspects milliseconds for which other nodes suspect instances that answered errors
+ * @property departures instances that said in an answer to some node that they leave
  * @property known what the node has from this issuer once it has this report
  * @property residence models and their adapters at each engine, null if the node has them
  * @property instances records of the instances' topic that the node has not read, null if there are none
@@ -28,6 +29,7 @@
     val repetitionShare: Double?,
     val work: Map<String, WorkTotals>,
     val suspects: Map<String, Long>,
+    val departures: List<RelayedDeparture>,
     val known: IssuerKnowledge,
     val residence: Map<String, Map<String, List<String>>>?,
     val arrivals: Map<String, Long>,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -16,6 +16,7 @@
  * @property known what it has from this issuer already
  * @property sequence grows with each report of this run of the node
  * @property repetitionShare the largest part of the fixed repetitions that it may have used lately
+ * @property departures instances with an entry that said in an answer that they leave
  * @property prompts shared parts of prompts that engines have read for its callers since its last report
  */
 @Serializable
@@ -28,6 +29,7 @@
     val pressure: Map<String, PressureReport>,
     val adapterUse: List<AdapterUse>,
     val known: IssuerKnowledge,
+    val departures: List<RelayedDeparture>,
     val prompts: List<KeptPart>,
     val quarantines: List<QuarantineEntry>,
     val ends: TopicEnds,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -45,6 +45,10 @@
             repetitionShare = shareFor(report, now),
             work = sum(others),
             suspects = suspects(others),
+            departures =
+                heard.values
+                    .flatMap { it.report.departures }
+                    .distinct(),
             known = IssuerKnowledge(issuer.revision, promptNews.end),
             residence =
                 residence
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/RelayedDeparture.kt
@@ -0,0 +1,24 @@
+package plantainturn.relay.peer
+
+import kotlinx.serialization.Serializable
+import plantainturn.connection.roster.InstanceRun
+import plantainturn.version.configuration.UpstreamName
+
+/**
+ * A run of an instance that said in an answer that it leaves, as nodes tell each other.
+ *
+ * @property startedAt Unix milliseconds of its start, null if its entry does not tell
+ */
+@Serializable
+internal data class RelayedDeparture(
+    val instance: String,
+    val startedAt: Long?,
+) {
+    /** Returns the run that this names. */
+    fun run(): InstanceRun = InstanceRun(UpstreamName(instance), startedAt)
+
+    companion object {
+        /** Returns what to tell of [run]. */
+        fun of(run: InstanceRun): RelayedDeparture = RelayedDeparture(run.name.value, run.startedAt)
+    }
+}
--- a/relay/src/main/kotlin/plantainturn/relay/request/EventSplitter.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/EventSplitter.kt
@@ -22,31 +22,27 @@
     val hasPartial: Boolean
         get() = partial.isReadable
 
+    /** Whether there is more of one event than an event may have. */
+    val isOverfull: Boolean
+        get() = partial.readableBytes() > MAXIMUM_EVENT_BYTES
+
     /** Takes in [content] and returns the whole events that are there now, or null if there are none. */
     fun add(content: ByteBuf): ByteBuf? {
+        val before = partial.readableBytes()
         val gathered =
-            if (partial.isReadable) {
-                allocator
-                    .buffer(
-                        partial.readableBytes() + content.readableBytes(),
-                    ).writeBytes(partial)
-                    .writeBytes(content)
+            if (before > 0) {
+                partial.writeBytes(content)
             } else {
-                content.retainedSlice()
+                allocator.buffer(content.readableBytes()).writeBytes(content)
             }
-        partial.release()
-        partial = Unpooled.EMPTY_BUFFER
-        val end = endOfEvents(gathered)
-        val whole = if (end > 0) gathered.readRetainedSlice(end) else null
-        if (whole != null) noteIdentifier(whole)
-        if (gathered.isReadable) {
-            if (gathered.readableBytes() > MAXIMUM_PARTIAL) {
-                val rest = gathered.readRetainedSlice(gathered.readableBytes())
-                gathered.release()
-                return if (whole == null) rest else Unpooled.wrappedBuffer(whole, rest)
-            }
-            partial = allocator.buffer(gathered.readableBytes()).writeBytes(gathered)
+        val end = endOfEvents(gathered, maxOf(0, before - LONGEST_BLANK))
+        if (end == 0) {
+            partial = gathered
+            return null
         }
+        val whole = gathered.readRetainedSlice(end)
+        noteIdentifier(whole)
+        partial = allocator.buffer(gathered.readableBytes()).writeBytes(gathered)
         gathered.release()
         return whole
     }
@@ -64,9 +60,13 @@
         partial = Unpooled.EMPTY_BUFFER
     }
 
-    private fun endOfEvents(buffer: ByteBuf): Int {
+    /** Looks for the last blank line that ends at [from] or later; what is before was looked at already. */
+    private fun endOfEvents(
+        buffer: ByteBuf,
+        from: Int,
+    ): Int {
         var index = buffer.writerIndex() - 1
-        val start = buffer.readerIndex()
+        val start = buffer.readerIndex() + from
         while (index > start) {
             if (buffer.getByte(index) == LINE_FEED) {
                 val before = buffer.getByte(index - 1)
@@ -75,7 +75,7 @@
                         before == CARRIAGE_RETURN &&
                         index - 2 >= start &&
                         buffer.getByte(index - 2) == LINE_FEED
-                if (blank) return index + 1 - start
+                if (blank) return index + 1 - buffer.readerIndex()
             }
             index--
         }
@@ -96,7 +96,10 @@
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val FIELD = "id:"
 
-        /** An event larger than this is passed on in parts. */
-        const val MAXIMUM_PARTIAL = 262_144
+        /** The end of a line and an empty line after it. */
+        const val LONGEST_BLANK = 4
+
+        /** Far above the few tokens that an event holds. */
+        const val MAXIMUM_EVENT_BYTES = 262_144
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -1,6 +1,9 @@
 package plantainturn.relay.request
 
 import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpResponse
+import plantainturn.connection.roster.InstanceNotice
+import plantainturn.connection.roster.InstanceRun
 import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.process.time.TimerService
 import plantainturn.relay.http.ConnectionPool
@@ -14,11 +17,18 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** This node's connections to instances, and what it knows of the work there. */
+/**
+ * This node's connections to instances, and what it knows of the work there.
+ *
+ * @param notices takes in what instances say of themselves
+ * @param noticeOf decodes that from the head of an answer
+ */
 public class InstanceLinks(
     private val loop: EventLoop,
     private val timer: TimerService,
     private val ownDomain: FailureDomain,
+    private val notices: InstanceNotices,
+    private val noticeOf: (HttpResponse) -> InstanceNotice,
 ) {
     private val links = HashMap<UpstreamName, Link>()
 
@@ -65,6 +75,15 @@
         prompts.retain { engine, _ -> engine !in gone }
     }
 
+    /** Closes the idle connections to [run], and those in use when they become idle. */
+    public fun drain(run: InstanceRun) {
+        val link = links[run.name] ?: return
+        if (link.standing.startedAt == run.startedAt) link.pool.close()
+    }
+
+    /** Whether [instance] asked to be sent nothing now. */
+    internal fun isResting(instance: UpstreamInstance): Boolean = notices.restOf(instance) != null
+
     internal fun standing(instance: UpstreamInstance): InstanceStanding = link(instance).standing
 
     internal fun pool(instance: UpstreamInstance): ConnectionPool = link(instance).pool
@@ -87,6 +106,7 @@
             connected = link(instance).pool.hasIdle,
             suspected = standing.health.isSuspected(now),
             answerSeconds = standing.answerTime?.toDouble(DurationUnit.SECONDS),
+            restsFor = notices.restOf(instance),
         )
     }
 
@@ -95,7 +115,8 @@
         if (known != null && known.isFor(instance)) return known
         known?.pool?.close()
         val others = known?.standing?.others ?: WorkTotals.NONE
-        val made = Link(instance, InstanceStanding(instance.startedAt), ConnectionPool(loop, instance.location, timer))
+        val pool = ConnectionPool(loop, instance.location, timer) { notices.take(instance, noticeOf(it)) }
+        val made = Link(instance, InstanceStanding(instance.startedAt), pool)
         made.standing.others = others
         links[instance.name] = made
         return made
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -156,10 +156,8 @@
         if (isStreaming) {
             exchange.onStreamContent(this, requireNotNull(head), content)
         } else if (gathered.readableBytes() + content.readableBytes() <= MAXIMUM_GATHERED) {
-            val before = gathered
-            gathered = Unpooled.buffer(before.readableBytes() + content.readableBytes())
-            gathered.writeBytes(before).writeBytes(content)
-            before.release()
+            if (!gathered.isReadable) gathered = Unpooled.buffer(content.readableBytes())
+            gathered.writeBytes(content)
         } else {
             onBroken("an answer of more than $MAXIMUM_GATHERED bytes without a length")
         }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayDialect.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayDialect.kt
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import plantainturn.connection.roster.InstanceNotice
 import plantainturn.process.ResultCode
 import plantainturn.relay.http.CallerRequest
 import plantainturn.request.RequestIdentifier
@@ -24,6 +25,9 @@
     /** Decodes the head of an upstream's answer. */
     public fun answerFacts(head: HttpResponse): AnswerFacts
 
+    /** Decodes what an instance says of itself beside an answer, which may be to another request. */
+    public fun notice(head: HttpResponse): InstanceNotice
+
     /** Returns the headers of [head] that go on to the caller. */
     public fun callerHeaders(head: HttpResponse): HttpHeaders
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -121,6 +121,13 @@
                     "expected=${decision.expected} candidates=$candidates",
                     decision.comeBackAfter,
                 )
+            is DispatchDecision.Resting ->
+                giveUp(
+                    ResultCode.UPSTREAMS_RESTING,
+                    ResultCode.OUTCOME_UNKNOWN,
+                    "candidates=$candidates",
+                    decision.comeBackAfter,
+                )
             DispatchDecision.NoCandidate ->
                 giveUp(
                     ResultCode.NO_UPSTREAM,
@@ -265,12 +272,7 @@
         watched: RelayAttempt,
         quiet: Duration,
     ) {
-        val others =
-            context.fleet.instancesOf(service.name).any {
-                it.name != watched.instance.name &&
-                    it.name !in avoided
-            }
-        if (!others || runs + 1 >= route.attempts) return
+        if (!hasOther(watched.instance.name) || runs + 1 >= route.attempts) return
         context.journal.note(request.identifier, "silent", "$watched quiet=$quiet")
         watched.giveUpAsSilent()
         onBroken(watched, "silent for $quiet")
@@ -365,7 +367,13 @@
     private fun canTryElsewhere(): Boolean =
         runs < route.attempts &&
             timeLeft() > RelayTimes.LEAST_USEFUL &&
-            context.fleet.instancesOf(service.name).any { it.name !in avoided }
+            hasOther(except = null)
+
+    /** Whether an instance other than [except] could take the request now. */
+    private fun hasOther(except: UpstreamName?): Boolean =
+        context.fleet.instancesOf(service.name).any {
+            it.name != except && it.name !in avoided && !context.links.isResting(it)
+        }
 
     /** More of a stream has come. */
     fun onStreamContent(
@@ -374,6 +382,11 @@
         content: ByteBuf,
     ) {
         val whole = if (route.repetition.streams) splitter.add(content) else content.retainedSlice()
+        if (splitter.isOverfull) {
+            whole?.release()
+            from.onBroken("an event without an end")
+            return
+        }
         if (whole == null) return
         if (!began) {
             began = true
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
@@ -51,19 +51,27 @@
         query: DispatchQuery,
     ): PlacementStep {
         val holders = permitted.filter { demand.model in context.fleet.residentsOf(it.name) }
+        val awake = holders.filterNot(context.links::isResting)
         val adapter = demand.adapter
-        val ready = if (adapter == null) holders else holders.filter { holds(it.name, demand.model, adapter) }
+        val ready = if (adapter == null) awake else awake.filter { holds(it.name, demand.model, adapter) }
         return when {
-            ready.isNotEmpty() -> {
-                val candidates = ready.map { context.links.candidate(it, demand) }
-                PlacementStep.Decided(context.engineDispatch.decide(query, candidates), candidates.size)
-            }
-            holders.isNotEmpty() && adapter != null ->
-                PlacementStep.NeedsAdapter(demand.model, adapter, bestFirst(holders, demand, query))
+            ready.isNotEmpty() -> decided(ready, demand, query)
+            awake.isNotEmpty() && adapter != null ->
+                PlacementStep.NeedsAdapter(demand.model, adapter, bestFirst(awake, demand, query))
+            holders.isNotEmpty() -> decided(holders, demand, query)
             else -> PlacementStep.NeedsModel(demand.model)
         }
     }
 
+    private fun decided(
+        engines: List<UpstreamInstance>,
+        demand: GenerationDemand,
+        query: DispatchQuery,
+    ): PlacementStep {
+        val candidates = engines.map { context.links.candidate(it, demand) }
+        return PlacementStep.Decided(context.engineDispatch.decide(query, candidates), candidates.size)
+    }
+
     private fun holds(
         engine: UpstreamName,
         model: ModelName,
--- a/relay/src/main/kotlin/plantainturn/relay/residence/AdapterBringer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/AdapterBringer.kt
@@ -64,10 +64,12 @@
         model: ModelName,
     ): Boolean {
         val ledger = session.ledgers[engine] ?: return false
+        val instance = context.roster.instances[engine] ?: return false
         return model in ledger.residents &&
             session.leavingModel(engine, ledger) != model &&
             session.inquiries.answers(engine) &&
-            context.roster.instances[engine]?.leaving == false
+            !instance.leaving &&
+            context.notices.restOf(instance) == null
     }
 
     /** An engine that was refused or did not answer is asked first; another one takes the adapter sooner. */
--- a/relay/src/main/kotlin/plantainturn/relay/residence/EngineControl.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/EngineControl.kt
@@ -1,16 +1,21 @@
 package plantainturn.relay.residence
 
+import plantainturn.connection.roster.InstanceNotice
 import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.process.control.residence.EngineReading
 import plantainturn.process.control.residence.SequencedOrder
 import plantainturn.process.control.residence.SequencedOrderResult
 
-/** An engine's own interface. Calls return at once and later call back exactly once, on the event loop. */
+/**
+ * An engine's own interface. Calls return at once and later call back exactly once, on the event loop.
+ *
+ * Callbacks are given what the engine said of itself beside its answer, [InstanceNotice.NONE] if there was none.
+ */
 public interface EngineControl {
     /** Asks [engine] what it holds; null if it does not answer. Each question is billed. */
     public fun read(
         engine: UpstreamInstance,
-        done: (EngineReading?) -> Unit,
+        done: (EngineReading?, InstanceNotice) -> Unit,
     )
 
     /**
@@ -22,6 +27,6 @@
         engine: UpstreamInstance,
         order: SequencedOrder,
         holder: String,
-        done: (SequencedOrderResult) -> Unit,
+        done: (SequencedOrderResult, InstanceNotice) -> Unit,
     )
 }
--- a/relay/src/main/kotlin/plantainturn/relay/residence/IssuerContext.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerContext.kt
@@ -6,6 +6,7 @@
 import plantainturn.process.control.residence.ResidencePlanner
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
+import plantainturn.relay.request.InstanceNotices
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.ServiceName
 import plantainturn.version.route.EngineFleet
@@ -22,6 +23,7 @@
     val timer: TimerService,
     val ceilingWindow: Duration,
     val planner: ResidencePlanner,
+    val notices: InstanceNotices,
 ) {
     /** What callers of all nodes want, by base model. */
     var pressure: Map<ModelName, ModelPressure> = emptyMap()
--- a/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
@@ -110,7 +110,7 @@
             context.noteChange()
         }
         startedAt[engine.name] = engine.startedAt
-        if (isReadingDue(engine.name, ledger)) ask(engine, ledger)
+        if (isReadingDue(engine.name, ledger) && context.notices.restOf(engine) == null) ask(engine, ledger)
         advance(engine, ledger)
     }
 
@@ -139,7 +139,8 @@
     ) {
         val now = context.timer.now()
         inquiries.onAsked(engine.name)
-        context.control.read(engine) { reading ->
+        context.control.read(engine) { reading, notice ->
+            context.notices.take(engine, notice)
             if (!isCurrent(this)) return@read
             if (reading == null) {
                 val times = inquiries.onFailure(engine.name)
@@ -256,12 +257,17 @@
         val instance = context.roster.instances[engine]
         val now = context.timer.now()
         val order =
-            if (instance == null || !context.lease.permitsOrders()) null else ledger?.prepare(action, fleet, fence, now)
+            if (instance == null || !context.lease.permitsOrders() || context.notices.restOf(instance) != null) {
+                null
+            } else {
+                ledger?.prepare(action, fleet, fence, now)
+            }
         if (order == null || ledger == null || instance == null) {
             done(false)
             return false
         }
-        context.control.order(instance, order, context.holder) { result ->
+        context.control.order(instance, order, context.holder) { result, notice ->
+            context.notices.take(instance, notice)
             logger.info(
                 "engine={} event=order action={} model={} adapter={} expected={} fence={} reason=\"{}\" result={}",
                 engine,
--- a/relay/src/main/kotlin/plantainturn/relay/residence/ResidenceIssuer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/ResidenceIssuer.kt
@@ -11,6 +11,7 @@
 import plantainturn.process.control.residence.ResidencePlanner
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
+import plantainturn.relay.request.InstanceNotices
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.ServiceName
 import plantainturn.version.configuration.UpstreamName
@@ -31,10 +32,11 @@
     control: EngineControl,
     timer: TimerService,
     ceilingWindow: Duration,
+    notices: InstanceNotices,
     planner: ResidencePlanner = ResidencePlanner(),
 ) {
     private val context =
-        IssuerContext(lease, holder, roster, routing, control, timer, ceilingWindow, planner)
+        IssuerContext(lease, holder, roster, routing, control, timer, ceilingWindow, planner, notices)
     private val logger = LogManager.getLogger("residence")
     private val wants = AdapterWants()
     private var session: IssuerSession? = null
--- a/relay/src/test/kotlin/plantainturn/relay/residence/ResidenceIssuerTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/residence/ResidenceIssuerTest.kt
@@ -2,7 +2,9 @@
 
 import org.junit.jupiter.api.Test
 import plantainturn.connection.log.LogOffset
+import plantainturn.connection.roster.InstanceNotice
 import plantainturn.connection.roster.InstanceRoster
+import plantainturn.connection.roster.RestRequests
 import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.connection.store.RecordStore
 import plantainturn.connection.store.StoreAppendResult
@@ -14,6 +16,7 @@
 import plantainturn.process.control.residence.SequencedOrder
 import plantainturn.process.control.residence.SequencedOrderResult
 import plantainturn.process.time.VirtualTimerService
+import plantainturn.relay.request.InstanceNotices
 import plantainturn.version.route.RoutingConfiguration
 import plantainturn.version.route.RoutingSource
 import kotlin.test.assertEquals
@@ -27,8 +30,9 @@
     @Test
     fun `a node that has just become the issuer still tells of the loads before its first orders`() {
         val lease = StoreLease(SilentStore, HolderIdentifier("node"), "127.0.0.1:1", timer, { 0 })
-        val issuer =
-            ResidenceIssuer(lease, "node", InstanceRoster(), NoRouting, SilentEngines, timer, ceilingWindow = 5.seconds)
+        val roster = InstanceRoster()
+        val notices = InstanceNotices(roster, RestRequests(), timer) { }
+        val issuer = ResidenceIssuer(lease, "node", roster, NoRouting, SilentEngines, timer, 5.seconds, notices)
         val loads = listOf(timer.now())
 
         issuer.onLoads(loads)
@@ -65,14 +69,14 @@
     private object SilentEngines : EngineControl {
         override fun read(
             engine: UpstreamInstance,
-            done: (EngineReading?) -> Unit,
+            done: (EngineReading?, InstanceNotice) -> Unit,
         ) = Unit
 
         override fun order(
             engine: UpstreamInstance,
             order: SequencedOrder,
             holder: String,
-            done: (SequencedOrderResult) -> Unit,
+            done: (SequencedOrderResult, InstanceNotice) -> Unit,
         ) = Unit
     }
 }
