Let the issuer's cost not grow with the nodes, and wait for models and adapters by the caller's time

Issuer: each exchange added up all reports and encoded all residence anew, so that its cost grew with the square of the nodes; a starved issuer was taken for lost and every node read the store by itself. Now reports are added up once in 100 ms, residence is told by what changed, exchanges of all nodes are bounded to 250 a second, strong VMs contend first, and followers' safety readings are rarer. ReportSumsTest, ResidenceNewsTest, ExchangePaceTest, IssuerFitnessTest are new.

Now nodes tell of requests that still run a departing model, adapters in use go last, and ResidencePatience decides how long to wait (its test failed on the former rule's numbers).

Ruled out: lost readings of the engine's report (they came every 250 ms and said busy).

--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/IssuerFitness.kt
@@ -0,0 +1,34 @@
+package plantainturn.process.control.lease
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Decides how long a node waits before it contends for the lease, by what its VM bears.
+ *
+ * Load pattern: VMs of uneven size that all find the lease free at the same moment. The issuer answers all other nodes,
+ * and one that is starved is taken for lost again and again. Stronger VMs claim first; weaker ones only if none does.
+ */
+public object IssuerFitness {
+    /** What the issuer's work needs with room to spare. */
+    private const val AMPLE_PROCESSOR_SHARE = 1.0
+    private const val AMPLE_LINK_MEGABITS = 50.0
+
+    /** Several times what a claim takes. */
+    private val LONGEST_HANDICAP = 800.milliseconds
+
+    /**
+     * Returns how long a node waits that has [processorShare] of a core and a link of [linkMegabits].
+     *
+     * @param processorShare null if it is not known; such a node does not wait
+     * @param linkMegabits null if it is not known
+     */
+    public fun handicap(
+        processorShare: Double?,
+        linkMegabits: Double?,
+    ): Duration {
+        val processor = (processorShare ?: AMPLE_PROCESSOR_SHARE) / AMPLE_PROCESSOR_SHARE
+        val link = (linkMegabits ?: AMPLE_LINK_MEGABITS) / AMPLE_LINK_MEGABITS
+        return LONGEST_HANDICAP * (1.0 - minOf(processor, link, 1.0))
+    }
+}
--- a/library/src/main/kotlin/plantainturn/request/relay/WorkTotals.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/WorkTotals.kt
@@ -23,6 +23,15 @@
             readingShare + other.readingShare,
         )
 
+    /** Returns what is left of the sum without [other]. */
+    public operator fun minus(other: WorkTotals): WorkTotals =
+        WorkTotals(
+            running - other.running,
+            unreadTokens - other.unreadTokens,
+            heldTokens - other.heldTokens,
+            (readingShare - other.readingShare).coerceAtLeast(0.0),
+        )
+
     public companion object {
         /** No work. */
         public val NONE: WorkTotals = WorkTotals(0, 0, 0)
--- /dev/null
+++ b/library/src/test/kotlin/plantainturn/process/control/lease/IssuerFitnessTest.kt
@@ -0,0 +1,24 @@
+package plantainturn.process.control.lease
+
+import org.junit.jupiter.api.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+class IssuerFitnessTest {
+    @Test
+    fun `a strong node and one that does not know itself contend at once`() {
+        assertEquals(Duration.ZERO, IssuerFitness.handicap(1.5, 140.0))
+        assertEquals(Duration.ZERO, IssuerFitness.handicap(null, null))
+    }
+
+    @Test
+    fun `a weak processor or a slow link lets a node wait, the weaker the longer`() {
+        val small = IssuerFitness.handicap(0.36, 140.0)
+
+        assertTrue(small > IssuerFitness.handicap(0.75, 140.0))
+        assertTrue(IssuerFitness.handicap(1.5, 7.0) > small)
+        assertTrue(IssuerFitness.handicap(0.01, 0.1) <= 800.milliseconds)
+    }
+}
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -15,6 +15,7 @@
 import plantainturn.connection.store.ReadPace
 import plantainturn.connection.store.TopicFollower
 import plantainturn.process.control.lease.HolderIdentifier
+import plantainturn.process.control.lease.IssuerFitness
 import plantainturn.process.control.lease.StoreLease
 import plantainturn.process.control.lease.StoreLeaseSettings
 import plantainturn.process.time.ExecutorTimerService
@@ -120,7 +121,7 @@
         TopicFollower(platform.store, platform.instanceTopic, instances, timer, ::instanceReadPace)
     private val shareTerms = RepetitionShareTerms(settings.repetitionWindowSeconds.seconds)
     private val repetitionShare = RepetitionShare(shareTerms)
-    private val hub = PeerHub(issuer, lease, shareTerms, quarantine, timer, instanceFollower)
+    private val hub = PeerHub(incarnation, issuer, lease, shareTerms, quarantine, timer, instanceFollower)
     private val issuerLink: IssuerLink =
         IssuerLink(
             lease,
@@ -145,6 +146,7 @@
     private val startedAt: Moment = timer.now()
     private var stopping = false
     private var reports = 0L
+    private var contendsSince: Moment? = null
 
     /** Listens and begins to follow the store; returns once it listens or could not, with what went wrong. */
     public fun start(): List<Throwable> {
@@ -220,7 +222,7 @@
     private fun begin() {
         timer.subscribe(CONTROL_PERIOD) {
             val ready = !stopping && configuration.current != null
-            lease.step(mayContend = ready && (issuerLink.isIssuerMissing() || lease.isFree))
+            lease.step(mayContend = ready && mayContend())
             issuer.step()
         }
         timer.subscribe(EXCHANGE_PERIOD) { if (!stopping || lease.fence == null) issuerLink.step() }
@@ -232,6 +234,14 @@
         }
     }
 
+    /** A VM that bears the issuer's work easily comes first; a weaker one waits for it a little longer. */
+    private fun mayContend(): Boolean {
+        val wanted = issuerLink.isIssuerMissing() || lease.isFree
+        if (!wanted) contendsSince = null
+        val since = if (wanted) contendsSince ?: timer.now().also { contendsSince = it } else return false
+        return timer.now() - since >= IssuerFitness.handicap(settings.processorShare, settings.linkMegabits)
+    }
+
     /** Every read is billed, so one node reads often and tells the others; alone, each reads often. */
     private fun readPace(): ReadPace =
         if (lease.fence != null ||
@@ -317,8 +327,15 @@
                     }.toMap(),
             adapterUse =
                 demand.adapterUse().map { (adapter, use) ->
-                    NodeReport.AdapterUse(adapter.first.value, adapter.second.value, rounded(use))
+                    val (model, name) = adapter
+                    NodeReport.AdapterUse(model.value, name.value, rounded(use.worthPerSecond), use.running)
                 },
+            departingRuns =
+                links
+                    .ownRuns { engine, model -> model !in fleet.residentsOf(engine) }
+                    .entries
+                    .groupBy({ it.key.first.value }, { it.key.second.value to it.value })
+                    .mapValues { it.value.toMap() },
             known = known,
             departures = roster.departures().map(RelayedDeparture::of),
             prompts = links.prompts.takeUntold(),
@@ -370,10 +387,10 @@
         val SHORT_REST = 200.milliseconds
 
         /** The issuer's hints tell of changes sooner. */
-        val LONG_WAIT = 8.seconds
+        val LONG_WAIT = 25.seconds
 
         /** Readings beside the issuer's, in case that one misses something. */
-        val RELYING_REST = 5.seconds
+        val RELYING_REST = 15.seconds
 
         /** Longer than the store is usually away. */
         val OUTAGE_TOLERANCE = 12.seconds
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelaySettings.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelaySettings.kt
@@ -17,6 +17,8 @@
  * @property drainMilliseconds how soon after an upstream's leaving is known requests to it must have ended
  * @property handOverMilliseconds the pause between orders of two holders of the lease
  * @property enginesRefuseOldFences whether engines refuse orders with an earlier holder's fence
+ * @property processorShare what the VM has of a core, null if it is not known
+ * @property linkMegabits what the VM's link carries in a second, null if it is not known
  * @property repetitionRatio repetitions that the deployment allows for each request
  * @property repetitionsFixed repetitions that it allows beyond that in a window
  * @property repetitionWindowSeconds the window of both
@@ -35,6 +37,8 @@
     val drainMilliseconds: Long = 2_000,
     val handOverMilliseconds: Long = 3_000,
     val enginesRefuseOldFences: Boolean = false,
+    val processorShare: Double? = null,
+    val linkMegabits: Double? = null,
     val repetitionRatio: Double = 0.1,
     val repetitionsFixed: Double = 10.0,
     val repetitionWindowSeconds: Double = 10.0,
@@ -56,6 +60,8 @@
             if (stopSeconds <= 0) add("stopSeconds: must be positive")
             if (drainMilliseconds <= 0) add("drainMilliseconds: must be positive")
             if (handOverMilliseconds < 0) add("handOverMilliseconds: must not be negative")
+            if (processorShare != null && processorShare <= 0) add("processorShare: must be positive")
+            if (linkMegabits != null && linkMegabits <= 0) add("linkMegabits: must be positive")
             if (repetitionRatio < 0) add("repetitionRatio: must not be negative")
             if (repetitionsFixed < 0) add("repetitionsFixed: must not be negative")
             if (repetitionWindowSeconds <= 0) add("repetitionWindowSeconds: must be positive")
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -26,7 +26,6 @@
 import plantainturn.version.configuration.UpstreamName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * This node's exchange with the issuer of orders, which may be this node.
@@ -56,19 +55,23 @@
     private var lookedAt: Moment? = null
     private var calling = false
     private var storeHeardAt: Moment? = null
+    private var steppedAt: Moment? = null
 
     /** Nodes that take part, as the issuer last told. */
     var nodes: Int = 1
         private set
 
     /** Whether the issuer has not been heard from for so long that another one should take over. */
-    fun isIssuerMissing(): Boolean = heardAt?.let { timer.now() - it > ISSUER_SILENCE } ?: true
+    fun isIssuerMissing(): Boolean = heardAt?.let { timer.now() - it > ExchangePace.issuerSilence(nodes) } ?: true
 
     /** Returns how long ago the issuer heard from the store about instances, null if it has not told. */
     fun ageOfIssuersReading(): Duration? = storeHeardAt?.let { timer.now() - it }
 
-    /** Exchanges reports with the issuer, if the last exchange has ended. */
+    /** Exchanges reports with the issuer, if the last exchange has ended and the next one is due. */
     fun step() {
+        val last = steppedAt
+        if (last != null && timer.now() - last < ExchangePace.period(nodes) - STEP_TOLERANCE) return
+        steppedAt = timer.now()
         if (lease.fence != null) {
             take(hub.exchange(report(knownFrom(SELF))), SELF, timer.now())
             return
@@ -80,7 +83,7 @@
 
     override fun arrivalOf(model: ModelName): Duration? {
         val told = arrivals[model.value] ?: return null
-        if (timer.now() - arrivalsAt > ARRIVALS_FRESHNESS) return null
+        if (timer.now() - arrivalsAt > ExchangePace.arrivalsAge(nodes)) return null
         return (told.milliseconds - (timer.now() - arrivalsAt)).coerceAtLeast(Duration.ZERO)
     }
 
@@ -142,11 +145,11 @@
         notices.hear(told.departures.map { it.run() })
         storeHeardAt = if (told.issuing) told.storeAge?.let { now - it.milliseconds } else null
         onTold(told)
-        knowledge = told.known
+        knowledge = if (told.issuing) told.known else IssuerKnowledge.NONE
         knowledgeFrom = from
         links.prompts.merge(told.prompts)
         issuer.onLoads(told.loadAges.map { now - it.milliseconds })
-        if (told.issuing) fleet.onResidence(told.residence?.let(::decodeResidence))
+        if (told.issuing) fleet.onResidence(decodeResidence(told.residence), told.residenceWhole)
     }
 
     private fun confirmShare(
@@ -162,16 +165,15 @@
         repetitionShare.confirm(part, sentAt, now)
     }
 
-    private fun decodeResidence(told: Map<String, Map<String, List<String>>>) =
+    private fun decodeResidence(told: Map<String, Map<String, List<String>>?>) =
         told
             .map { (engine, models) ->
                 val decoded =
-                    models.map { (model, adapters) ->
+                    models?.map { (model, adapters) ->
                         ModelName(model) to adapters.map(::ModelName).toPersistentSet()
                     }
-                UpstreamName(engine) to decoded.toMap().toPersistentMap()
+                UpstreamName(engine) to decoded?.toMap()?.toPersistentMap()
             }.toMap()
-            .toPersistentMap()
 
     private fun lookForIssuer() {
         val now = timer.now()
@@ -205,9 +207,8 @@
         private val EXCHANGE_TIMEOUT = 500.milliseconds
         private val ADAPTER_TIMEOUT = 400.milliseconds
 
-        /** Several exchanges; the lease itself has lapsed by then. */
-        private val ISSUER_SILENCE = 900.milliseconds
-        private val ARRIVALS_FRESHNESS = 1.seconds
+        /** Steps come a little early or late. */
+        private val STEP_TOLERANCE = 20.milliseconds
 
         /** Each look is a call that is billed. */
         private val LOOK_PAUSE = 400.milliseconds
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -15,7 +15,8 @@
  * @property suspects milliseconds for which other nodes suspect instances that answered errors
  * @property departures instances that said in an answer to some node that they leave
  * @property known what the node has from this issuer once it has this report
- * @property residence models and their adapters at each engine, null if the node has them
+ * @property residenceWhole whether [residence] names all engines, and not only those that changed
+ * @property residence models and their adapters at each engine, null for one that is gone
  * @property instances records of the instances' topic that the node has not read, null if there are none
  * @property storeAge milliseconds since the issuer last heard from the store about instances
  * @property loadAges milliseconds since loads from the weight store began, for an issuer that follows
@@ -31,7 +32,8 @@
     val suspects: Map<String, Long>,
     val departures: List<RelayedDeparture>,
     val known: IssuerKnowledge,
-    val residence: Map<String, Map<String, List<String>>>?,
+    val residenceWhole: Boolean,
+    val residence: Map<String, Map<String, List<String>>?>,
     val arrivals: Map<String, Long>,
     val instances: RelayedRecords?,
     val storeAge: Long?,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -16,6 +16,7 @@
  * @property known what it has from this issuer already
  * @property sequence grows with each report of this run of the node
  * @property repetitionShare the largest part of the fixed repetitions that it may have used lately
+ * @property departingRuns its requests at engines that run models which the issuer no longer counts there
  * @property departures instances with an entry that said in an answer that they leave
  * @property prompts shared parts of prompts that engines have read for its callers since its last report
  */
@@ -29,6 +30,7 @@
     val pressure: Map<String, PressureReport>,
     val adapterUse: List<AdapterUse>,
     val known: IssuerKnowledge,
+    val departingRuns: Map<String, Map<String, Int>>,
     val departures: List<RelayedDeparture>,
     val prompts: List<KeptPart>,
     val quarantines: List<QuarantineEntry>,
@@ -49,5 +51,6 @@
         val model: String,
         val adapter: String,
         val use: Double,
+        val running: Int,
     )
 }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -7,16 +7,22 @@
 import plantainturn.process.control.residence.ModelPressure
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
+import plantainturn.relay.request.AdapterDemand
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.quarantine.QuarantineRegister
 import plantainturn.request.relay.RepetitionShareTerms
 import plantainturn.request.relay.RepetitionShares
-import plantainturn.request.relay.WorkTotals
 import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.UpstreamName
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Gathers the reports of all nodes at the issuer of orders, and tells each node the sum. */
+/**
+ * Gathers the reports of all nodes at the issuer of orders, and tells each node the sum.
+ *
+ * @param identity names this run of the node
+ */
 internal class PeerHub(
+    private val identity: String,
     private val issuer: ResidenceIssuer,
     private val lease: StoreLease,
     private val shareTerms: RepetitionShareTerms,
@@ -26,6 +32,10 @@
 ) {
     private val heard = HashMap<String, Heard>()
     private val promptNews = PromptNews()
+    private var residenceNews = ResidenceNews()
+    private var session: String? = null
+    private var sums = ReportSums(emptyMap())
+    private var summedAt: Moment? = null
     private var sharesFence: FenceNumber? = null
     private var shares = RepetitionShares(shareTerms, Moment.ORIGIN)
 
@@ -33,39 +43,45 @@
     fun exchange(report: NodeReport): IssuerReport {
         val now = timer.now()
         heard[report.node] = Heard(report, now)
-        heard.values.removeIf { now - it.at > MEMBER_SILENCE }
         quarantine.merge(report.quarantines)
         promptNews.add(report.prompts)
-        tellIssuer()
-        val others = heard.values.map { it.report }.filter { it.node != report.node }
-        val residence = issuer.residence().takeIf { issuer.revision != report.known.residenceRevision }
+        if (summedAt?.let { now - it >= SUM_PERIOD } != false) sum(now)
+        val known = report.known.takeIf { it.session == session } ?: IssuerKnowledge.NONE
         return IssuerReport(
             issuing = issuer.isActive,
             nodes = heard.size,
             repetitionShare = shareFor(report, now),
-            work = sum(others),
-            suspects = suspects(others),
-            departures =
-                heard.values
-                    .flatMap { it.report.departures }
-                    .distinct(),
-            known = IssuerKnowledge(issuer.revision, promptNews.end),
-            residence =
-                residence
-                    ?.map { (engine, models) ->
-                        engine.value to
-                            models.map { (model, adapters) -> model.value to adapters.map { it.value } }.toMap()
-                    }?.toMap(),
+            work = sums.workWithout(report.node),
+            suspects = sums.suspects,
+            departures = sums.departures,
+            known = IssuerKnowledge(session, residenceNews.revision, promptNews.end),
+            residenceWhole = known.session == null,
+            residence = residenceNews.since(known.residenceRevision),
             arrivals = issuer.arrivals().map { (model, left) -> model.value to left.inWholeMilliseconds }.toMap(),
             instances = instances.since(LogOffset(report.ends.instances))?.let(RelayedRecords::of),
             storeAge = instances.heardAt?.let { (now - it).inWholeMilliseconds },
             loadAges = issuer.recentLoads().map { (now - it).inWholeMilliseconds },
-            prompts = promptNews.since(report.known.prompts),
+            prompts = promptNews.since(known.prompts),
             quarantines = quarantine.snapshot(),
-            ends = heard.values.map { it.report.ends }.reduce(TopicEnds::latest),
+            ends = sums.ends?.latest(report.ends) ?: report.ends,
         )
     }
 
+    private fun sum(now: Moment) {
+        summedAt = now
+        val silence = ExchangePace.memberSilence(heard.size)
+        heard.values.removeIf { now - it.at > silence }
+        val reports = heard.mapValues { it.value.report }
+        sums = ReportSums(reports)
+        tellIssuer(reports.values)
+        val current = lease.fence?.let { "$identity/$it" }
+        if (current != session) {
+            session = current
+            residenceNews = ResidenceNews()
+        }
+        residenceNews.update(issuer.residence())
+    }
+
     /** Two nodes that answered at once could give the same part away, so that only a sole holder of the lease does. */
     private fun shareFor(
         report: NodeReport,
@@ -81,10 +97,10 @@
         return shares.renew(report.node, report.repetitionShare, report.sequence, now)
     }
 
-    private fun tellIssuer() {
-        val reports = heard.values.map { it.report }
+    private fun tellIssuer(reports: Collection<NodeReport>) {
         val pressure = HashMap<ModelName, ModelPressure>()
-        val use = HashMap<Pair<ModelName, ModelName>, Double>()
+        val use = HashMap<Pair<ModelName, ModelName>, AdapterDemand>()
+        val runs = HashMap<Pair<UpstreamName, ModelName>, Int>()
         for (report in reports) {
             for ((name, part) in report.pressure) {
                 val before = pressure[ModelName(name)] ?: ModelPressure()
@@ -97,26 +113,14 @@
                     )
             }
             for (part in report.adapterUse) {
-                use.merge(ModelName(part.model) to ModelName(part.adapter), part.use, Double::plus)
+                val demand = AdapterDemand(part.use, part.running)
+                use.merge(ModelName(part.model) to ModelName(part.adapter), demand, AdapterDemand::plus)
+            }
+            for ((engine, models) in report.departingRuns) {
+                for ((model, count) in models) runs.merge(UpstreamName(engine) to ModelName(model), count, Int::plus)
             }
         }
-        issuer.onDemand(pressure, use)
-    }
-
-    private fun sum(reports: List<NodeReport>): Map<String, WorkTotals> {
-        val totals = HashMap<String, WorkTotals>()
-        for (report in reports) {
-            for ((instance, work) in report.work) totals.merge(instance, work, WorkTotals::plus)
-        }
-        return totals
-    }
-
-    private fun suspects(reports: List<NodeReport>): Map<String, Long> {
-        val longest = HashMap<String, Long>()
-        for (report in reports) {
-            for ((instance, remaining) in report.suspects) longest.merge(instance, remaining, ::maxOf)
-        }
-        return longest
+        issuer.onDemand(pressure, use, runs)
     }
 
     private class Heard(
@@ -125,7 +129,7 @@
     )
 
     private companion object {
-        /** Several missed reports. */
-        val MEMBER_SILENCE = 1_500.milliseconds
+        /** Shorter than the time between two reports of a node. */
+        val SUM_PERIOD = 100.milliseconds
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/DemandMeter.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/DemandMeter.kt
@@ -65,11 +65,11 @@
         running.merge(demand.model to adapter, change) { before, more -> (before + more).takeIf { it > 0 } }
     }
 
-    /** Returns how much each adapter is wanted, by model and adapter; one that requests use counts far more. */
-    fun adapterUse(): Map<Pair<ModelName, ModelName>, Double> {
+    /** Returns how much each adapter is used, by model and adapter. */
+    fun adapterUse(): Map<Pair<ModelName, ModelName>, AdapterDemand> {
         adapters.values.removeIf { it.isForgotten() }
         return (adapters.keys + running.keys).associateWith { adapter ->
-            (adapters[adapter]?.perSecond() ?: 0.0) + (running[adapter] ?: 0) * RUNNING_WEIGHT
+            AdapterDemand(adapters[adapter]?.perSecond() ?: 0.0, running[adapter] ?: 0)
         }
     }
 
@@ -100,6 +100,5 @@
         /** Short against the time in which load rises. */
         val WORK_MEMORY = 3.seconds
         const val NEGLIGIBLE = 0.005
-        const val RUNNING_WEIGHT = 100.0
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/FleetView.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/FleetView.kt
@@ -41,12 +41,21 @@
         listeners.forEach { it() }
     }
 
-    /** Takes over what the issuer of orders says of residence; null keeps what it said before. */
+    /**
+     * Takes over what the issuer of orders says of residence.
+     *
+     * @param changes the models of engines with their adapters, null for an engine of which it knows nothing any more
+     * @param whole whether all engines are named that it knows of
+     */
     public fun onResidence(
-        residence: PersistentMap<UpstreamName, PersistentMap<ModelName, PersistentSet<ModelName>>>?,
+        changes: Map<UpstreamName, PersistentMap<ModelName, PersistentSet<ModelName>>?>,
+        whole: Boolean,
     ) {
         toldAt = timer.now()
-        if (residence == null || residence == told) return
+        val updated = (if (whole) persistentMapOf() else told).builder()
+        for ((engine, models) in changes) if (models == null) updated.remove(engine) else updated[engine] = models
+        val residence = updated.build()
+        if (residence == told) return
         told = residence
         listeners.forEach { it() }
     }
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -13,6 +13,7 @@
 import plantainturn.request.relay.PromptMemory
 import plantainturn.request.relay.WorkTotals
 import plantainturn.version.configuration.FailureDomain
+import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.UpstreamName
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -32,6 +33,8 @@
 ) {
     private val links = HashMap<UpstreamName, Link>()
 
+    private val runs = HashMap<Pair<UpstreamName, ModelName>, Int>()
+
     /** What engines keep of prompts. */
     internal val prompts: PromptMemory = PromptMemory()
 
@@ -46,6 +49,19 @@
             }.filterValues { it.running > 0 }
     }
 
+    /** Returns this node's requests by engine and model where [isDeparting]. */
+    public fun ownRuns(isDeparting: (UpstreamName, ModelName) -> Boolean): Map<Pair<UpstreamName, ModelName>, Int> =
+        runs.filterKeys { (engine, model) -> isDeparting(engine, model) }
+
+    /** Notes that a request for [model] was sent to [engine] or has ended. */
+    internal fun onRun(
+        engine: UpstreamName,
+        model: ModelName,
+        change: Int,
+    ) {
+        runs.merge(engine to model, change) { before, more -> (before + more).takeIf { it > 0 } }
+    }
+
     /** Takes over the work of the other nodes. */
     public fun onOthers(totals: Map<UpstreamName, WorkTotals>) {
         for ((name, link) in links) link.standing.others = totals[name] ?: WorkTotals.NONE
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -60,6 +60,7 @@
         standing.begin(work, begunAt)
         exchange.request.demand?.let {
             context.demand.onAdapterRunning(it, 1)
+            context.links.onRun(instance.name, it.model, 1)
             context.links.prompts.onSend(instance.name, it)
         }
         standing.health.onSend(begunAt)
@@ -244,6 +245,7 @@
         standing.end(work, promptRead)
         val demand = exchange.request.demand ?: return
         context.demand.onAdapterRunning(demand, -1)
+        context.links.onRun(instance.name, demand.model, -1)
         if (!promptRead) context.links.prompts.onEnd(instance.name, demand)
     }
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -15,6 +15,7 @@
 import plantainturn.request.quarantine.CrashEvidence
 import plantainturn.request.quarantine.RequestFingerprint
 import plantainturn.request.relay.DispatchDecision
+import plantainturn.request.relay.ResidencePatience
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.UpstreamName
 import plantainturn.version.route.Route
@@ -51,6 +52,7 @@
     private var began = false
     private var ended = false
     private var waitingSince: Moment? = null
+    private var patience: ResidencePatience? = null
     private var askingForAdapter = false
     private var timer: TimerSubscription? = null
     private var watchdog: TimerSubscription? = null
@@ -197,12 +199,12 @@
             when {
                 ended -> Unit
                 engine != null -> dispatch()
-                timeWaited() > RelayTimes.ADAPTER_PATIENCE ->
+                patience?.waitsForAdapter(context.timer.now()) == false ->
                     giveUp(
                         ResultCode.NO_UPSTREAM,
                         ResultCode.OUTCOME_UNKNOWN,
-                        "adapter=${step.adapter}",
-                        RelayTimes.NO_UPSTREAM_RETURN,
+                        "adapter=${step.adapter} waited=${timeWaited()}",
+                        minOf(RelayTimes.ADAPTER_RETURN, longestReturn()),
                     )
                 else -> context.timer.schedule(RelayTimes.ADAPTER_PAUSE) { lookAgain() }
             }
@@ -216,11 +218,15 @@
     ) {
         beginWaiting()
         val arrival = context.residence.arrivalOf(model)
-        val known = arrival != null
-        val soonEnough = arrival != null && arrival < left * RelayTimes.WORTH_WAITING
-        if (soonEnough || !known && timeWaited() < RelayTimes.PLAN_PATIENCE) return
-        val comeBack = (arrival ?: RelayTimes.MODEL_RETURN).coerceAtMost(longestReturn())
-        giveUp(ResultCode.NO_UPSTREAM, ResultCode.OUTCOME_UNKNOWN, "model=$model arrival=$arrival", comeBack)
+        if (patience?.waitsForModel(arrival, left, context.timer.now()) != false) return
+        val usual =
+            service.engines
+                ?.models
+                ?.get(model)
+                ?.coldLoad ?: RelayTimes.MODEL_RETURN
+        val comeBack = (arrival ?: usual).coerceAtMost(longestReturn())
+        val facts = "model=$model arrival=$arrival waited=${timeWaited()}"
+        giveUp(ResultCode.NO_UPSTREAM, ResultCode.OUTCOME_UNKNOWN, facts, comeBack)
     }
 
     /** Callers come back after a third of the time that they have left at most. */
@@ -228,7 +234,9 @@
 
     private fun beginWaiting() {
         if (waitingSince != null) return
-        waitingSince = context.timer.now()
+        val now = context.timer.now()
+        waitingSince = now
+        if (patience == null) patience = ResidencePatience(now, timeLeftToBegin())
         context.waiting.add(this)
         val demand = request.demand
         context.journal.note(request.identifier, "wait", "model=${demand?.model} adapter=${demand?.adapter}")
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayTimes.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayTimes.kt
@@ -32,21 +32,15 @@
     /** Another node can serve the caller at once. */
     val STOPPING_RETURN = 10.milliseconds
 
-    /** A model whose load is not planned yet; the shortest loads take about this. */
+    /** A model of which the configuration does not tell how long its load takes. */
     val MODEL_RETURN = 1_500.milliseconds
 
+    /** An adapter whose engines' places are all in use: short requests have ended by then. */
+    val ADAPTER_RETURN = 1.seconds
+
     /** Callers come back after a third of the time that they have left at most. */
     const val RETURN_PART = 3
 
-    /** Part of the time left within which a model must arrive; the rest is for its queue and the first event. */
-    const val WORTH_WAITING = 0.75
-
-    /** The issuer hears of a waiting request and plans within two exchanges, a new issuer within a second. */
-    val PLAN_PATIENCE = 900.milliseconds
-
-    /** An adapter takes milliseconds; what takes longer is an engine that is busy with a base model. */
-    val ADAPTER_PATIENCE = 500.milliseconds
-
     /** Between two requests for one adapter. */
     val ADAPTER_PAUSE = 60.milliseconds
 
--- a/relay/src/main/kotlin/plantainturn/relay/residence/AdapterBringer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/AdapterBringer.kt
@@ -11,7 +11,8 @@
 /**
  * Brings adapters to engines that hold their base models, for requests that wait for them.
  *
- * The least used adapter makes way, but none that was just brought for a request, and none that a request uses.
+ * The least used adapter makes way, but none that was just brought for a request; one that requests use only if all
+ * places of all engines that could take it are in use.
  */
 internal class AdapterBringer(
     private val context: IssuerContext,
@@ -38,13 +39,18 @@
                         .residents[model]
                         .orEmpty()
             }
-        val target = able.firstOrNull(::canBeOrdered) ?: able.firstOrNull { !session.ledgers.getValue(it).isChanging }
-        val step = target?.let { adapterStep(fleet, it, model, adapter) }
+        val order =
+            able
+                .sortedBy { !canBeOrdered(it) }
+                .filterNot { session.ledgers.getValue(it).isChanging }
+                .mapNotNull { engine -> adapterStep(fleet, engine, model, adapter)?.let { engine to it } }
+                .minByOrNull { (_, step) -> requestsAwaitedBy(step) }
         when {
             !isCurrent() || holding != null || triesLeft <= 0 || !context.lease.permitsOrders() ->
                 wants.end(model, adapter, holding)
-            target == null || step == null -> wants.end(model, adapter, null)
-            else ->
+            order == null -> wants.end(model, adapter, null)
+            else -> {
+                val (target, step) = order
                 session.give(fleet, target, step, "wanted by a request") { given ->
                     if (given && step.kind == ResidenceAction.Kind.LOAD) {
                         grantedAt[Triple(target, model, adapter)] = context.timer.now()
@@ -56,6 +62,7 @@
                         }
                     }
                 }
+            }
         }
     }
 
@@ -76,7 +83,7 @@
     private fun canBeOrdered(engine: UpstreamName): Boolean =
         session.ledgers.getValue(engine).let { !it.isChanging && !it.needsReading && !it.calling }
 
-    /** The load itself, or the unload of the least used adapter that makes room for it; null if all are in use. */
+    /** The load itself, or the unload of the least used adapter that makes room for it; null if all were just brought. */
     private fun adapterStep(
         fleet: EngineFleet,
         engine: UpstreamName,
@@ -93,10 +100,19 @@
             ledger.residents
                 .flatMap { (base, adapters) -> adapters.map { base to it } }
                 .filter { Triple(engine, it.first, it.second) !in grantedAt }
-        val least = held.minByOrNull { context.adapterUse[it] ?: 0.0 } ?: return null
+        val least =
+            held.minWithOrNull(
+                compareBy({ context.adapterUse[it]?.running ?: 0 }, { context.adapterUse[it]?.worthPerSecond ?: 0.0 }),
+            ) ?: return null
         return ResidenceAction(ResidenceAction.Kind.UNLOAD, least.first, least.second)
     }
 
+    /** An engine that drops an adapter waits for the requests that use it, and takes no other one meanwhile. */
+    private fun requestsAwaitedBy(step: ResidenceAction): Int {
+        val adapter = step.adapter?.takeIf { step.kind == ResidenceAction.Kind.UNLOAD } ?: return 0
+        return context.adapterUse[step.model to adapter]?.running ?: 0
+    }
+
     /** An engine refuses to drop an adapter that a request uses; another one is chosen for a while. */
     private fun noteRefused(
         engine: UpstreamName,
--- a/relay/src/main/kotlin/plantainturn/relay/residence/IssuerContext.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerContext.kt
@@ -6,9 +6,11 @@
 import plantainturn.process.control.residence.ResidencePlanner
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
+import plantainturn.relay.request.AdapterDemand
 import plantainturn.relay.request.InstanceNotices
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.ServiceName
+import plantainturn.version.configuration.UpstreamName
 import plantainturn.version.route.EngineFleet
 import plantainturn.version.route.RoutingSource
 import kotlin.time.Duration
@@ -29,7 +31,10 @@
     var pressure: Map<ModelName, ModelPressure> = emptyMap()
 
     /** How much each adapter is used at all nodes, by model and adapter. */
-    var adapterUse: Map<Pair<ModelName, ModelName>, Double> = emptyMap()
+    var adapterUse: Map<Pair<ModelName, ModelName>, AdapterDemand> = emptyMap()
+
+    /** Requests at engines that run models which are on their way out there, of all nodes. */
+    var departingRuns: Map<Pair<UpstreamName, ModelName>, Int> = emptyMap()
 
     /** When loads from the weight store began that another issuer told of, null if none did. */
     var loadsTold: List<Moment>? = null
--- a/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
@@ -150,6 +150,16 @@
             inquiries.onAnswer(engine.name)
             val before = ledger.residents.keys
             ledger.onReading(reading, now)
+            logger.info(
+                "engine={} event=reading sequence={} known={} busy={} loading={} unloading={} settled={}",
+                engine.name,
+                reading.sequence,
+                ledger.sequence,
+                reading.busy,
+                ledger.loading,
+                ledger.unloading,
+                !ledger.needsReading,
+            )
             noteResidence(engine.name, before, ledger.residents.keys)
             context.noteChange()
         }
@@ -189,7 +199,7 @@
         }
         when (task.phase) {
             EngineTask.Phase.DEPARTING ->
-                if (now - task.since >= DEPARTURE_NOTICE) unload(fleet, engine.name, ledger, task)
+                if (mayUnload(engine.name, task, now)) unload(fleet, engine.name, ledger, task)
             EngineTask.Phase.UNLOADING ->
                 if (!ledger.isChanging && !ledger.needsReading) {
                     val gone = task.victim !in ledger.residents
@@ -204,6 +214,19 @@
         }
     }
 
+    /**
+     * An engine that is told to unload a model waits for the requests that run it, and takes no adapters meanwhile. So
+     * these end first, unless they take too long.
+     */
+    private fun mayUnload(
+        engine: UpstreamName,
+        task: EngineTask,
+        now: Moment,
+    ): Boolean {
+        val runs = task.victim?.let { context.departingRuns[engine to it] } ?: 0
+        return now - task.since >= if (runs == 0) DEPARTURE_NOTICE else LONGEST_DEPARTURE
+    }
+
     private fun unload(
         fleet: EngineFleet,
         engine: UpstreamName,
@@ -382,8 +405,11 @@
     }
 
     private companion object {
-        /** Nodes hear of a departing model within an exchange or two. */
-        val DEPARTURE_NOTICE = 300.milliseconds
+        /** Nodes hear of a departing model in one exchange, and tell of their requests there in the next. */
+        val DEPARTURE_NOTICE = 500.milliseconds
+
+        /** Most streams have ended by then. */
+        val LONGEST_DEPARTURE = 6.seconds
 
         /** An engine without requests for the model drops it at once; the notice has passed by then. */
         val UNLOAD_TIME = 200.milliseconds
--- a/relay/src/main/kotlin/plantainturn/relay/residence/ResidenceIssuer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/ResidenceIssuer.kt
@@ -11,6 +11,7 @@
 import plantainturn.process.control.residence.ResidencePlanner
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
+import plantainturn.relay.request.AdapterDemand
 import plantainturn.relay.request.InstanceNotices
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.ServiceName
@@ -50,13 +51,19 @@
     public val revision: Long
         get() = context.revision
 
-    /** Takes over what callers of all nodes want, by base model, and how much each adapter is used. */
+    /**
+     * Takes over what callers of all nodes want, by base model, and how much each adapter is used.
+     *
+     * @param departingRuns requests at engines that run models which are on their way out there
+     */
     public fun onDemand(
         pressure: Map<ModelName, ModelPressure>,
-        adapterUse: Map<Pair<ModelName, ModelName>, Double>,
+        adapterUse: Map<Pair<ModelName, ModelName>, AdapterDemand>,
+        departingRuns: Map<Pair<UpstreamName, ModelName>, Int>,
     ) {
         context.pressure = pressure
         context.adapterUse = adapterUse
+        context.departingRuns = departingRuns
     }
 
     /** Takes over when loads from the weight store began lately, as the issuer told. */
--- /dev/null
+++ b/relay/src/test/kotlin/plantainturn/relay/peer/ReportSumsTest.kt
@@ -0,0 +1,56 @@
+package plantainturn.relay.peer
+
+import org.junit.jupiter.api.Test
+import plantainturn.request.relay.WorkTotals
+import kotlin.test.assertEquals
+
+class ReportSumsTest {
+    @Test
+    fun `each node is told the work of all others`() {
+        val reports =
+            List(95) { report("n$it", "shared" to WorkTotals(2, 10, 20, 0.5), "own$it" to WorkTotals(1, 1, 1)) }
+        val sums = ReportSums(reports.associateBy { it.node })
+
+        val told = sums.workWithout("n7")
+
+        assertEquals(WorkTotals(188, 940, 1_880, 47.0), told["shared"])
+        assertEquals(null, told["own7"])
+        assertEquals(WorkTotals(1, 1, 1), told["own8"])
+    }
+
+    @Test
+    fun `a node that has just begun to report is told the work of all`() {
+        val sums = ReportSums(mapOf("a" to report("a", "x" to WorkTotals(1, 2, 3))))
+
+        assertEquals(mapOf("x" to WorkTotals(1, 2, 3)), sums.workWithout("new"))
+    }
+
+    @Test
+    fun `the longest suspicion and the latest ends are told`() {
+        val one = report("a").copy(suspects = mapOf("x" to 300), ends = TopicEnds(5, 90))
+        val two = report("b").copy(suspects = mapOf("x" to 900), ends = TopicEnds(6, 80))
+        val sums = ReportSums(mapOf("a" to one, "b" to two))
+
+        assertEquals(mapOf("x" to 900L), sums.suspects)
+        assertEquals(TopicEnds(6, 90), sums.ends)
+    }
+
+    private fun report(
+        node: String,
+        vararg work: Pair<String, WorkTotals>,
+    ) = NodeReport(
+        node = node,
+        sequence = 0,
+        repetitionShare = 0.0,
+        work = work.toMap(),
+        suspects = emptyMap(),
+        pressure = emptyMap(),
+        adapterUse = emptyList(),
+        known = IssuerKnowledge.NONE,
+        departingRuns = emptyMap(),
+        departures = emptyList(),
+        prompts = emptyList(),
+        quarantines = emptyList(),
+        ends = TopicEnds(0, 0),
+    )
+}
