--- a/library/src/main/kotlin/plantainturn/process/control/lease/IssuerFitness.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/IssuerFitness.kt
@@ -17,10 +17,13 @@
     /** Several times what a claim takes. */
     private val LONGEST_HANDICAP = 800.milliseconds
 
+    /** A node that lags has unread news of the issuer; it reads them in this time. */
+    private val SHORTEST_HANDICAP = 100.milliseconds
+
     /**
-     * Returns how long a node waits that has [processorShare] of a core and a link of [linkMegabits].
+     * Returns how long a node that finds no issuer waits that has [processorShare] of a core and a link of [linkMegabits].
      *
-     * @param processorShare null if it is not known; such a node does not wait
+     * @param processorShare null if it is not known; such a node waits as a strong one does
      * @param linkMegabits null if it is not known
      */
     public fun handicap(
@@ -29,6 +32,6 @@
     ): Duration {
         val processor = (processorShare ?: AMPLE_PROCESSOR_SHARE) / AMPLE_PROCESSOR_SHARE
         val link = (linkMegabits ?: AMPLE_LINK_MEGABITS) / AMPLE_LINK_MEGABITS
-        return LONGEST_HANDICAP * (1.0 - minOf(processor, link, 1.0))
+        return maxOf(SHORTEST_HANDICAP, LONGEST_HANDICAP * (1.0 - minOf(processor, link, 1.0)))
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -116,9 +116,16 @@
     private val demand = DemandMeter(timer)
     private val waiting = WaitingRequests()
     private val configurationFollower =
-        TopicFollower(platform.store, platform.configurationTopic, configuration, timer, ::readPace)
+        TopicFollower(platform.store, platform.configurationTopic, configuration, timer, pace = ::readPace)
     private val instanceFollower =
-        TopicFollower(platform.store, platform.instanceTopic, instances, timer, ::instanceReadPace)
+        TopicFollower(
+            platform.store,
+            platform.instanceTopic,
+            instances,
+            timer,
+            rosterTimes.readingRest / 2,
+            ::instanceReadPace,
+        )
     private val shareTerms = RepetitionShareTerms(settings.repetitionWindowSeconds.seconds)
     private val repetitionShare = RepetitionShare(shareTerms)
     private val hub = PeerHub(incarnation, issuer, lease, shareTerms, quarantine, timer, instanceFollower)
