--- a/library/src/main/kotlin/plantainturn/connection/roster/RestRequests.kt
+++ b/library/src/main/kotlin/plantainturn/connection/roster/RestRequests.kt
@@ -8,8 +8,8 @@
  * Which instances asked this node to send them nothing for a while.
  *
  * Load pattern: an instance that is overrun turns requests away and names the time that it needs. Until then nothing
- * goes there, no trial, no repetition and no question of the issuer either, so that the rest is one. A later answer that
- * names a shorter time does not end a longer rest. Confined to one thread.
+ * goes there, no trial, no repetition and no question of the issuer either. A later answer that names a shorter time
+ * does not end a longer rest. Confined to one thread.
  */
 public class RestRequests {
     private val ends = HashMap<InstanceRun, Moment>()
--- a/library/src/main/kotlin/plantainturn/process/control/lease/IssuerFitness.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/IssuerFitness.kt
@@ -21,10 +21,10 @@
     private val SHORTEST_HANDICAP = 100.milliseconds
 
     /**
-     * Returns how long a node that finds no issuer waits that has [processorShare] of a core and a link of [linkMegabits].
+     * Returns how long a node that finds no issuer waits before it contends.
      *
-     * @param processorShare null if it is not known; such a node waits as a strong one does
-     * @param linkMegabits null if it is not known
+     * @param processorShare what its VM has of a core; null if it is not known; such a node waits as a strong one does
+     * @param linkMegabits what its VM's link carries in a second; null if it is not known
      */
     public fun handicap(
         processorShare: Double?,
--- a/library/src/test/kotlin/plantainturn/request/relay/ResidencePatienceTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/ResidencePatienceTest.kt
@@ -8,7 +8,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 class ResidencePatienceTest {
-    /** Found by vdw-ijsbeker, quiet-1: three requests were turned away at the moment at which their model had arrived. */
+    /** Found by vdw-ijsbeker, quiet-1: three requests were turned away just when their model had arrived. */
     @Test
     fun `a load that is no longer announced has ended and its news is waited for`() {
         val patience = ResidencePatience(at(0), left = 12.seconds)
--- a/relay/src/main/kotlin/plantainturn/relay/http/HttpCaller.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/HttpCaller.kt
@@ -137,7 +137,7 @@
     }
 
     private companion object {
-        /** On a node that lags, the answer may have arrived and not been read: the next turn of the loop reads it first. */
+        /** On a node that lags, the answer may have arrived unread; it is read before the next turn's timers. */
         val NEXT_TURN = 1.milliseconds
 
         /** Several times the largest page of the store, and the largest report of the issuer. */
--- a/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
@@ -21,8 +21,8 @@
 /**
  * One connection to a server, with one request on it at a time.
  *
- * Left-over answers to other requests are skipped, and what comes beside the own answer is bounded. The connection is used again only after a complete answer with a
- * length, with the request's body sent and no byte beyond the answer.
+ * Left-over answers to other requests are skipped, and what comes beside the own answer is bounded. The connection is
+ * used again only after a complete answer with a length, with the request's body sent and no byte beyond the answer.
  */
 internal class UpstreamConnection(
     private val decoder: StrictResponseDecoder,
@@ -67,8 +67,8 @@
     /**
      * Ends the request, if there is one, without telling its receiver, and closes the connection.
      *
-     * The server sees at once that nothing is wanted any more. An answer that it has just sent is still looked at, as it
-     * may tell something of the server.
+     * The server sees at once that nothing is wanted any more. An answer that it has just sent is still looked at, as
+     * it may tell something of the server.
      */
     fun abandon() {
         val channel = context.channel()
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelaySettings.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelaySettings.kt
@@ -57,14 +57,18 @@
             )) {
                 if (SocketLocation.parse(value) == null) add("$name: \"$value\" is not ip:port")
             }
-            if (stopSeconds <= 0) add("stopSeconds: must be positive")
-            if (drainMilliseconds <= 0) add("drainMilliseconds: must be positive")
+            for ((name, value) in listOf(
+                "stopSeconds" to stopSeconds,
+                "drainMilliseconds" to drainMilliseconds.toDouble(),
+                "processorShare" to processorShare,
+                "linkMegabits" to linkMegabits,
+                "repetitionWindowSeconds" to repetitionWindowSeconds,
+                "loadWindowSeconds" to loadWindowSeconds,
+            )) {
+                if (value != null && value <= 0) add("$name: must be positive")
+            }
             if (handOverMilliseconds < 0) add("handOverMilliseconds: must not be negative")
-            if (processorShare != null && processorShare <= 0) add("processorShare: must be positive")
-            if (linkMegabits != null && linkMegabits <= 0) add("linkMegabits: must be positive")
             if (repetitionRatio < 0) add("repetitionRatio: must not be negative")
             if (repetitionsFixed < 0) add("repetitionsFixed: must not be negative")
-            if (repetitionWindowSeconds <= 0) add("repetitionWindowSeconds: must be positive")
-            if (loadWindowSeconds <= 0) add("loadWindowSeconds: must be positive")
         }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/ResidenceNews.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/ResidenceNews.kt
@@ -27,7 +27,7 @@
         changed.forEach { changedAt[it] = revision }
     }
 
-    /** Returns what has changed since [known]: the models of each engine with their adapters, null for one that is gone. */
+    /** Returns the engines that changed since [known]: their models with adapters, null for one that is gone. */
     fun since(known: Long): Map<String, Map<String, List<String>>?> =
         changedAt
             .filterValues { it > known }
--- a/relay/src/main/kotlin/plantainturn/relay/residence/AdapterBringer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/AdapterBringer.kt
@@ -83,7 +83,7 @@
     private fun canBeOrdered(engine: UpstreamName): Boolean =
         session.ledgers.getValue(engine).let { !it.isChanging && !it.needsReading && !it.calling }
 
-    /** The load itself, or the unload of the least used adapter that makes room for it; null if all were just brought. */
+    /** The load, or the unload of the least used adapter to make room for it; null if all were just brought. */
     private fun adapterStep(
         fleet: EngineFleet,
         engine: UpstreamName,
--- a/relay/src/test/kotlin/plantainturn/relay/http/CallerServerTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/http/CallerServerTest.kt
@@ -28,7 +28,7 @@
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await()
     }
 
-    /** Found by the small twin of vdw-ijsbeker-grown, trouble-1: requests reached servers after their callers had left. */
+    /** Found by the small twin of vdw-ijsbeker-grown, trouble-1: servers got requests whose callers had left. */
     @Test
     fun `a request whose caller left while the node lagged behind is not handled`() {
         listen()
