Log breaks and crash verdicts with the fingerprint of their request

The hypotheses could not be told apart: a break that is taken for an outage, a verdict that refutes a crash and what a node knew when it sent left no line.

--- a/library/src/main/kotlin/plantainturn/request/quarantine/QuarantineRegister.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/QuarantineRegister.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentSet
+import org.apache.logging.log4j.LogManager
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.version.configuration.UpstreamName
@@ -35,6 +36,7 @@
         val until: Moment,
     )
 
+    private val logger = LogManager.getLogger("quarantine")
     private val lock = ReentrantLock()
     private val cases = LinkedHashMap<RequestFingerprint, Case>()
     private val inFlight = HashMap<UpstreamName, HashMap<RequestFingerprint, Int>>()
@@ -113,6 +115,13 @@
         if (crashes.size < QUARANTINE_CRASHES) return isQuarantined(fingerprint)
         val (confirmed, refuted) = crashes.partition(probe::isConfirmed)
         val quarantined = lock.withLock { decide(fingerprint, evidence.upstream, confirmed, refuted) }
+        logger.info(
+            "fingerprint={} event=crash-verdict quarantined={} confirmed={} refuted={}",
+            fingerprint,
+            quarantined,
+            confirmed,
+            refuted,
+        )
         if (quarantined) listeners.forEach { it() }
         return quarantined
     }
@@ -163,6 +172,7 @@
         leave(fingerprint, evidence.upstream)
         val known = caseOf(fingerprint)?.crashes ?: persistentListOf()
         val outage = episodes.breaksWithout(fingerprint, evidence.upstream) >= settings.outageUpstreams
+        logger.info("fingerprint={} event=broke {} known={} outage={}", fingerprint, evidence, known.size, outage)
         if (outage || known.any { it.upstream == evidence.upstream }) return known
         val crashes = known.add(evidence)
         put(fingerprint, Case(crashes, quarantined = false, until = now + settings.suspicionDuration))
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -166,7 +166,7 @@
             "send",
             "route=${route.name} configuration=${context.routing.current?.version} $made candidates=$candidates " +
                 "arrival=$arrivals model=${request.demand?.model} adapter=${request.demand?.adapter} " +
-                "left=${timeLeft()}",
+                "left=${timeLeft()} fingerprint=$fingerprint",
         )
         made.begin(longestIdle(instance.name))
         watchSilence(made)
