Stop requests that end servers by what is known of every break, told through the store

Callers saw servers end one after the other: a request under which three had ended was sent on, by nodes that were well.

Cause: evidence was thrown away. A break counted only if the server's entry showed the crash 2 s later, but an entry lapses after three beats of silence or later, and 'not seen yet' was read as 'did not crash'. Breaks beside other breaks counted as an outage and were held against nobody, also when the others were such requests too. Nodes told each other only through the issuer. Sends that ended by their deadline or by their caller's leaving counted for nothing, and so did a server that started again under its name.

Now every unexplained end counts at once, by the run of the server, and only an answer to a request sent afterwards takes it back. Breaks at three runs stop a request, whatever explains them; two in an outage don't. Nodes write breaks to a topic of the store, which every node in touch reads, through the issuer while that is fresh and by itself otherwise; a node that starts again reads them first. An instance that answers nobody for 1.5 s after a send counts before the request is given up.

--- a/library/src/main/kotlin/plantainturn/connection/store/RecordStore.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/RecordStore.kt
@@ -21,6 +21,14 @@
         value: ByteArray,
         at: LogOffset?,
         done: (StoreAppendResult) -> Unit,
+    ): Unit = appendAll(topic, listOf(KeyedValue(key, value)), at, done)
+
+    /** Appends all [records] in one call, or none; [at] as in [append]. */
+    public fun appendAll(
+        topic: TopicName,
+        records: List<KeyedValue>,
+        at: LogOffset?,
+        done: (StoreAppendResult) -> Unit,
     )
 
     /** Reads the newest record of each key; the result's records are in no particular order. */
--- a/library/src/main/kotlin/plantainturn/request/completion/internal/AttemptStarter.kt
+++ b/library/src/main/kotlin/plantainturn/request/completion/internal/AttemptStarter.kt
@@ -63,7 +63,7 @@
             val view = decision.upstream
             val now = timer.now()
             val permit = resources.usage.tryBegin(view.name, view.specification, now) ?: return StartResult.Busy
-            if (!resources.quarantine.tryBegin(fingerprint, view.name)) {
+            if (!resources.quarantine.tryBegin(fingerprint, view.name, view.report?.incarnation)) {
                 permit.end(now, failed = false)
                 return StartResult.Refused(quarantined())
             }
--- a/library/src/main/kotlin/plantainturn/request/completion/internal/EngineProbe.kt
+++ b/library/src/main/kotlin/plantainturn/request/completion/internal/EngineProbe.kt
@@ -6,6 +6,7 @@
 import plantainturn.request.completion.EngineConnections
 import plantainturn.request.quarantine.CrashEvidence
 import plantainturn.request.quarantine.CrashProbe
+import plantainturn.request.quarantine.CrashVerdict
 
 /** Asks engines themselves whether they crashed. */
 internal class EngineProbe(
@@ -16,11 +17,10 @@
     fun answers(view: UpstreamView): Boolean =
         engines.connect(view.name, view.specification).report() is EngineReportResult.Reported
 
-    override fun isConfirmed(evidence: CrashEvidence): Boolean {
-        val view = directory.views()[evidence.upstream] ?: return true
-        return when (val result = engines.connect(view.name, view.specification).report()) {
-            is EngineReportResult.Reported -> result.report.incarnation != evidence.incarnation
-            is EngineReportResult.Unavailable -> true
-        }
+    override fun verdictOf(evidence: CrashEvidence): CrashVerdict {
+        val view = directory.views()[evidence.upstream] ?: return CrashVerdict.CONFIRMED
+        val result = engines.connect(view.name, view.specification).report()
+        val survived = result is EngineReportResult.Reported && result.report.incarnation == evidence.incarnation
+        return if (survived) CrashVerdict.SURVIVED else CrashVerdict.CONFIRMED
     }
 }
--- a/library/src/main/kotlin/plantainturn/request/quarantine/CrashProbe.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/CrashProbe.kt
@@ -2,6 +2,6 @@
 
 /** Finds out whether an upstream crashed after a request broke off there. */
 public fun interface CrashProbe {
-    /** Returns whether the upstream of [evidence] does not answer, or runs as another incarnation. May block. */
-    public fun isConfirmed(evidence: CrashEvidence): Boolean
+    /** Returns what became of the upstream's run that [evidence] names. May block. */
+    public fun verdictOf(evidence: CrashEvidence): CrashVerdict
 }
--- a/library/src/main/kotlin/plantainturn/request/relay/InstanceStanding.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/InstanceStanding.kt
@@ -37,6 +37,10 @@
     private var reported: ReportedLoad? = null
     private var reportedAt: Moment = Moment.ORIGIN
 
+    /** When the latest request was sent that the instance began to answer, null if it answered none. */
+    public var answeredSendAt: Moment? = null
+        private set
+
     /** How long the instance takes for a whole answer, a fading average; null before the first. */
     public var answerTime: Duration? = null
         private set
@@ -67,6 +71,11 @@
         if (!promptWasRead) ownUnread -= work.unreadTokens
     }
 
+    /** Notes that the instance began to answer a request that was sent at [sentAt]. */
+    public fun onAnswerBegun(sentAt: Moment) {
+        answeredSendAt = answeredSendAt?.let { maxOf(it, sentAt) } ?: sentAt
+    }
+
     /** Takes in what the instance said of its load. */
     public fun onReportedLoad(
         load: ReportedLoad,
--- a/library/src/main/kotlin/plantainturn/request/service/internal/CallDispatcher.kt
+++ b/library/src/main/kotlin/plantainturn/request/service/internal/CallDispatcher.kt
@@ -9,6 +9,7 @@
 import plantainturn.request.AttemptNumber
 import plantainturn.request.RequestResources
 import plantainturn.request.quarantine.CrashEvidence
+import plantainturn.request.quarantine.CrashVerdict
 import plantainturn.request.quarantine.RequestFingerprint
 import plantainturn.request.service.ServiceConnections
 import plantainturn.request.service.ServiceRequest
@@ -108,7 +109,9 @@
         when {
             result is ServiceResult.Answered -> resources.quarantine.succeeded(fingerprint, upstream)
             result is ServiceResult.Unknown && !timedOut ->
-                resources.quarantine.broke(fingerprint, CrashEvidence(upstream, incarnation = null)) { true }
+                resources.quarantine.broke(fingerprint, CrashEvidence(upstream, incarnation = null)) {
+                    CrashVerdict.CONFIRMED
+                }
             else -> resources.quarantine.ended(fingerprint, upstream)
         }
         if (result is ServiceResult.Answered) resources.retryBudget.recordSuccess()
--- a/library/src/test/kotlin/plantainturn/connection/store/FakeRecordStore.kt
+++ b/library/src/test/kotlin/plantainturn/connection/store/FakeRecordStore.kt
@@ -25,10 +25,9 @@
 
     enum class Fate { PLAIN, ANSWER_LOST, LATE }
 
-    override fun append(
+    override fun appendAll(
         topic: TopicName,
-        key: String,
-        value: ByteArray,
+        records: List<KeyedValue>,
         at: LogOffset?,
         done: (StoreAppendResult) -> Unit,
     ) {
@@ -39,7 +38,7 @@
         }
         val delay = if (fate == Fate.LATE) LATENESS else latency / 2
         timer.schedule(delay) {
-            val result = carryOut(key, value, at)
+            val result = carryOut(records, at)
             if (fate == Fate.PLAIN) timer.schedule(latency / 2) { done(result) }
         }
         if (fate != Fate.PLAIN) timer.schedule(TIMEOUT) { done(StoreAppendResult.Unknown("time-out")) }
@@ -83,13 +82,12 @@
     }
 
     private fun carryOut(
-        key: String,
-        value: ByteArray,
+        added: List<KeyedValue>,
         at: LogOffset?,
     ): StoreAppendResult {
         val end = LogOffset(records.size.toLong())
         if (at != null && at != end) return StoreAppendResult.Conflict(end)
-        records += KeyedRecord(key, value, end)
+        added.forEach { records += KeyedRecord(it.key, it.value, LogOffset(records.size.toLong())) }
         return StoreAppendResult.Appended(end)
     }
 
--- a/library/src/test/kotlin/plantainturn/request/completion/CompletionCoordinatorTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/completion/CompletionCoordinatorTest.kt
@@ -24,6 +24,7 @@
 import plantainturn.request.RequestResources
 import plantainturn.request.Samples
 import plantainturn.request.quarantine.CrashEvidence
+import plantainturn.request.quarantine.CrashVerdict
 import plantainturn.request.quarantine.RequestFingerprint
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.UpstreamName
@@ -111,7 +112,7 @@
     @Test
     fun `a suspect that runs elsewhere is sent where it is already at risk, not refused`() {
         val suspect = RequestFingerprint.of(Samples.model, request().prompt)
-        resources.quarantine.broke(suspect, CrashEvidence(Samples.engineName(1), "first")) { true }
+        resources.quarantine.broke(suspect, CrashEvidence(Samples.engineName(1), "first")) { CrashVerdict.CONFIRMED }
         resources.quarantine.tryBegin(suspect, Samples.engineName(2))
         val coordinator = coordinator(engines = 8) { _, _, _ -> GenerationEnd.RefusedNotRun("full") }
         assertEquals(ResultCode.RETRIES_EXHAUSTED_NOT_RUN, coordinator.handle(request(), ::take).code)
--- a/library/src/test/kotlin/plantainturn/request/quarantine/CrashingFleet.kt
+++ b/library/src/test/kotlin/plantainturn/request/quarantine/CrashingFleet.kt
@@ -94,7 +94,7 @@
         running.removeAll(hit)
         for (attempt in hit.shuffled(random)) {
             val evidence = CrashEvidence(Samples.engineName(upstream), "before")
-            val quarantined = nodes[attempt.node].broke(attempt.fingerprint, evidence) { true }
+            val quarantined = nodes[attempt.node].broke(attempt.fingerprint, evidence) { CrashVerdict.CONFIRMED }
             if (quarantined && attempt.fingerprint != POISON) falseAlarms += 1
             if (!quarantined) send(attempt.node, attempt.fingerprint, step, upstream)
         }
--- a/library/src/test/kotlin/plantainturn/request/quarantine/QuarantineBoundTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/quarantine/QuarantineBoundTest.kt
@@ -52,7 +52,9 @@
         incarnation: String = "first",
     ) {
         register.tryBegin(fingerprint, Samples.engineName(upstream))
-        register.broke(fingerprint, CrashEvidence(Samples.engineName(upstream), incarnation)) { false }
+        register.broke(fingerprint, CrashEvidence(Samples.engineName(upstream), incarnation)) {
+            CrashVerdict.UNKNOWN
+        }
     }
 
     private fun assertStopped(fingerprint: RequestFingerprint) =
--- a/library/src/test/kotlin/plantainturn/request/quarantine/QuarantineRegisterTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/quarantine/QuarantineRegisterTest.kt
@@ -130,5 +130,7 @@
         upstream: Int,
         confirmed: Boolean = true,
         register: QuarantineRegister = this.register,
-    ) = register.broke(fingerprint, CrashEvidence(Samples.engineName(upstream), "first")) { confirmed }
+    ) = register.broke(fingerprint, CrashEvidence(Samples.engineName(upstream), "first")) {
+        if (confirmed) CrashVerdict.CONFIRMED else CrashVerdict.SURVIVED
+    }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -32,6 +32,7 @@
 import plantainturn.relay.peer.PeerHub
 import plantainturn.relay.peer.RelayedDeparture
 import plantainturn.relay.peer.TopicEnds
+import plantainturn.relay.request.CrashWatch
 import plantainturn.relay.request.DemandMeter
 import plantainturn.relay.request.FleetView
 import plantainturn.relay.request.InstanceLinks
@@ -112,7 +113,8 @@
             settings.loadWindowSeconds.seconds,
             notices,
         )
-    private val quarantine = QuarantineRegister(timer)
+    private val quarantine = QuarantineRegister(timer, BreakTopic.QUARANTINE)
+    private val breaks = BreakTopic(platform.store, quarantine, timer, System::currentTimeMillis)
     private val demand = DemandMeter(timer)
     private val waiting = WaitingRequests()
     private val configurationFollower =
@@ -126,9 +128,11 @@
             rosterTimes.readingRest / 2,
             ::instanceReadPace,
         )
+    private val breakFollower =
+        TopicFollower(platform.store, BreakTopic.NAME, breaks, timer, pace = ::breakReadPace)
     private val shareTerms = RepetitionShareTerms(settings.repetitionWindowSeconds.seconds)
     private val repetitionShare = RepetitionShare(shareTerms)
-    private val hub = PeerHub(incarnation, issuer, lease, shareTerms, quarantine, timer, instanceFollower)
+    private val hub = PeerHub(incarnation, issuer, lease, shareTerms, timer, instanceFollower, breakFollower)
     private val issuerLink: IssuerLink =
         IssuerLink(
             lease,
@@ -138,12 +142,12 @@
             timer,
             fleet,
             links,
-            quarantine,
             notices,
             repetitionShare,
             ::report,
             ::onTold,
         )
+    private val crashes = CrashWatch(quarantine, breaks, timer, links::answeredSince)
     private val pace = EnginePace()
     private val allowance = RepetitionAllowance(repetitions(), repetitionShare::partAt)
     private val handler = RelayHandler(context())
@@ -171,6 +175,7 @@
             small.listen(location(settings.peers), done)
             configurationFollower.start()
             instanceFollower.start()
+            breakFollower.start()
             begin()
         }
         listening.await()
@@ -235,6 +240,7 @@
         timer.subscribe(EXCHANGE_PERIOD) { if (!stopping || lease.fence == null) issuerLink.step() }
         timer.subscribe(WAITING_PERIOD) { waiting.pump() }
         timer.subscribe(rosterTimes.sweepPeriod) { instances.expire() }
+        timer.subscribe(BreakTopic.SWEEP_PERIOD) { if (lease.isExclusive) breaks.dropOld() }
         fleet.subscribe {
             links.prompts.retain { engine, model -> model in fleet.residentsOf(engine) }
             waiting.pump()
@@ -260,16 +266,23 @@
         }
 
     /** Instances change often, and the issuer tells of the changes that it reads. */
-    private fun instanceReadPace(): ReadPace {
+    private fun instanceReadPace(): ReadPace = if (reliesOnIssuer()) ReadPace(LONG_WAIT, RELYING_REST) else readPace()
+
+    /** Breaks are rare and wake a read at once; the wait bounds how long a read may hang unnoticed. */
+    private fun breakReadPace(): ReadPace =
+        if (reliesOnIssuer()) ReadPace(LONG_WAIT, RELYING_REST) else ReadPace(BREAK_WAIT, BREAK_REST)
+
+    private fun reliesOnIssuer(): Boolean {
         val age = issuerLink.ageOfIssuersReading()
-        val relies = lease.fence == null && age != null && age < rosterTimes.peerSilence
-        return if (relies) ReadPace(LONG_WAIT, RELYING_REST) else readPace()
+        return lease.fence == null && age != null && age < rosterTimes.peerSilence
     }
 
     private fun onTold(told: IssuerReport) {
         told.instances?.let { instanceFollower.offer(it.decode()) }
+        told.breaks?.let { breakFollower.offer(it.decode()) }
         configurationFollower.catchUp(LogOffset(told.ends.configuration))
         instanceFollower.catchUp(LogOffset(told.ends.instances))
+        breakFollower.catchUp(LogOffset(told.ends.breaks))
     }
 
     private fun onConfiguration() {
@@ -298,7 +311,7 @@
             engineDispatch = EngineDispatch(pace),
             serviceDispatch = ServiceDispatch(),
             allowance = allowance,
-            quarantine = quarantine,
+            crashes = crashes,
             demand = demand,
             waiting = waiting,
             journal = RequestJournal(),
@@ -346,8 +359,8 @@
             known = known,
             departures = roster.departures().map(RelayedDeparture::of),
             prompts = links.prompts.takeUntold(),
-            quarantines = quarantine.snapshot(),
-            ends = TopicEnds(configurationFollower.end.value, instanceFollower.end.value),
+            ends =
+                TopicEnds(configurationFollower.end.value, instanceFollower.end.value, breakFollower.end.value),
         )
 
     /** Bytes between failure domains are billed; more digits than this decide nothing. */
@@ -399,6 +412,10 @@
         /** Readings beside the issuer's, in case that one misses something. */
         val RELYING_REST = 15.seconds
 
+        /** Together with the time to write a break, shorter than the time in which it must be known everywhere. */
+        val BREAK_WAIT = 2.seconds
+        val BREAK_REST = 500.milliseconds
+
         /** Longer than the store is usually away. */
         val OUTAGE_TOLERANCE = 12.seconds
         val CONTROL_PERIOD = 50.milliseconds
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -19,7 +19,6 @@
 import plantainturn.relay.request.InstanceNotices
 import plantainturn.relay.request.ResidenceDesk
 import plantainturn.relay.residence.ResidenceIssuer
-import plantainturn.request.quarantine.QuarantineRegister
 import plantainturn.request.relay.RepetitionShare
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.ServiceName
@@ -30,7 +29,7 @@
 /**
  * This node's exchange with the issuer of orders, which may be this node.
  *
- * Everything that it brings is a hint: requests go on without it, and nothing unsafe follows when it is old.
+ * Everything that it brings is a hint: requests go on without it, and a node that finds it old reads the store instead.
  */
 internal class IssuerLink(
     private val lease: StoreLease,
@@ -40,7 +39,6 @@
     private val timer: TimerService,
     private val fleet: FleetView,
     private val links: InstanceLinks,
-    private val quarantine: QuarantineRegister,
     private val notices: InstanceNotices,
     private val repetitionShare: RepetitionShare,
     private val report: (IssuerKnowledge) -> NodeReport,
@@ -141,7 +139,6 @@
         arrivalsAt = now
         links.onOthers(told.work.mapKeys { UpstreamName(it.key) })
         links.onSuspicions(told.suspects.map { UpstreamName(it.key) to it.value.milliseconds }.toMap())
-        quarantine.merge(told.quarantines)
         notices.hear(told.departures.map { it.run() })
         storeHeardAt = if (told.issuing) told.storeAge?.let { now - it.milliseconds } else null
         onTold(told)
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -1,7 +1,6 @@
 package plantainturn.relay.peer
 
 import kotlinx.serialization.Serializable
-import plantainturn.request.quarantine.QuarantineEntry
 import plantainturn.request.relay.KeptPart
 import plantainturn.request.relay.WorkTotals
 
@@ -18,6 +17,7 @@
  * @property residenceWhole whether [residence] names all engines, and not only those that changed
  * @property residence models and their adapters at each engine, null for one that is gone
  * @property instances records of the instances' topic that the node has not read, null if there are none
+ * @property breaks the same of requests that broke off at instances
  * @property storeAge milliseconds since the issuer last heard from the store about instances
  * @property loadAges milliseconds since loads from the weight store began, for an issuer that follows
  * @property prompts news of prompts that the node does not know
@@ -39,6 +39,6 @@
     val storeAge: Long?,
     val loadAges: List<Long>,
     val prompts: List<KeptPart>,
-    val quarantines: List<QuarantineEntry>,
+    val breaks: RelayedRecords?,
     val ends: TopicEnds,
 )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -1,7 +1,6 @@
 package plantainturn.relay.peer
 
 import kotlinx.serialization.Serializable
-import plantainturn.request.quarantine.QuarantineEntry
 import plantainturn.request.relay.KeptPart
 import plantainturn.request.relay.WorkTotals
 
@@ -33,7 +32,6 @@
     val departingRuns: Map<String, Map<String, Int>>,
     val departures: List<RelayedDeparture>,
     val prompts: List<KeptPart>,
-    val quarantines: List<QuarantineEntry>,
     val ends: TopicEnds,
 ) {
     /** What callers of one node want of one base model. */
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -9,7 +9,6 @@
 import plantainturn.process.time.TimerService
 import plantainturn.relay.request.AdapterDemand
 import plantainturn.relay.residence.ResidenceIssuer
-import plantainturn.request.quarantine.QuarantineRegister
 import plantainturn.request.relay.RepetitionShareTerms
 import plantainturn.request.relay.RepetitionShares
 import plantainturn.version.configuration.ModelName
@@ -26,9 +25,9 @@
     private val issuer: ResidenceIssuer,
     private val lease: StoreLease,
     private val shareTerms: RepetitionShareTerms,
-    private val quarantine: QuarantineRegister,
     private val timer: TimerService,
     private val instances: TopicFollower,
+    private val breaks: TopicFollower,
 ) {
     private val heard = HashMap<String, Heard>()
     private val promptNews = PromptNews()
@@ -43,7 +42,6 @@
     fun exchange(report: NodeReport): IssuerReport {
         val now = timer.now()
         heard[report.node] = Heard(report, now)
-        quarantine.merge(report.quarantines)
         promptNews.add(report.prompts)
         if (summedAt?.let { now - it >= SUM_PERIOD } != false) sum(now)
         val known = report.known.takeIf { it.session == session } ?: IssuerKnowledge.NONE
@@ -59,10 +57,10 @@
             residence = residenceNews.since(known.residenceRevision),
             arrivals = issuer.arrivals().map { (model, left) -> model.value to left.inWholeMilliseconds }.toMap(),
             instances = instances.since(LogOffset(report.ends.instances))?.let(RelayedRecords::of),
+            breaks = breaks.since(LogOffset(report.ends.breaks))?.let(RelayedRecords::of),
             storeAge = instances.heardAt?.let { (now - it).inWholeMilliseconds },
             loadAges = issuer.recentLoads().map { (now - it).inWholeMilliseconds },
             prompts = promptNews.since(known.prompts),
-            quarantines = quarantine.snapshot(),
             ends = sums.ends?.latest(report.ends) ?: report.ends,
         )
     }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/RelayedRecords.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/RelayedRecords.kt
@@ -6,7 +6,7 @@
 import plantainturn.connection.store.RecordsSince
 
 /**
- * Records of the instances' topic that the issuer has read and a node has not.
+ * Records of a topic that the issuer has read and a node has not.
  *
  * @property from where the node had read up to
  * @property next where the topic ended when the issuer read it
--- a/relay/src/main/kotlin/plantainturn/relay/peer/TopicEnds.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/TopicEnds.kt
@@ -7,8 +7,13 @@
 internal data class TopicEnds(
     val configuration: Long,
     val instances: Long,
+    val breaks: Long,
 ) {
     /** Returns the later end of each. */
     fun latest(other: TopicEnds): TopicEnds =
-        TopicEnds(maxOf(configuration, other.configuration), maxOf(instances, other.instances))
+        TopicEnds(
+            maxOf(configuration, other.configuration),
+            maxOf(instances, other.instances),
+            maxOf(breaks, other.breaks),
+        )
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -5,6 +5,7 @@
 import plantainturn.connection.roster.InstanceNotice
 import plantainturn.connection.roster.InstanceRun
 import plantainturn.connection.roster.UpstreamInstance
+import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.relay.http.ConnectionPool
 import plantainturn.request.relay.DispatchCandidate
@@ -100,6 +101,17 @@
     /** Whether [instance] asked to be sent nothing now. */
     internal fun isResting(instance: UpstreamInstance): Boolean = notices.restOf(instance) != null
 
+    /** Whether this run of [instance] has begun to answer a request that was sent after [moment]. */
+    internal fun answeredSince(
+        instance: UpstreamInstance,
+        moment: Moment,
+    ): Boolean =
+        links[instance.name]
+            ?.takeIf { it.isFor(instance) }
+            ?.standing
+            ?.answeredSendAt
+            ?.let { it > moment } ?: false
+
     internal fun standing(instance: UpstreamInstance): InstanceStanding = link(instance).standing
 
     internal fun pool(instance: UpstreamInstance): ConnectionPool = link(instance).pool
--- a/relay/src/main/kotlin/plantainturn/relay/request/PlacementStep.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/PlacementStep.kt
@@ -6,11 +6,18 @@
 
 /** What is to be done next for a request. */
 internal sealed interface PlacementStep {
+    /** Whether no instance was found that could take the request. */
+    val findsNone: Boolean
+        get() = false
+
     /** There were [candidates] instances to choose from. */
     data class Decided(
         val decision: DispatchDecision,
         val candidates: Int,
-    ) : PlacementStep
+    ) : PlacementStep {
+        override val findsNone: Boolean
+            get() = decision is DispatchDecision.NoCandidate
+    }
 
     /** Engines hold the model but not the adapter; [candidates] could take it, the best first. */
     data class NeedsAdapter(
@@ -22,5 +29,8 @@
     /** No engine holds the model. */
     data class NeedsModel(
         val model: ModelName,
-    ) : PlacementStep
+    ) : PlacementStep {
+        override val findsNone: Boolean
+            get() = true
+    }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -141,6 +141,7 @@
     override fun onHead(head: HttpResponse) {
         val now = context.timer.now()
         heardAt = now
+        sentAt?.let(standing::onAnswerBegun)
         this.head = head
         val decoded = context.dialect.answerFacts(head)
         facts = decoded
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayContext.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayContext.kt
@@ -1,7 +1,6 @@
 package plantainturn.relay.request
 
 import plantainturn.process.time.TimerService
-import plantainturn.request.quarantine.QuarantineRegister
 import plantainturn.request.relay.EngineDispatch
 import plantainturn.request.relay.EnginePace
 import plantainturn.request.relay.RepetitionAllowance
@@ -21,7 +20,7 @@
     val engineDispatch: EngineDispatch,
     val serviceDispatch: ServiceDispatch,
     val allowance: RepetitionAllowance,
-    val quarantine: QuarantineRegister,
+    val crashes: CrashWatch,
     val demand: DemandMeter,
     val waiting: WaitingRequests,
     val journal: RequestJournal,
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -12,7 +12,6 @@
 import plantainturn.process.time.TimerSubscription
 import plantainturn.relay.http.CallerReply
 import plantainturn.relay.http.CallerWatch
-import plantainturn.request.quarantine.CrashEvidence
 import plantainturn.request.quarantine.RequestFingerprint
 import plantainturn.request.relay.DispatchDecision
 import plantainturn.request.relay.ResidencePatience
@@ -98,8 +97,9 @@
             giveUp(ResultCode.DEADLINE_PASSED_IN_QUEUE, ResultCode.DEADLINE_PASSED, "no time is left")
             return
         }
-        if (context.quarantine.isQuarantined(fingerprint)) {
-            giveUp(ResultCode.QUARANTINED, ResultCode.UPSTREAM_FAILED, "fingerprint=$fingerprint")
+        if (context.crashes.isStopped(fingerprint)) {
+            val facts = context.crashes.factsOf(fingerprint)
+            giveUp(ResultCode.QUARANTINED, ResultCode.OUTCOME_UNKNOWN, facts, longestReturn())
             return
         }
         val objectiveLeft = if (began) Duration.ZERO else arrivedAt + route.objective - context.timer.now()
@@ -145,7 +145,7 @@
         candidates: Int,
     ) {
         val instance = context.fleet.instance(decision.instance)
-        if (instance == null || !mayArriveAgain() || !context.quarantine.tryBegin(fingerprint, decision.instance)) {
+        if (instance == null || !mayArriveAgain() || !context.crashes.tryBegin(fingerprint, instance)) {
             giveUp(
                 ResultCode.RETRIES_EXHAUSTED_NOT_RUN,
                 ResultCode.OUTCOME_UNKNOWN,
@@ -170,6 +170,7 @@
         )
         made.begin(longestIdle(instance.name))
         watchSilence(made)
+        context.timer.schedule(RelayTimes.SUSPICIOUS_SILENCE) { noteIfUnheard(made) }
     }
 
     /** A second answer to an earlier send could be taken for that to a later one on the same connection. */
@@ -291,7 +292,7 @@
         failed: RelayAttempt,
         reason: String,
     ) {
-        context.quarantine.ended(fingerprint, failed.instance.name)
+        context.crashes.ended(fingerprint, failed.instance)
         context.journal.note(request.identifier, "not-sent", "$failed reason=\"$reason\"")
         attempt = null
         arrivals -= 1
@@ -315,7 +316,7 @@
         misdirected: Boolean,
         evidence: String,
     ) {
-        context.quarantine.ended(fingerprint, refused.instance.name)
+        context.crashes.ended(fingerprint, refused.instance)
         context.journal.note(request.identifier, "refused", "$refused misdirected=$misdirected $evidence")
         attempt = null
         avoided += refused.instance.name
@@ -346,7 +347,7 @@
         body: ByteBuf,
         facts: AnswerFacts,
     ) {
-        context.quarantine.succeeded(fingerprint, from.instance.name)
+        context.crashes.succeeded(fingerprint, from.instance)
         attempt = null
         runs += 1
         mayHaveRun = true
@@ -420,7 +421,7 @@
         from: RelayAttempt,
         head: HttpResponse,
     ) {
-        context.quarantine.succeeded(fingerprint, from.instance.name)
+        context.crashes.succeeded(fingerprint, from.instance)
         attempt = null
         context.metrics.onSend("answered")
         splitter.takePartial()?.let(reply::write)
@@ -434,7 +435,7 @@
         broken: RelayAttempt,
         reason: String,
     ) {
-        noteCrash(broken)
+        context.crashes.broke(fingerprint, broken.instance)
         context.journal.note(request.identifier, "broken", "$broken reason=\"$reason\" began=$began")
         attempt = null
         runs += 1
@@ -457,26 +458,32 @@
         }
     }
 
-    /** Whether the instance crashed shows only after a while, so the register is told then. */
-    private fun noteCrash(broken: RelayAttempt) {
-        val name = broken.instance.name
-        val evidence = CrashEvidence(name, broken.instance.startedAt?.toString())
-        context.timer.schedule(RelayTimes.CRASH_SHOWS_AFTER) {
-            context.quarantine.broke(fingerprint, evidence) { seen ->
-                val now = context.fleet.instance(seen.upstream)
-                now == null || now.startedAt?.toString() != seen.incarnation
-            }
+    /** An instance that went dark under the request is known as such before the request is given up. */
+    private fun noteIfUnheard(silent: RelayAttempt) {
+        val sentAt = silent.sentAt ?: return
+        if (ended || attempt !== silent || silent.isAnswering) return
+        if (context.links.answeredSince(silent.instance, sentAt)) return
+        context.journal.note(request.identifier, "unheard", "$silent fingerprint=$fingerprint")
+        context.crashes.broke(fingerprint, silent.instance)
+    }
+
+    /** Ends [running] because nobody waits for it any more; that it never answered may be its instance's end. */
+    private fun cancel(running: RelayAttempt) {
+        val quiet = context.timer.now() - running.heardAt
+        val unanswered = running.sentAt != null && (!running.isAnswering || quiet > RelayTimes.SUSPICIOUS_SILENCE)
+        if (unanswered) {
+            context.crashes.broke(fingerprint, running.instance)
+        } else {
+            context.crashes.ended(fingerprint, running.instance)
         }
+        running.cancel()
     }
 
     private fun onDeadline() {
         if (ended) return
         val running = attempt
         val sent = running?.sentAt != null
-        running?.let {
-            context.quarantine.ended(fingerprint, it.instance.name)
-            it.cancel()
-        }
+        running?.let(::cancel)
         attempt = null
         if (sent) mayHaveRun = true
         if (began) {
@@ -542,10 +549,7 @@
 
     override fun onCallerGone() {
         if (ended) return
-        attempt?.let {
-            context.quarantine.ended(fingerprint, it.instance.name)
-            it.cancel()
-        }
+        attempt?.let(::cancel)
         attempt = null
         end(ResultCode.CANCELLED, ResultCode.CANCELLED.httpStatus, "arrivals=$arrivals began=$began")
     }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
@@ -30,6 +30,15 @@
         times: RequestTimes,
     ): PlacementStep {
         val permitted = permitted(avoided, mayHaveRun)
+        val unbroken = permitted.filterNot { context.crashes.brokeAt(fingerprint, it) }
+        val step = find(unbroken, times)
+        return if (step.findsNone && unbroken.size < permitted.size) find(permitted, times) else step
+    }
+
+    private fun find(
+        permitted: List<UpstreamInstance>,
+        times: RequestTimes,
+    ): PlacementStep {
         val demand = request.demand
         val engines = service.engines
         if (demand != null && engines != null) return atEngine(demand, permitted, query(times, engines.cacheTokens))
@@ -93,9 +102,7 @@
         avoided: Set<UpstreamName>,
         mayHaveRun: Boolean,
     ): List<UpstreamInstance> {
-        val all = context.fleet.instancesOf(service.name)
-        val confined = context.quarantine.confinementOf(fingerprint)
-        val allowed = if (confined.isEmpty()) all else all.filter { it.name in confined }
+        val allowed = context.fleet.instancesOf(service.name)
         return allowed.filter { it.name !in avoided }.ifEmpty { if (mayHaveRun) emptyList() else allowed }
     }
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayTimes.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayTimes.kt
@@ -62,6 +62,6 @@
     /** Longer than a backlog that was accepted takes. */
     val FIRST_EVENT_SILENCE = 4.seconds
 
-    /** A crashed instance's entry changes, or its successor's appears, within this time. */
-    val CRASH_SHOWS_AFTER = 2.seconds
+    /** An instance that answers nobody for this long after a request was sent may have ended under it. */
+    val SUSPICIOUS_SILENCE = 1_500.milliseconds
 }
--- /dev/null
+++ b/relay/src/test/kotlin/plantainturn/relay/node/BreakTopicTest.kt
@@ -0,0 +1,87 @@
+package plantainturn.relay.node
+
+import org.junit.jupiter.api.Test
+import plantainturn.connection.log.LogOffset
+import plantainturn.connection.store.KeyedRecord
+import plantainturn.process.time.VirtualTimerService
+import plantainturn.request.quarantine.CrashEvidence
+import plantainturn.request.quarantine.QuarantineRegister
+import plantainturn.request.quarantine.RequestFingerprint
+import plantainturn.version.configuration.UpstreamName
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+class BreakTopicTest {
+    private val timer = VirtualTimerService()
+    private val store = MemoryRecordStore(timer)
+    private val fingerprint = RequestFingerprint(7)
+    private var civilTime = 1_000_000_000L
+
+    @Test
+    fun `breaks under many requests are written in one call`() {
+        val topic = topic(register())
+        (1L..64L).forEach { topic.publish(RequestFingerprint(it), evidence(1)) }
+        timer.advance(1.seconds)
+        assertEquals(64, store.records.size)
+        assertEquals(1, store.appends)
+    }
+
+    @Test
+    fun `breaks that the store refuses are written later`() {
+        val topic = topic(register())
+        store.refuses = true
+        topic.publish(fingerprint, evidence(1))
+        timer.advance(5.seconds)
+        assertEquals(0, store.records.size)
+        store.refuses = false
+        timer.advance(1.seconds)
+        assertEquals(1, store.records.size)
+    }
+
+    @Test
+    fun `a node that starts again learns of all breaks, in any order and repeatedly`() {
+        writeThree()
+        val register = register()
+        val topic = topic(register)
+        repeat(2) { topic.onWhole(store.records.shuffled()) }
+        assertTrue(register.isQuarantined(fingerprint))
+    }
+
+    @Test
+    fun `old breaks count no more and are dropped from the store`() {
+        writeThree()
+        civilTime += 11.minutes.inWholeMilliseconds
+        val register = register()
+        val topic = topic(register)
+        topic.onWhole(store.records.toList())
+        assertFalse(register.isStopped(fingerprint))
+        topic.dropOld()
+        assertEquals(3, store.records.size, "another node may hold a quarantine by them")
+        civilTime += 1.hours.inWholeMilliseconds
+        topic.dropOld()
+        assertEquals(3, store.records.count { it.value == null })
+    }
+
+    @Test
+    fun `a record that can't be read changes nothing`() {
+        val register = register()
+        topic(register).onRecord(KeyedRecord("key", "{".toByteArray(), LogOffset(0)))
+        assertEquals(0, register.snapshot().size)
+    }
+
+    private fun writeThree() {
+        val topic = topic(register())
+        (1..3).forEach { topic.publish(fingerprint, evidence(it)) }
+        timer.advance(1.seconds)
+    }
+
+    private fun register() = QuarantineRegister(timer, BreakTopic.QUARANTINE)
+
+    private fun topic(register: QuarantineRegister) = BreakTopic(store, register, timer) { civilTime }
+
+    private fun evidence(instance: Int) = CrashEvidence(UpstreamName("server-$instance"), "1")
+}
--- /dev/null
+++ b/relay/src/test/kotlin/plantainturn/relay/node/MemoryRecordStore.kt
@@ -0,0 +1,67 @@
+package plantainturn.relay.node
+
+import plantainturn.connection.log.LogOffset
+import plantainturn.connection.store.KeyedRecord
+import plantainturn.connection.store.KeyedValue
+import plantainturn.connection.store.RecordStore
+import plantainturn.connection.store.StoreAppendResult
+import plantainturn.connection.store.StoreReadResult
+import plantainturn.connection.store.TopicName
+import plantainturn.process.time.TimerService
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A store in memory with one topic; long reads are answered as soon as there is a record. */
+internal class MemoryRecordStore(
+    private val timer: TimerService,
+) : RecordStore {
+    val records = ArrayList<KeyedRecord>()
+
+    /** Whether appends are refused. */
+    var refuses = false
+    var appends = 0
+        private set
+
+    override fun appendAll(
+        topic: TopicName,
+        records: List<KeyedValue>,
+        at: LogOffset?,
+        done: (StoreAppendResult) -> Unit,
+    ) {
+        appends++
+        if (refuses) {
+            done(StoreAppendResult.Refused("on purpose"))
+            return
+        }
+        val first = LogOffset(this.records.size.toLong())
+        records.forEach { this.records += KeyedRecord(it.key, it.value, LogOffset(this.records.size.toLong())) }
+        timer.schedule(LATENCY) { done(StoreAppendResult.Appended(first)) }
+    }
+
+    override fun readNewest(
+        topic: TopicName,
+        done: (StoreReadResult) -> Unit,
+    ) {
+        val newest = records.associateBy { it.key }.values.filter { it.value != null }
+        val end = LogOffset(records.size.toLong())
+        timer.schedule(LATENCY) { done(StoreReadResult.Records(newest, end)) }
+    }
+
+    override fun read(
+        topic: TopicName,
+        from: LogOffset,
+        wait: Duration,
+        done: (StoreReadResult) -> Unit,
+    ) {
+        val found = records.drop(from.value.toInt())
+        if (found.isEmpty() && wait.isPositive()) {
+            timer.schedule(LATENCY) { read(topic, from, wait - LATENCY, done) }
+        } else {
+            done(StoreReadResult.Records(found, LogOffset(from.value + found.size)))
+        }
+    }
+
+    private companion object {
+        val LATENCY = 10.milliseconds
+    }
+}
--- a/relay/src/test/kotlin/plantainturn/relay/peer/ReportSumsTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/peer/ReportSumsTest.kt
@@ -27,12 +27,12 @@
 
     @Test
     fun `the longest suspicion and the latest ends are told`() {
-        val one = report("a").copy(suspects = mapOf("x" to 300), ends = TopicEnds(5, 90))
-        val two = report("b").copy(suspects = mapOf("x" to 900), ends = TopicEnds(6, 80))
+        val one = report("a").copy(suspects = mapOf("x" to 300), ends = TopicEnds(5, 90, 7))
+        val two = report("b").copy(suspects = mapOf("x" to 900), ends = TopicEnds(6, 80, 8))
         val sums = ReportSums(mapOf("a" to one, "b" to two))
 
         assertEquals(mapOf("x" to 900L), sums.suspects)
-        assertEquals(TopicEnds(6, 90), sums.ends)
+        assertEquals(TopicEnds(6, 90, 8), sums.ends)
     }
 
     private fun report(
@@ -50,7 +50,6 @@
         departingRuns = emptyMap(),
         departures = emptyList(),
         prompts = emptyList(),
-        quarantines = emptyList(),
-        ends = TopicEnds(0, 0),
+        ends = TopicEnds(0, 0, 0),
     )
 }
--- a/relay/src/test/kotlin/plantainturn/relay/residence/ResidenceIssuerTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/residence/ResidenceIssuerTest.kt
@@ -6,6 +6,7 @@
 import plantainturn.connection.roster.InstanceRoster
 import plantainturn.connection.roster.RestRequests
 import plantainturn.connection.roster.UpstreamInstance
+import plantainturn.connection.store.KeyedValue
 import plantainturn.connection.store.RecordStore
 import plantainturn.connection.store.StoreAppendResult
 import plantainturn.connection.store.StoreReadResult
@@ -45,10 +46,9 @@
     }
 
     private object SilentStore : RecordStore {
-        override fun append(
+        override fun appendAll(
             topic: TopicName,
-            key: String,
-            value: ByteArray,
+            records: List<KeyedValue>,
             at: LogOffset?,
             done: (StoreAppendResult) -> Unit,
         ) = Unit
