Release the empty rest behind whole events of a stream

Each event that ended with its piece left an empty buffer behind. EventSplitterTest failed before: two of six buffers were never released.

--- a/relay/src/main/kotlin/plantainturn/relay/request/EventSplitter.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/EventSplitter.kt
@@ -42,7 +42,8 @@
         }
         val whole = gathered.readRetainedSlice(end)
         noteIdentifier(whole)
-        partial = allocator.buffer(gathered.readableBytes()).writeBytes(gathered)
+        val rest = gathered.readableBytes()
+        partial = if (rest > 0) allocator.buffer(rest).writeBytes(gathered) else Unpooled.EMPTY_BUFFER
         gathered.release()
         return whole
     }
