--- a/relay/src/main/kotlin/plantainturn/relay/request/CrashWatch.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CrashWatch.kt
@@ -13,9 +13,10 @@
 /**
  * Holds against requests the instances at which they broke off, and lets the other nodes know.
  *
- * Load pattern: a request under which servers end comes again at any node. Every unexplained end counts here at once. It
- * is taken back if the instance answers a request that was sent afterwards, and told to the other nodes if it does not.
- * Whether an instance ended shows late in its entry, or not at all, so that is not waited for.
+ * Load pattern: a request under which servers end comes again at any node. Every unexplained end counts here at once.
+ * The first one is taken back if the instance answers a request that was sent afterwards, and told to the other nodes if
+ * it does not; further ones are told at once. Whether an instance ended shows late in its entry, or not at all, so that
+ * is not waited for.
  *
  * Confined to the event loop.
  *
@@ -67,9 +68,21 @@
         instance: UpstreamInstance,
     ) {
         val evidence = evidenceOf(instance)
-        val known = evidence in register.breaksOf(fingerprint)
+        val known = register.breaksOf(fingerprint)
         register.broke(fingerprint, evidence) { CrashVerdict.UNKNOWN }
-        if (known) return
+        when {
+            evidence in known -> Unit
+            known.isEmpty() -> awaitAnswer(fingerprint, evidence, instance)
+            else -> journal.publish(fingerprint, evidence)
+        }
+    }
+
+    /** One break says little, and most instances answer another request soon. */
+    private fun awaitAnswer(
+        fingerprint: RequestFingerprint,
+        evidence: CrashEvidence,
+        instance: UpstreamInstance,
+    ) {
         val brokenAt = timer.now()
         timer.schedule(ANSWER_PATIENCE) {
             if (answeredSince(instance, brokenAt)) {
