--- a/relay/src/main/kotlin/plantainturn/relay/node/BreakTopic.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/BreakTopic.kt
@@ -66,10 +66,13 @@
     }
 
     override fun onWhole(records: List<KeyedRecord>) {
-        written.clear()
+        written.keys.retainAll(records.map { it.key }.toSet())
         records.forEach(::take)
     }
 
+    /** Several nodes may notice one break, and a call that was not answered is repeated. */
+    override fun isNews(record: KeyedRecord): Boolean = record.value == null || record.key !in written
+
     override fun onRecord(record: KeyedRecord): Unit = take(record)
 
     /** Removes records that count no more. */
@@ -88,6 +91,7 @@
             written.remove(record.key)
             return
         }
+        if (!isNews(record)) return
         val decoded = decode(value) ?: return
         written[record.key] = decoded.at
         unwritten.remove(record.key)
