--- a/bin/lib/proofs.sh
+++ b/bin/lib/proofs.sh
@@ -156,6 +156,8 @@
   order "${callers[$second]}" order-killed "$work/killed.again" >/dev/null
   check "an order whose first node was killed is not run again elsewhere" ran_exactly_once order-killed
   check "its caller is told what is known" grep -q '"code":\(5000\|5001\)' "$work/killed.again"
+  grep -q '"code":500[01]' "$work/killed.again" ||
+    echo "      $second answered \"$(head -c 500 "$work/killed.again")\""
   for port in "$bookings_1" "$bookings_2"; do set_faults "$port" '{"crashAfterExecution": 1}'; done
   order "${callers[$second]}" order-crashed "$work/crashed.order" >/dev/null
   order "${callers[$second]}" order-crashed "$work/crashed.again" >/dev/null
