Kill the node before its order can be answered when proving that it runs once

The check 'its caller is told what is known' failed at times: with the answer due 1.5 s after the run and the run seen late, the node was killed only after its order had been answered, and its caller then got the recorded answer, which is right. That the failures on record had this cause is only suspected: their answers were not kept.

--- a/bin/lib/proofs.sh
+++ b/bin/lib/proofs.sh
@@ -146,7 +146,7 @@
   local first second name port
   first="$(random_node)"
   for name in $nodes; do [ "$name" = "$first" ] || second="$name"; done
-  for port in "$bookings_1" "$bookings_2"; do set_faults "$port" '{"answerDelayMilliseconds": 1500}'; done
+  for port in "$bookings_1" "$bookings_2"; do set_faults "$port" '{"answerDelayMilliseconds": 10000}'; done
   order "${callers[$first]}" order-killed "$work/killed.order" >/dev/null &
   local waiting=$!
   until_true 5 ran_exactly_once order-killed
@@ -154,6 +154,7 @@
   wait "${process_of[$first]}" "$waiting" 2>/dev/null
   forget_node "$first"
   order "${callers[$second]}" order-killed "$work/killed.again" >/dev/null
+  check "the node was killed before the order was answered" test ! -s "$work/killed.order"
   check "an order whose first node was killed is not run again elsewhere" ran_exactly_once order-killed
   check "its caller is told what is known" grep -q '"code":\(5000\|5001\)' "$work/killed.again"
   grep -q '"code":500[01]' "$work/killed.again" ||
