--- a/library/src/main/kotlin/plantainturn/request/quarantine/QuarantineRegister.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/QuarantineRegister.kt
@@ -19,9 +19,9 @@
  * Keeps requests that crash their upstreams from crashing more of them.
  *
  * A fingerprint whose attempt broke off at an upstream is a suspect until an attempt succeeds or time passes. A suspect
- * puts a bounded number of runs of upstreams at risk: those where it broke and those where it is in flight count. When it
- * breaks at a second upstream, both breaks are confirmed as crashes, and few others were there with the same evidence
- * against them, it is quarantined. Breaks in an outage of several upstreams that did not run it count for less.
+ * puts a bounded number of runs of upstreams at risk: those where it broke and those where it is in flight count.
+ * When it breaks at a second upstream, both breaks are confirmed as crashes, and few others were there with the same
+ * evidence against them, it is quarantined. Breaks in an outage of several upstreams that did not run it count for less.
  *
  * Whatever explains them, breaks at [MAXIMUM_BREAKS] runs quarantine it: only a run that was heard from afterwards does
  * not count. That an end does not show yet, and that other requests broke too, excuses no more than that.
@@ -254,7 +254,8 @@
         val before = known ?: SuspectCase(until = now)
         val crashes = entry.crashes.filter { crash -> before.breaks.none(crash::isSameRun) }
         val excused = entry.excused.filter { crash -> (before.breaks + crashes).none(crash::isSameRun) }
-        if (known != null && crashes.isEmpty() && excused.isEmpty() && !entry.quarantined) return
+        val isNews = crashes.isNotEmpty() || excused.isNotEmpty() || entry.quarantined
+        if (known != null && !isNews) return
         val all =
             before.copy(crashes = before.crashes.addAll(crashes), excused = before.excused.addAll(excused))
         val bounded = all.breaks.size >= MAXIMUM_BREAKS
--- a/relay/src/main/kotlin/plantainturn/relay/node/BreakTopic.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/BreakTopic.kt
@@ -78,7 +78,7 @@
     /** Removes records that count no more. */
     fun dropOld() {
         val now = civilClock()
-        val old = written.filterValues { now - it > QUARANTINE.quarantineDuration.inWholeMilliseconds }.keys
+        val old = written.filterValues { now - it > QUARANTINE_SETTINGS.quarantineDuration.inWholeMilliseconds }.keys
         if (old.isEmpty()) return
         store.appendAll(NAME, old.take(MOST_IN_CALL).map { KeyedValue(it, null) }, at = null) {
             logger.info("event=old-breaks-dropped count={} result={}", old.size, it)
@@ -96,7 +96,7 @@
         written[record.key] = decoded.at
         unwritten.remove(record.key)
         val age = (civilClock() - decoded.at).coerceAtLeast(0).milliseconds
-        val left = QUARANTINE.suspicionDuration - age
+        val left = QUARANTINE_SETTINGS.suspicionDuration - age
         logger.info(
             "fingerprint={} event=break-heard {} age={} offset={}",
             decoded.fingerprint,
@@ -149,7 +149,7 @@
         val NAME = TopicName("breaks", keyed = true)
 
         /** A request's fingerprint is its caller's alone, so that it can be remembered for long. */
-        val QUARANTINE =
+        val QUARANTINE_SETTINGS =
             QuarantineSettings(
                 quarantineDuration = 1.hours,
                 suspicionDuration = 10.minutes,
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -113,7 +113,7 @@
             settings.loadWindowSeconds.seconds,
             notices,
         )
-    private val quarantine = QuarantineRegister(timer, BreakTopic.QUARANTINE)
+    private val quarantine = QuarantineRegister(timer, BreakTopic.QUARANTINE_SETTINGS)
     private val breaks = BreakTopic(platform.store, quarantine, timer, System::currentTimeMillis)
     private val demand = DemandMeter(timer)
     private val waiting = WaitingRequests()
--- a/relay/src/main/kotlin/plantainturn/relay/request/CrashWatch.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CrashWatch.kt
@@ -14,9 +14,9 @@
  * Holds against requests the instances at which they broke off, and lets the other nodes know.
  *
  * Load pattern: a request under which servers end comes again at any node. Every unexplained end counts here at once.
- * The first one is taken back if the instance answers a request that was sent afterwards, and told to the other nodes if
- * it does not; further ones are told at once. Whether an instance ended shows late in its entry, or not at all, so that
- * is not waited for.
+ * The first one is taken back if the instance answers a request that was sent afterwards, and told to the other nodes
+ * if it does not; further ones are told at once. Whether an instance ended shows late in its entry, or not at all, so
+ * that is not waited for.
  *
  * Confined to the event loop.
  *
--- a/relay/src/test/kotlin/plantainturn/relay/node/BreakTopicTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/BreakTopicTest.kt
@@ -79,7 +79,7 @@
         timer.advance(1.seconds)
     }
 
-    private fun register() = QuarantineRegister(timer, BreakTopic.QUARANTINE)
+    private fun register() = QuarantineRegister(timer, BreakTopic.QUARANTINE_SETTINGS)
 
     private fun topic(register: QuarantineRegister) = BreakTopic(store, register, timer) { civilTime }
 
--- a/relay/src/test/kotlin/plantainturn/relay/node/FatalRequestFleet.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/FatalRequestFleet.kt
@@ -1,19 +1,14 @@
 package plantainturn.relay.node
 
-import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
-import plantainturn.connection.roster.SocketLocation
 import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.connection.store.ReadPace
 import plantainturn.connection.store.TopicFollower
 import plantainturn.process.time.Moment
 import plantainturn.process.time.VirtualTimerService
+import plantainturn.relay.InstanceSamples
 import plantainturn.relay.request.CrashWatch
 import plantainturn.request.quarantine.QuarantineRegister
 import plantainturn.request.quarantine.RequestFingerprint
-import plantainturn.version.configuration.FailureDomain
-import plantainturn.version.configuration.ServiceName
-import plantainturn.version.configuration.UpstreamName
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -33,7 +28,7 @@
     private val outages: Boolean = false,
 ) {
     private inner class Node {
-        val register = QuarantineRegister(timer, BreakTopic.QUARANTINE)
+        val register = QuarantineRegister(timer, BreakTopic.QUARANTINE_SETTINGS)
         val topic = BreakTopic(store, register, timer) { timer.now().nanoseconds / NANOSECONDS_PER_MILLISECOND }
         val crashes = CrashWatch(register, topic, timer) { _, _ -> false }
         val startedAt = timer.now()
@@ -155,17 +150,6 @@
         fun instanceOf(
             number: Int,
             life: Long,
-        ) = UpstreamInstance(
-            name = UpstreamName("server-$number-$life"),
-            service = ServiceName("service"),
-            location = SocketLocation("127.0.0.1", 1 + number),
-            domain = FailureDomain("zone"),
-            startedAt = life,
-            concurrency = 8,
-            leaving = false,
-            residents = persistentMapOf(),
-            hostCopies = persistentSetOf(),
-            diskCopies = persistentSetOf(),
-        )
+        ) = InstanceSamples.instance("server-$number-$life", life)
     }
 }
--- a/relay/src/test/kotlin/plantainturn/relay/request/CrashWatchTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/request/CrashWatchTest.kt
@@ -1,17 +1,12 @@
 package plantainturn.relay.request
 
-import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
 import org.junit.jupiter.api.Test
-import plantainturn.connection.roster.SocketLocation
 import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.process.time.Moment
 import plantainturn.process.time.VirtualTimerService
+import plantainturn.relay.InstanceSamples
 import plantainturn.request.quarantine.QuarantineRegister
 import plantainturn.request.quarantine.RequestFingerprint
-import plantainturn.version.configuration.FailureDomain
-import plantainturn.version.configuration.ServiceName
-import plantainturn.version.configuration.UpstreamName
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
@@ -63,17 +58,5 @@
         assertEquals(listOf("server-2"), told)
     }
 
-    private fun instance(number: Int) =
-        UpstreamInstance(
-            name = UpstreamName("server-$number"),
-            service = ServiceName("service"),
-            location = SocketLocation("127.0.0.1", 1),
-            domain = FailureDomain("zone"),
-            startedAt = 1,
-            concurrency = 8,
-            leaving = false,
-            residents = persistentMapOf(),
-            hostCopies = persistentSetOf(),
-            diskCopies = persistentSetOf(),
-        )
+    private fun instance(number: Int) = InstanceSamples.instance("server-$number")
 }
