--- a/library/src/main/kotlin/plantainturn/request/quarantine/QuarantineRegister.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/QuarantineRegister.kt
@@ -21,7 +21,8 @@
  * A fingerprint whose attempt broke off at an upstream is a suspect until an attempt succeeds or time passes. A suspect
  * puts a bounded number of runs of upstreams at risk: those where it broke and those where it is in flight count.
  * When it breaks at a second upstream, both breaks are confirmed as crashes, and few others were there with the same
- * evidence against them, it is quarantined. Breaks in an outage of several upstreams that did not run it count for less.
+ * evidence against them, it is quarantined. Breaks in an outage of several upstreams that did not run it count for
+ * less.
  *
  * Whatever explains them, breaks at [MAXIMUM_BREAKS] runs quarantine it: only a run that was heard from afterwards does
  * not count. That an end does not show yet, and that other requests broke too, excuses no more than that.
--- a/relay/src/test/kotlin/plantainturn/relay/request/CrashWatchTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/request/CrashWatchTest.kt
@@ -1,7 +1,6 @@
 package plantainturn.relay.request
 
 import org.junit.jupiter.api.Test
-import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.process.time.Moment
 import plantainturn.process.time.VirtualTimerService
 import plantainturn.relay.InstanceSamples
