--- a/relay/src/test/kotlin/plantainturn/relay/node/FatalRequestFleet.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/FatalRequestFleet.kt
@@ -51,7 +51,7 @@
     private val lateSends = HashMap<RequestFingerprint, Int>()
     private var innocents = 0L
 
-    /** The most sends of one request by nodes in touch, later than the contact time after it ended its third server. */
+    /** The most sends of one request that came [CONTACT] or later after its third server, by nodes that ran as long. */
     val mostLateSends: Int
         get() = lateSends.values.maxOrNull() ?: 0
 
