Read the limit that instances name in answers, and log what each node believes of it

Each change of a belief is logged with its source and age, each send with the limit in force; the dump shows it. Nothing is decided by it yet. Only the answer to a request that was sent after the limit was heard lifts it, as answers overtake each other; readings of the issuer and misdirected answers lift nothing.

--- a/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import plantainturn.connection.roster.SocketLocation
+import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -18,13 +19,14 @@
 /**
  * Pools the connections of this node to one location. The most recently used connection is used first.
  *
- * @param onHead called with the head of every answer, also of one that belongs to no request in progress
+ * @param onHead called with the head of every answer, and with the moment when the answered request was sent; null for
+ *   an answer that belongs to no request in progress
  */
 internal class ConnectionPool(
     private val loop: EventLoop,
     private val location: SocketLocation,
     val timer: TimerService,
-    val onHead: (HttpResponse) -> Unit = {},
+    val onHead: (HttpResponse, Moment?) -> Unit = { _, _ -> },
 ) {
     private val idle = ArrayDeque<UpstreamConnection>()
     private var closed = false
--- a/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
@@ -37,6 +37,7 @@
     private var reusable = true
     private var failure: String? = null
     private var requestCount = 0
+    private var sentAt = Moment.ORIGIN
 
     /** When the connection last became idle. */
     var idleSince: Moment = Moment.ORIGIN
@@ -60,6 +61,7 @@
         check(this.receiver == null) { "connection already has a request in progress" }
         this.receiver = receiver
         requestCount += 1
+        sentAt = pool.timer.now()
         decoder.method = request.method()
         decoder.surplus.onRequest()
         sendFuture = context.writeAndFlush(request)
@@ -118,20 +120,27 @@
 
     private fun onHead(head: HttpResponse) {
         val current = receiver
-        if (head.decoderResult().isSuccess) pool.onHead(head)
+        if (head.decoderResult().isFailure) {
+            fail("undecodable head: ${head.decoderResult().cause()?.message}")
+            return
+        }
+        val informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        val ownership =
+            if (current == null || answering || informational) null else current.ownershipOf(head, requestCount - 1)
+        pool.onHead(head, sentAt.takeIf { ownership == AnswerOwnership.OWN })
         when {
-            head.decoderResult().isFailure -> fail("undecodable head: ${head.decoderResult().cause()?.message}")
             current == null || answering -> fail("answer without a request in progress")
-            head.status().codeClass() == HttpStatusClass.INFORMATIONAL -> skipping = true
-            else -> beginAnswer(current, head)
+            ownership == null -> skipping = true
+            else -> beginAnswer(current, head, ownership)
         }
     }
 
     private fun beginAnswer(
         current: AnswerReceiver,
         head: HttpResponse,
+        ownership: AnswerOwnership,
     ) {
-        when (current.ownershipOf(head, requestCount - 1)) {
+        when (ownership) {
             AnswerOwnership.OWN -> {
                 answering = true
                 updateReusable(head)
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
@@ -35,6 +35,7 @@
         val models: Map<String, List<String>>,
         val ownWork: WorkTotals?,
         val restMilliseconds: Long?,
+        val requestsPerSecond: Double?,
     )
 
     fun toJson(): String = FORMAT.encodeToString(serializer(), this)
@@ -84,6 +85,7 @@
                                     models.toMap(),
                                     work[name],
                                     notices.restOf(instance)?.inWholeMilliseconds,
+                                    notices.limitOf(instance),
                                 )
                         }.toMap(),
             )
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -9,6 +9,7 @@
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.roster.InstanceRoster
 import plantainturn.connection.roster.InstanceRun
+import plantainturn.connection.roster.RequestLimitTracker
 import plantainturn.connection.roster.RetryAfterTracker
 import plantainturn.connection.roster.RosterTimes
 import plantainturn.connection.roster.SocketLocation
@@ -85,7 +86,8 @@
     private val rosterTimes = RosterTimes(settings.drainMilliseconds.milliseconds)
     private val roster = InstanceRoster(rosterTimes.lapseGrace)
     private val fleet = FleetView(roster, timer)
-    private val notices = InstanceNotices(roster, RetryAfterTracker(), timer, ::onDeparture)
+    private val limits = RequestLimitTracker()
+    private val notices = InstanceNotices(roster, RetryAfterTracker(), limits, timer, ::onDeparture)
     private val links =
         InstanceLinks(eventLoop, timer, FailureDomain(settings.failureDomain), notices, platform.dialect::notice)
     private val configuration = ConfigurationWatch(platform.records, ::onConfiguration)
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -98,6 +98,9 @@
         if (link.stats.startedAt == run.startedAt) link.pool.close()
     }
 
+    /** Returns how many requests per second [instance] accepts from all nodes together, null if it has no limit. */
+    internal fun limitOf(instance: UpstreamInstance): Double? = notices.limitOf(instance)
+
     /** Returns whether [instance] asked to receive no requests for now. */
     internal fun isResting(instance: UpstreamInstance): Boolean = notices.restOf(instance) != null
 
@@ -143,7 +146,10 @@
         if (known != null && known.isFor(instance)) return known
         known?.pool?.close()
         val others = known?.stats?.others ?: WorkTotals.NONE
-        val pool = ConnectionPool(loop, instance.location, timer) { notices.onNotice(instance, noticeOf(it)) }
+        val pool =
+            ConnectionPool(loop, instance.location, timer) { head, askedAt ->
+                notices.onNotice(instance, noticeOf(head), askedAt)
+            }
         val created = Link(instance, InstanceStats(instance.startedAt), pool)
         created.stats.others = others
         links[instance.name] = created
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceNotices.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceNotices.kt
@@ -4,8 +4,11 @@
 import plantainturn.connection.roster.InstanceNotice
 import plantainturn.connection.roster.InstanceRoster
 import plantainturn.connection.roster.InstanceRun
+import plantainturn.connection.roster.LimitStatement
+import plantainturn.connection.roster.RequestLimitTracker
 import plantainturn.connection.roster.RetryAfterTracker
 import plantainturn.connection.roster.UpstreamInstance
+import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import kotlin.time.Duration
 
@@ -17,23 +20,36 @@
 public class InstanceNotices(
     private val roster: InstanceRoster,
     private val rests: RetryAfterTracker,
+    private val limits: RequestLimitTracker,
     private val timer: TimerService,
     private val onDeparture: (InstanceRun) -> Unit,
 ) {
     private val logger = LogManager.getLogger("roster")
 
-    /** Handles the [notice] of an answer from [instance], whichever request was answered. */
+    /**
+     * Handles the [notice] of an answer from [instance], whichever request was answered.
+     *
+     * @param askedAt when the answered request was sent, null if unknown
+     */
     public fun onNotice(
         instance: UpstreamInstance,
         notice: InstanceNotice,
+        askedAt: Moment? = null,
     ) {
         if (notice.leaving) markLeaving(instance.run, from = "answer")
         notice.retryAfter?.let { asked ->
             val kept = rests.onRetryAfter(instance.run, asked, timer.now())
             logger.info("instance={} event=rest-asked asked={} kept={}", instance.name, asked, kept)
         }
+        notice.limit?.let {
+            val statement = LimitStatement(it.requestsPerSecond, askedAt ?: Moment.ORIGIN, timer.now())
+            recordLimit(instance.run, statement, from = "answer")
+        }
     }
 
+    /** Returns how many requests per second [instance] accepts from all nodes together, null if it has no limit. */
+    public fun limitOf(instance: UpstreamInstance): Double? = limits.limitOf(instance.run)
+
     /** Handles [departures] that peers reported. */
     public fun onPeerDepartures(departures: List<InstanceRun>): Unit =
         departures.forEach { markLeaving(it, from = "peer") }
@@ -41,6 +57,24 @@
     /** Returns for how much longer [instance] asked to receive no requests, null if it did not ask. */
     public fun restOf(instance: UpstreamInstance): Duration? = rests.remaining(instance.run, timer.now())
 
+    private fun recordLimit(
+        run: InstanceRun,
+        statement: LimitStatement,
+        from: String,
+    ) {
+        val before = limits.limitOf(run)
+        if (!limits.record(run, statement)) return
+        logger.info(
+            "instance={} event=limit-changed before={} now={} startedAt={} from={} age={}",
+            run.name,
+            before,
+            statement.requestsPerSecond,
+            run.startedAt,
+            from,
+            timer.now() - statement.heardAt,
+        )
+    }
+
     private fun markLeaving(
         run: InstanceRun,
         from: String,
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -177,7 +177,8 @@
             "send",
             "route=${route.name} configuration=${context.routing.current?.version} $newAttempt " +
                 "candidates=$candidates arrival=$arrivals model=${request.demand?.model} " +
-                "adapter=${request.demand?.adapter} left=${timeLeft()} fingerprint=$fingerprint",
+                "adapter=${request.demand?.adapter} limit=${context.links.limitOf(instance)} left=${timeLeft()} " +
+                "fingerprint=$fingerprint",
         )
         newAttempt.begin(maximumIdle(instance.name))
         watchSilence(newAttempt)
--- a/relay/src/test/kotlin/plantainturn/relay/residence/ResidenceIssuerTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/residence/ResidenceIssuerTest.kt
@@ -4,6 +4,7 @@
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.roster.InstanceNotice
 import plantainturn.connection.roster.InstanceRoster
+import plantainturn.connection.roster.RequestLimitTracker
 import plantainturn.connection.roster.RetryAfterTracker
 import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.connection.store.KeyedValue
@@ -35,7 +36,7 @@
     fun `a new issuer still reports the loads of the previous issuer before its first orders`() {
         val lease = StoreLease(SilentStore, HolderIdentifier("node"), "127.0.0.1:1", timer, { 0 })
         val roster = InstanceRoster()
-        val notices = InstanceNotices(roster, RetryAfterTracker(), timer) { }
+        val notices = InstanceNotices(roster, RetryAfterTracker(), RequestLimitTracker(), timer) { }
         val issuer = ResidenceIssuer(lease, "node", roster, NoRouting, SilentEngines, timer, 5.seconds, notices)
         val loads = listOf(timer.now())
 
