Divide an instance's limit on requests by permits of the issuer

Cause: nothing read the notice. Class: a bound over all nodes that no node can keep from what it sees itself. Parts of a limit per node would not mend it: 1.6 a second over 8 nodes is 0.8 requests in 4 s each, which rounds to nothing or to 8 at once, and on 95 or 330 nodes one token each is more than the bound allows.

Each send of a caller's request to an instance that limits its requests now needs a permit, which the issuer hands out from one queue for each instance at the named rate: in time before late, urgent before less urgent, a denial at once with the time of the next permit. RelayExchange.send is the one place through which first sends, repetitions, resumed streams, trials and requests that waited for a model or adapter go. What instances say is told to all nodes through the issuer, ordered by when it was asked for and heard. Dispatch prefers instances without a limit and uses limited ones when the others are full; ServiceDispatch no longer rejects a request while any instance has room.

--- a/library/src/main/kotlin/plantainturn/request/relay/DispatchCandidate.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/DispatchCandidate.kt
@@ -16,7 +16,8 @@
  * @property connected whether this node has an idle connection to it; opening a new one takes time
  * @property suspected whether requests should go elsewhere because requests to it failed
  * @property answerSeconds how long a whole answer takes, null if unknown
- * @property backoffRemaining how much longer it asked to be sent no requests, null if it did not ask
+ * @property backoffRemaining how much longer it must be sent no requests, null if it may be
+ * @property permitWait time until it should accept a request, null if it does not limit its requests
  */
 public data class DispatchCandidate(
     val name: UpstreamName,
@@ -31,4 +32,5 @@
     val suspected: Boolean,
     val answerSeconds: Double?,
     val backoffRemaining: Duration? = null,
+    val permitWait: Duration? = null,
 )
--- a/library/src/main/kotlin/plantainturn/request/relay/EngineDispatch.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/EngineDispatch.kt
@@ -15,8 +15,11 @@
  *   stream, so that an engine which only does prefill makes every long stream miss its deadline. Long prompts that
  *   would bring an engine to that point are rejected.
  *
- * Apart from the last case, nothing is rejected while an engine has free slots and no backlog. Requests that share a
- * prompt prefer the same copy at every node, unless it is busier.
+ * - An engine that limits its requests: the others take its work until it would be much faster. When they are full
+ *   it is used up to its limit.
+ *
+ * Apart from long prompts and limits, nothing is rejected while an engine has free slots and no backlog. Requests that
+ * share a prompt prefer the same copy at every node, unless it is busier.
  */
 public class EngineDispatch(
     private val timeEstimator: EngineTimeEstimator,
@@ -58,7 +61,7 @@
         val excess = candidate.running + 1 - candidate.concurrency
         val queueing = if (excess > 0) settings.slotWait * excess else Duration.ZERO
         val cacheWait = if (fitsCache(candidate, demand, query)) Duration.ZERO else settings.fullCacheWait
-        return prefill + queueing + cacheWait
+        return prefill + queueing + cacheWait + (candidate.permitWait ?: Duration.ZERO)
     }
 
     private fun exceedsPrefillLimit(
@@ -95,7 +98,10 @@
             } else {
                 settings.affinityPenalty * affinityScore(candidate, query)
             }
-        return (expected + crossDomain + connecting + prefill + load + affinity).toDouble(DurationUnit.MILLISECONDS)
+        val limited = if (candidate.permitWait == null) Duration.ZERO else settings.limitPenalty
+        return (expected + crossDomain + connecting + prefill + load + affinity + limited).toDouble(
+            DurationUnit.MILLISECONDS,
+        )
     }
 
     /** Returns a score from 0 to 1 that is equal at all nodes; the lowest is preferred (rendezvous hashing). */
--- a/library/src/main/kotlin/plantainturn/request/relay/ServiceDispatch.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/ServiceDispatch.kt
@@ -8,8 +8,8 @@
  * Chooses the instance of a plain service for a request.
  *
  * Load pattern: a few instances of uneven speed with few slots each, some of which fail or become slow. The one with
- * the shortest expected answer is chosen; one in another failure domain must be clearly faster. The request is rejected
- * when the queue of the chosen instance is full.
+ * the shortest expected answer is chosen; one in another failure domain must be clearly faster, and one that limits its
+ * requests is used when the others are full. The request is rejected when the queues of all instances are full.
  */
 public class ServiceDispatch {
     /** Returns where a request goes, given the [candidates] of its service. */
@@ -20,19 +20,22 @@
         val available = candidates.filter { it.backoffRemaining == null }
         if (available.isEmpty()) return decideWithoutAvailable(candidates)
         val eligible = available.filter { !it.suspected }.ifEmpty { available }
-        val best = eligible.minBy { cost(it) }
-        val full = best.running >= best.concurrency * QUEUE_FACTOR
-        if (!full) return DispatchDecision.Send(best.name, query.urgency, Duration.ZERO)
+        val best = eligible.filterNot { isFull(it) }.minByOrNull { cost(it) }
+        if (best != null) return DispatchDecision.Send(best.name, query.urgency, Duration.ZERO)
         val retryAfter = minOf(query.maximumRetryAfter, FULL_QUEUE_RETRY_AFTER)
         return DispatchDecision.Rejected(retryAfter, retryAfter)
     }
 
+    private fun isFull(candidate: DispatchCandidate): Boolean =
+        candidate.running >= candidate.concurrency * QUEUE_FACTOR
+
     private fun cost(candidate: DispatchCandidate): Double {
         val answer = candidate.answerSeconds ?: UNKNOWN_ANSWER_SECONDS
         val queue = (candidate.running + 1).toDouble() / candidate.concurrency.coerceAtLeast(1)
         val crossDomain = if (candidate.sameDomain) 0.0 else CROSS_DOMAIN_PENALTY.toDouble(DurationUnit.SECONDS)
         val connecting = if (candidate.connected) 0.0 else CONNECT_PENALTY.toDouble(DurationUnit.SECONDS)
-        return answer * (1.0 + queue) + crossDomain + connecting
+        val limited = candidate.permitWait?.let { it + LIMIT_PENALTY } ?: Duration.ZERO
+        return answer * (1.0 + queue) + crossDomain + connecting + limited.toDouble(DurationUnit.SECONDS)
     }
 
     private companion object {
@@ -43,6 +46,9 @@
         val FULL_QUEUE_RETRY_AFTER = 100.milliseconds
         val CROSS_DOMAIN_PENALTY = 4.milliseconds
 
+        /** An instance that limits its requests is in need, and each send to it needs a permit of the issuer. */
+        val LIMIT_PENALTY = 100.milliseconds
+
         /** A round trip and the work of the instance for a new connection. */
         val CONNECT_PENALTY = 6.milliseconds
     }
--- a/library/src/test/kotlin/plantainturn/request/relay/EngineDispatchTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/EngineDispatchTest.kt
@@ -39,6 +39,17 @@
         assertEquals(DispatchDecision.AllBackingOff(2.seconds), none)
     }
 
+    /** Load pattern: an overloaded engine names a limit while the others have room, and then while they are full. */
+    @Test
+    fun `an engine that limits its requests is used when it is much faster all the same`() {
+        val limited = candidate("limited").copy(permitWait = 200.milliseconds)
+
+        val spread = decide(limited, candidate("other", prefillTokens = 1_000))
+        assertEquals(UpstreamName("other"), assertIs<DispatchDecision.Send>(spread).instance)
+        val overflow = decide(limited, candidate("busy", prefillTokens = 20_000))
+        assertEquals(UpstreamName("limited"), assertIs<DispatchDecision.Send>(overflow).instance)
+    }
+
     @Test
     fun `work in time keeps its rank and late work is ranked behind all of it`() {
         val inTime = decide(candidate("engine", running = 30, prefillTokens = 4_000))
--- a/library/src/test/kotlin/plantainturn/request/relay/ServiceDispatchTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/ServiceDispatchTest.kt
@@ -34,6 +34,17 @@
         assertEquals(DispatchDecision.AllBackingOff(700.milliseconds), decision)
     }
 
+    /** Load pattern: an overloaded instance names a limit while the others have room, and then while they are full. */
+    @Test
+    fun `an instance that limits its requests is used when the others are full`() {
+        val limited = candidate("limited", permitWait = 300.milliseconds)
+
+        val spread = decide(limited, candidate("busy", running = 10))
+        assertEquals(UpstreamName("busy"), assertIs<DispatchDecision.Send>(spread).instance)
+        val overflow = decide(limited, candidate("full", running = 18))
+        assertEquals(UpstreamName("limited"), assertIs<DispatchDecision.Send>(overflow).instance)
+    }
+
     @Test
     fun `without instances the decision is NoCandidate`() {
         assertEquals(DispatchDecision.NoCandidate, decide())
@@ -58,6 +69,7 @@
             running: Int = 0,
             suspected: Boolean = false,
             backoffRemaining: Duration? = null,
+            permitWait: Duration? = null,
         ) = DispatchCandidate(
             name = UpstreamName(name),
             concurrency = 6,
@@ -71,6 +83,7 @@
             suspected = suspected,
             answerSeconds = null,
             backoffRemaining = backoffRemaining,
+            permitWait = permitWait,
         )
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
@@ -85,7 +85,7 @@
                                     models.toMap(),
                                     work[name],
                                     notices.restOf(instance)?.inWholeMilliseconds,
-                                    notices.limitOf(instance),
+                                    notices.limitOf(instance.run),
                                 )
                         }.toMap(),
             )
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -31,7 +31,10 @@
 import plantainturn.relay.peer.NodeReport
 import plantainturn.relay.peer.PeerEndpoint
 import plantainturn.relay.peer.PeerHub
+import plantainturn.relay.peer.PermitClient
+import plantainturn.relay.peer.PermitDesk
 import plantainturn.relay.peer.RelayedDeparture
+import plantainturn.relay.peer.RelayedLimit
 import plantainturn.relay.peer.TopicEnds
 import plantainturn.relay.request.CrashTracker
 import plantainturn.relay.request.DemandMeter
@@ -43,6 +46,7 @@
 import plantainturn.relay.request.RelayMetrics
 import plantainturn.relay.request.RequestEventLog
 import plantainturn.relay.request.ResidenceClient
+import plantainturn.relay.request.SendPermits
 import plantainturn.relay.request.WaitingRequests
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.quarantine.QuarantineRegister
@@ -88,8 +92,16 @@
     private val fleet = FleetView(roster, timer)
     private val limits = RequestLimitTracker()
     private val notices = InstanceNotices(roster, RetryAfterTracker(), limits, timer, ::onDeparture)
+    private val permits = SendPermits(limits, timer) { run, request, done -> permitClient.request(run, request, done) }
     private val links =
-        InstanceLinks(eventLoop, timer, FailureDomain(settings.failureDomain), notices, platform.dialect::notice)
+        InstanceLinks(
+            eventLoop,
+            timer,
+            FailureDomain(settings.failureDomain),
+            notices,
+            permits,
+            platform.dialect::notice,
+        )
     private val configuration = ConfigurationWatch(platform.records, ::onConfiguration)
     private val instances = InstanceWatch(platform.records, roster, timer, ::onRoster)
     private val lease =
@@ -134,7 +146,10 @@
         TopicFollower(platform.store, CrashEvidenceTopic.NAME, crashEvidence, timer, pace = ::crashEvidenceReadPace)
     private val shareTerms = RepetitionShareTerms(settings.repetitionWindowSeconds.seconds)
     private val repetitionShare = RepetitionShare(shareTerms)
-    private val hub = PeerHub(incarnation, issuer, lease, shareTerms, timer, instanceFollower, crashEvidenceFollower)
+    private val hub =
+        PeerHub(incarnation, issuer, lease, notices, shareTerms, timer, instanceFollower, crashEvidenceFollower)
+    private val permitDesk = PermitDesk(lease, notices, timer)
+    private val permitClient: PermitClient = PermitClient(incarnation, lease, permitDesk, limits, caller, timer)
     private val issuerLink: IssuerLink =
         IssuerLink(
             lease,
@@ -364,6 +379,7 @@
                     .mapValues { it.value.toMap() },
             known = known,
             departures = roster.departures().map(RelayedDeparture::of),
+            limits = notices.limits().map { (run, statement) -> RelayedLimit.of(run, statement, timer.now()) },
             prompts = links.prompts.takeUnannounced(),
             ends =
                 TopicEnds(configurationFollower.end.value, instanceFollower.end.value, crashEvidenceFollower.end.value),
@@ -373,7 +389,7 @@
     private fun round(value: Double): Double = Math.round(value * ROUNDING_FACTOR) / ROUNDING_FACTOR
 
     private fun registerEndpoints() {
-        PeerEndpoint(hub, issuer).registerOn(peerServer)
+        PeerEndpoint(hub, issuer, permitDesk).registerOn(peerServer)
         readinessServer.on(
             platform.readinessCall,
         ) { _, done -> done(InternalHttpResponse(if (isReady()) OK else UNAVAILABLE)) }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -3,8 +3,6 @@
 import io.netty.handler.codec.http.HttpMethod
 import kotlinx.collections.immutable.toPersistentMap
 import kotlinx.collections.immutable.toPersistentSet
-import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
 import plantainturn.connection.roster.SocketLocation
@@ -12,7 +10,6 @@
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.relay.http.HttpCall
-import plantainturn.relay.http.HttpCallResult
 import plantainturn.relay.http.HttpClient
 import plantainturn.relay.request.FleetView
 import plantainturn.relay.request.InstanceLinks
@@ -79,7 +76,7 @@
             applyReport(hub.exchange(createReport(knowledgeOf(SELF))), SELF, timer.now())
             return
         }
-        val location = issuerLocation()
+        val location = lease.holderLocation()
         if (location == null || isIssuerMissing()) lookUpIssuer()
         if (location != null && !exchanging) exchangeWith(location)
     }
@@ -102,11 +99,11 @@
             done(engine)
         }
         if (lease.fence != null) return issuer.wantAdapter(service, model, adapter, candidates, answer)
-        val location = issuerLocation() ?: return done(null)
+        val location = lease.holderLocation() ?: return done(null)
         val wish = AdapterWish(service.value, model.value, adapter.value, candidates.map { it.value })
         val body = Json.encodeToString(AdapterWish.serializer(), wish).toByteArray()
         caller.call(location, HttpCall(HttpMethod.POST, ADAPTER_PATH, body), ADAPTER_TIMEOUT) { result ->
-            answer(decode(result, AdapterGrant.serializer())?.engine?.let(::UpstreamName))
+            answer(PeerMessage.decode(result, AdapterGrant.serializer())?.engine?.let(::UpstreamName))
         }
     }
 
@@ -117,7 +114,7 @@
         val body = Json.encodeToString(NodeReport.serializer(), createReport(knowledgeOf(from))).toByteArray()
         caller.call(location, HttpCall(HttpMethod.POST, EXCHANGE_PATH, body), EXCHANGE_TIMEOUT) { result ->
             exchanging = false
-            val report = decode(result, IssuerReport.serializer())
+            val report = PeerMessage.decode(result, IssuerReport.serializer())
             when {
                 report == null -> logger.debug("issuer={} event=exchange-failed result={}", location, result)
                 report.issuing -> applyReport(report, from, sentAt)
@@ -149,6 +146,7 @@
         links.onPeerWork(report.work.mapKeys { UpstreamName(it.key) })
         links.onSuspicions(report.suspects.map { UpstreamName(it.key) to it.value.milliseconds }.toMap())
         notices.onPeerDepartures(report.departures.map { it.toInstanceRun() })
+        notices.onPeerLimits(report.limits.associate { it.run to it.toStatement(now) })
         issuerStoreAnsweredAt = if (report.issuing) report.storeAge?.let { now - it.milliseconds } else null
         onIssuerReport(report)
         knowledge = if (report.issuing) report.known else IssuerKnowledge.NONE
@@ -189,26 +187,10 @@
         lease.readHolder()
     }
 
-    private fun issuerLocation(): SocketLocation? = lease.holderRecord?.let { SocketLocation.parse(it.address) }
-
-    private fun <T> decode(
-        result: HttpCallResult,
-        serializer: KSerializer<T>,
-    ): T? {
-        if (result !is HttpCallResult.Answered || result.status != OK) return null
-        return try {
-            Json.decodeFromString(serializer, result.body.decodeToString())
-        } catch (exception: SerializationException) {
-            logger.warn("event=issuer-answer-unreadable", exception)
-            null
-        }
-    }
-
     internal companion object {
         const val EXCHANGE_PATH = "/peer/exchange"
         const val ADAPTER_PATH = "/peer/adapter"
         private const val SELF = "self"
-        private const val OK = 200
 
         private val EXCHANGE_TIMEOUT = 500.milliseconds
         private val ADAPTER_TIMEOUT = 400.milliseconds
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -13,6 +13,7 @@
  * @property work the work of all other nodes at each instance
  * @property suspects milliseconds for which any node still suspects an instance that answered with errors
  * @property departures runs of instances that announced in an answer to some node that they are leaving
+ * @property limits what instances that have an entry said about their limits on requests
  * @property known what the node has received from this issuer once it has this report
  * @property residenceWhole whether [residence] contains all engines, not only those that changed
  * @property residence models and their adapters at each engine, null for a removed engine
@@ -31,6 +32,7 @@
     val work: Map<String, WorkTotals>,
     val suspects: Map<String, Long>,
     val departures: List<RelayedDeparture>,
+    val limits: List<RelayedLimit>,
     val known: IssuerKnowledge,
     val residenceWhole: Boolean,
     val residence: Map<String, Map<String, List<String>>?>,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -17,6 +17,7 @@
  * @property repetitionShare the largest share of the fixed repetitions that it may have used within the last window
  * @property departingRuns its running requests by engine and model, for models no longer counted as resident there
  * @property departures runs of instances that have an entry and announced in an answer that they are leaving
+ * @property limits what instances that have an entry said about their limits on requests
  * @property prompts shareable parts of prompts that engines have processed for its callers since its last report
  */
 @Serializable
@@ -31,6 +32,7 @@
     val known: IssuerKnowledge,
     val departingRuns: Map<String, Map<String, Int>>,
     val departures: List<RelayedDeparture>,
+    val limits: List<RelayedLimit>,
     val prompts: List<KeptPart>,
     val ends: TopicEnds,
 ) {
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerEndpoint.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerEndpoint.kt
@@ -1,9 +1,7 @@
 package plantainturn.relay.peer
 
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import org.apache.logging.log4j.LogManager
 import plantainturn.relay.http.InternalHttpResponse
 import plantainturn.relay.http.InternalHttpServer
 import plantainturn.relay.residence.ResidenceIssuer
@@ -15,13 +13,12 @@
 internal class PeerEndpoint(
     private val hub: PeerHub,
     private val issuer: ResidenceIssuer,
+    private val permits: PermitDesk,
 ) {
-    private val logger = LogManager.getLogger("peer")
-
     /** Registers the handlers of peer calls on [server]. */
     fun registerOn(server: InternalHttpServer) {
         server.on("POST ${IssuerLink.EXCHANGE_PATH}") { body, done ->
-            val report = decode(body, NodeReport.serializer())
+            val report = PeerMessage.decode(body, NodeReport.serializer())
             done(
                 if (report ==
                     null
@@ -33,9 +30,17 @@
             )
         }
         server.on("POST ${IssuerLink.ADAPTER_PATH}") { body, done ->
-            val wish = decode(body, AdapterWish.serializer())
+            val wish = PeerMessage.decode(body, AdapterWish.serializer())
             if (wish == null) done(InternalHttpResponse(BAD_REQUEST)) else grant(wish, done)
         }
+        server.on("POST ${PermitClient.PATH}") { body, done ->
+            val wish = PeerMessage.decode(body, PermitWish.serializer())
+            if (wish == null) {
+                done(InternalHttpResponse(BAD_REQUEST))
+            } else {
+                permits.request(wish) { done(answer(PermitGrant.serializer(), it)) }
+            }
+        }
     }
 
     private fun grant(
@@ -55,17 +60,6 @@
         value: T,
     ) = InternalHttpResponse(OK, Json.encodeToString(serializer, value).toByteArray())
 
-    private fun <T> decode(
-        body: ByteArray,
-        serializer: KSerializer<T>,
-    ): T? =
-        try {
-            Json.decodeFromString(serializer, body.decodeToString())
-        } catch (exception: SerializationException) {
-            logger.warn("event=peer-message-unreadable", exception)
-            null
-        }
-
     private companion object {
         const val OK = 200
         const val BAD_REQUEST = 400
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -8,6 +8,7 @@
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.relay.request.AdapterDemand
+import plantainturn.relay.request.InstanceNotices
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.relay.RepetitionShareAllocator
 import plantainturn.request.relay.RepetitionShareTerms
@@ -24,6 +25,7 @@
     private val identity: String,
     private val issuer: ResidenceIssuer,
     private val lease: StoreLease,
+    private val notices: InstanceNotices,
     private val shareTerms: RepetitionShareTerms,
     private val timer: TimerService,
     private val instances: TopicFollower,
@@ -43,6 +45,7 @@
         val now = timer.now()
         received[report.node] = ReceivedReport(report, now)
         promptAnnouncements.add(report.prompts)
+        notices.onPeerLimits(report.limits.associate { it.run to it.toStatement(now) })
         if (aggregatedAt?.let { now - it >= AGGREGATION_PERIOD } != false) updateAggregate(now)
         val known = report.known.takeIf { it.session == session } ?: IssuerKnowledge.NONE
         return IssuerReport(
@@ -52,6 +55,7 @@
             work = aggregate.workOfOthers(report.node),
             suspects = aggregate.suspects,
             departures = aggregate.departures,
+            limits = notices.limits().map { (run, statement) -> RelayedLimit.of(run, statement, now) },
             known = IssuerKnowledge(session, residenceChanges.revision, promptAnnouncements.totalAdded),
             residenceWhole = known.session == null,
             residence = residenceChanges.since(known.residenceRevision),
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -22,6 +22,7 @@
 /**
  * This node's connections to instances, and its knowledge of the work in progress there.
  *
+ * @param permits permits for sends to instances that limit their requests
  * @param notices receives the notices that instances attach to answers
  * @param noticeOf decodes a notice from the head of an answer
  */
@@ -30,6 +31,7 @@
     private val timer: TimerService,
     private val ownDomain: FailureDomain,
     private val notices: InstanceNotices,
+    internal val permits: SendPermits,
     private val noticeOf: (HttpResponse) -> InstanceNotice,
 ) {
     private val links = HashMap<UpstreamName, Link>()
@@ -99,10 +101,15 @@
     }
 
     /** Returns how many requests per second [instance] accepts from all nodes together, null if it has no limit. */
-    internal fun limitOf(instance: UpstreamInstance): Double? = notices.limitOf(instance)
+    internal fun limitOf(instance: UpstreamInstance): Double? = notices.limitOf(instance.run)
 
-    /** Returns whether [instance] asked to receive no requests for now. */
-    internal fun isResting(instance: UpstreamInstance): Boolean = notices.restOf(instance) != null
+    /**
+     * Returns how much longer [instance] must get no request that waits for [patience] at most; null if it may get one.
+     */
+    internal fun backoffOf(
+        instance: UpstreamInstance,
+        patience: Duration,
+    ): Duration? = notices.restOf(instance) ?: permits.waitFor(instance)?.takeIf { it > patience }
 
     /** Returns whether this run of [instance] has begun to answer a request that was sent after [moment]. */
     internal fun answeredSince(
@@ -122,6 +129,7 @@
     internal fun candidate(
         instance: UpstreamInstance,
         demand: GenerationDemand?,
+        patience: Duration,
     ): DispatchCandidate {
         val stats = link(instance).stats
         val now = timer.now()
@@ -137,7 +145,8 @@
             connected = link(instance).pool.hasIdle,
             suspected = stats.health.isSuspected(now),
             answerSeconds = stats.answerTime?.toDouble(DurationUnit.SECONDS),
-            backoffRemaining = notices.restOf(instance),
+            backoffRemaining = backoffOf(instance, patience),
+            permitWait = permits.waitFor(instance),
         )
     }
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceNotices.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceNotices.kt
@@ -47,8 +47,16 @@
         }
     }
 
-    /** Returns how many requests per second [instance] accepts from all nodes together, null if it has no limit. */
-    public fun limitOf(instance: UpstreamInstance): Double? = limits.limitOf(instance.run)
+    /** Returns how many requests per second [run] accepts from all nodes together, null if it has no limit. */
+    public fun limitOf(run: InstanceRun): Double? = limits.limitOf(run)
+
+    /** Returns what the runs that have an entry said about their limits on requests, as far as they named one. */
+    public fun limits(): Map<InstanceRun, LimitStatement> =
+        limits.statements.filterKeys { roster.instances[it.name]?.run == it }
+
+    /** Handles what instances said about their limits in answers to peers. */
+    public fun onPeerLimits(statements: Map<InstanceRun, LimitStatement>): Unit =
+        statements.forEach { (run, statement) -> recordLimit(run, statement, from = "peer") }
 
     /** Handles [departures] that peers reported. */
     public fun onPeerDepartures(departures: List<InstanceRun>): Unit =
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
+import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.process.Outcome
 import plantainturn.process.ResultCode
 import plantainturn.process.time.Moment
@@ -14,6 +15,7 @@
 import plantainturn.relay.http.CallerReply
 import plantainturn.request.quarantine.RequestFingerprint
 import plantainturn.request.relay.DispatchDecision
+import plantainturn.request.relay.PermitRequest
 import plantainturn.request.relay.ResidenceWaitLimit
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.UpstreamName
@@ -43,6 +45,7 @@
     private val placement = RelayPlacement(context, request, route, service, fingerprint)
     private val avoided = LinkedHashSet<UpstreamName>()
     private val sentTo = HashSet<UpstreamName>()
+    private val permitsDenied = HashSet<UpstreamName>()
     private var attempt: RelayAttempt? = null
     private var fallback: BufferedAnswer? = null
     private var arrivals = 0
@@ -53,7 +56,7 @@
     private var ended = false
     private var waitingSince: Moment? = null
     private var waitLimit: ResidenceWaitLimit? = null
-    private var askingForAdapter = false
+    private var awaitingIssuer = false
     private var timer: TimerSubscription? = null
     private var watchdog: TimerSubscription? = null
 
@@ -63,7 +66,7 @@
 
     /** The model that the request waits for, null if it waits for none. */
     val awaitedModel: ModelName?
-        get() = request.demand?.model.takeIf { waitingSince != null && !askingForAdapter }
+        get() = request.demand?.model.takeIf { waitingSince != null && !awaitingIssuer }
 
     /** Starts the deadline timer and dispatches the request for the first time. */
     fun start() {
@@ -86,7 +89,7 @@
 
     /** Tries again to dispatch a request that waits for a model or adapter. */
     fun retryDispatch() {
-        if (!ended && waitingSince != null && !askingForAdapter) dispatch()
+        if (!ended && waitingSince != null && !awaitingIssuer) dispatch()
     }
 
     /** Ends a waiting request because this node stops. */
@@ -110,17 +113,18 @@
             giveUp(ResultCode.QUARANTINED, ResultCode.OUTCOME_UNKNOWN, details, maximumRetryAfter())
             return
         }
-        val objectiveLeft = if (answerBegan) Duration.ZERO else arrivedAt + route.objective - context.timer.now()
-        when (
-            val step =
-                placement.find(avoided, mayHaveRun, RequestTimeBudget(objectiveLeft, left, maximumRetryAfter()))
-        ) {
+        when (val step = placement.find(avoided, mayHaveRun, permitsDenied, timeBudget())) {
             is PlacementStep.Decided -> execute(step.decision, step.candidates)
             is PlacementStep.NeedsAdapter -> awaitAdapter(step)
             is PlacementStep.NeedsModel -> awaitModel(step.model, left)
         }
     }
 
+    private fun timeBudget(): RequestTimeBudget {
+        val objectiveLeft = if (answerBegan) Duration.ZERO else arrivedAt + route.objective - context.timer.now()
+        return RequestTimeBudget(objectiveLeft, timeLeftToBegin(), maximumRetryAfter())
+    }
+
     private fun execute(
         decision: DispatchDecision,
         candidates: Int,
@@ -156,7 +160,12 @@
         candidates: Int,
     ) {
         val instance = context.fleet.instance(decision.instance)
+        if (instance != null && !context.links.permits.tryTake(instance)) {
+            awaitPermit(instance)
+            return
+        }
         if (instance == null || !mayRepeat() || !context.crashes.tryBegin(fingerprint, instance)) {
+            instance?.let(context.links.permits::putBack)
             giveUp(
                 ResultCode.RETRIES_EXHAUSTED_NOT_RUN,
                 ResultCode.OUTCOME_UNKNOWN,
@@ -208,12 +217,36 @@
         return decision.granted
     }
 
+    /** Requests a permit to send to [instance], which limits its requests, and dispatches again. */
+    private fun awaitPermit(instance: UpstreamInstance) {
+        val limit = context.links.limitOf(instance) ?: return dispatch()
+        val now = context.timer.now()
+        val times = timeBudget()
+        val patience = PermitRequest.patience(times.objectiveLeft, times.timeLeft, limit)
+        awaitingIssuer = true
+        context.links.permits.request(
+            instance,
+            PermitRequest(urgency, now + times.objectiveLeft, now + patience),
+        ) { granted ->
+            awaitingIssuer = false
+            context.metrics.onPermit(granted)
+            context.eventLog.record(
+                request.identifier,
+                "permit",
+                "instance=${instance.name} granted=$granted limit=$limit patience=$patience " +
+                    "waited=${context.timer.now() - now} next=${context.links.permits.waitFor(instance)}",
+            )
+            if (!granted) permitsDenied += instance.name
+            dispatch()
+        }
+    }
+
     private fun awaitAdapter(step: PlacementStep.NeedsAdapter) {
         startWaiting()
-        if (askingForAdapter) return
-        askingForAdapter = true
+        if (awaitingIssuer) return
+        awaitingIssuer = true
         context.residence.wantAdapter(service.name, step.model, step.adapter, step.candidates) { engine ->
-            askingForAdapter = false
+            awaitingIssuer = false
             when {
                 ended -> Unit
                 engine != null -> dispatch()
@@ -313,6 +346,7 @@
         context.eventLog.record(request.identifier, "not-sent", "$failed reason=\"$reason\"")
         attempt = null
         arrivals -= 1
+        context.links.permits.putBack(failed.instance)
         avoided += failed.instance.name
         failedConnections += 1
         if (failedConnections > RequestLimits.MAXIMUM_ARRIVALS) {
@@ -396,7 +430,7 @@
     /** Returns whether an instance other than [except] could take the request now. */
     private fun hasOther(except: UpstreamName?): Boolean =
         context.fleet.instancesOf(service.name).any {
-            it.name != except && it.name !in avoided && !context.links.isResting(it)
+            it.name != except && it.name !in avoided && context.links.backoffOf(it, patience = Duration.ZERO) == null
         }
 
     /** Forwards [content] of a streamed answer; of an event stream only complete events are forwarded. */
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
@@ -32,6 +32,13 @@
             .help("Requests for a further arrival of a request at an instance, by whether the bound allowed it.")
             .labelNames("granted")
             .register(registry)
+    private val permits =
+        Counter
+            .builder()
+            .name("plantainturn_relay_permits_total")
+            .help("Requests for a permit to send to an instance that limits its requests, by whether it was granted.")
+            .labelNames("granted")
+            .register(registry)
     private val otherAnswers =
         Counter
             .builder()
@@ -70,6 +77,10 @@
         repetitions.labelValues(granted.toString()).inc()
     }
 
+    internal fun onPermit(granted: Boolean) {
+        permits.labelValues(granted.toString()).inc()
+    }
+
     internal fun onOtherAnswer() {
         otherAnswers.inc()
     }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
@@ -4,11 +4,13 @@
 import plantainturn.request.quarantine.RequestFingerprint
 import plantainturn.request.relay.DispatchQuery
 import plantainturn.request.relay.GenerationDemand
+import plantainturn.request.relay.PermitRequest
 import plantainturn.request.relay.RequestWork
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.UpstreamName
 import plantainturn.version.route.Route
 import plantainturn.version.route.ServiceDefinition
+import kotlin.time.Duration
 
 /** Selects an instance for one request, based on this node's view of the instances. */
 internal class RelayPlacement(
@@ -23,28 +25,30 @@
      *
      * Instances at which the same request broke off are used only if there is no other.
      *
+     * @param denied instances for which the request was denied a permit
      * @param avoided instances that refused or failed the request, or to which it could not be sent
      * @param mayHaveRun whether the request may have run at one of [avoided], so that it must not be sent there again
      */
     fun find(
         avoided: Set<UpstreamName>,
         mayHaveRun: Boolean,
+        denied: Set<UpstreamName>,
         times: RequestTimeBudget,
     ): PlacementStep {
-        val permitted = permitted(avoided, mayHaveRun)
-        val withoutCrash = permitted.filterNot { context.crashes.brokeAt(fingerprint, it) }
+        val permitted = permitted(avoided, mayHaveRun).map { Option(it, patience(it, denied, times)) }
+        val withoutCrash = permitted.filterNot { context.crashes.brokeAt(fingerprint, it.instance) }
         val step = find(withoutCrash, times)
         return if (step.hasNoCandidate && withoutCrash.size < permitted.size) find(permitted, times) else step
     }
 
     private fun find(
-        permitted: List<UpstreamInstance>,
+        permitted: List<Option>,
         times: RequestTimeBudget,
     ): PlacementStep {
         val demand = request.demand
         val engines = service.engines
         if (demand != null && engines != null) return findEngine(demand, permitted, query(times, engines.cacheTokens))
-        val candidates = permitted.map { context.links.candidate(it, null) }
+        val candidates = permitted.map { candidate(it, null) }
         return PlacementStep.Decided(context.serviceDispatch.decide(query(times, 0), candidates), candidates.size)
     }
 
@@ -58,14 +62,20 @@
 
     private fun findEngine(
         demand: GenerationDemand,
-        permitted: List<UpstreamInstance>,
+        permitted: List<Option>,
         query: DispatchQuery,
     ): PlacementStep {
-        val holders = permitted.filter { demand.model in context.fleet.residentsOf(it.name) }
-        val withoutBackoff = holders.filterNot(context.links::isResting)
+        val holders = permitted.filter { demand.model in context.fleet.residentsOf(it.instance.name) }
+        val withoutBackoff = holders.filter { context.links.backoffOf(it.instance, it.patience) == null }
         val adapter = demand.adapter
         val ready =
-            if (adapter == null) withoutBackoff else withoutBackoff.filter { holds(it.name, demand.model, adapter) }
+            if (adapter ==
+                null
+            ) {
+                withoutBackoff
+            } else {
+                withoutBackoff.filter { holds(it.instance.name, demand.model, adapter) }
+            }
         return when {
             ready.isNotEmpty() -> decideAmong(ready, demand, query)
             withoutBackoff.isNotEmpty() && adapter != null ->
@@ -76,11 +86,11 @@
     }
 
     private fun decideAmong(
-        engines: List<UpstreamInstance>,
+        engines: List<Option>,
         demand: GenerationDemand,
         query: DispatchQuery,
     ): PlacementStep {
-        val candidates = engines.map { context.links.candidate(it, demand) }
+        val candidates = engines.map { candidate(it, demand) }
         return PlacementStep.Decided(context.engineDispatch.decide(query, candidates), candidates.size)
     }
 
@@ -91,16 +101,34 @@
     ): Boolean = adapter in context.fleet.residentsOf(engine)[model].orEmpty()
 
     private fun rankByExpectedTime(
-        holders: List<UpstreamInstance>,
+        holders: List<Option>,
         demand: GenerationDemand,
         query: DispatchQuery,
     ): List<UpstreamName> =
         holders
-            .map { context.links.candidate(it, demand) }
+            .map { candidate(it, demand) }
             .sortedWith(
-                compareBy({ it.suspected }, { context.engineDispatch.expectedFirstEvent(it, demand, query) }),
+                compareBy({
+                    it.suspected
+                }, { it.permitWait != null }, { context.engineDispatch.expectedFirstEvent(it, demand, query) }),
             ).map { it.name }
 
+    private fun candidate(
+        option: Option,
+        demand: GenerationDemand?,
+    ) = context.links.candidate(option.instance, demand, option.patience)
+
+    /** Returns how long the request waits for a permit to be sent to [instance]. */
+    private fun patience(
+        instance: UpstreamInstance,
+        denied: Set<UpstreamName>,
+        times: RequestTimeBudget,
+    ): Duration {
+        val limit = context.links.limitOf(instance) ?: return Duration.ZERO
+        if (instance.name in denied) return Duration.ZERO
+        return PermitRequest.patience(times.objectiveLeft, times.timeLeft, limit)
+    }
+
     private fun permitted(
         avoided: Set<UpstreamName>,
         mayHaveRun: Boolean,
@@ -122,4 +150,14 @@
             cacheCapacityTokens = cacheTokens,
             affinity = request.demand?.let { (it.lastSharedPart ?: it.model.value).hashCode().toLong() } ?: 0,
         )
+
+    /**
+     * An instance that may take the request.
+     *
+     * @property patience how long the request waits for a permit to be sent there
+     */
+    private class Option(
+        val instance: UpstreamInstance,
+        val patience: Duration,
+    )
 }
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/request/SendPermits.kt
@@ -0,0 +1,87 @@
+package plantainturn.relay.request
+
+import plantainturn.connection.roster.InstanceRun
+import plantainturn.connection.roster.RequestLimitTracker
+import plantainturn.connection.roster.UpstreamInstance
+import plantainturn.process.time.Moment
+import plantainturn.process.time.TimerService
+import plantainturn.request.relay.PermitRequest
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Permits of this node to send requests to instances that limit their requests.
+ *
+ * Each send of a caller's request to such an instance needs one, whether it is the first or a repetition. A permit
+ * whose request has ended meanwhile can be used by another request for a moment. Confined to the event loop.
+ *
+ * @param source requests a permit from the issuer, and passes null to its callback if it was granted, otherwise the
+ *   time after which another request for a permit is useful
+ */
+public class SendPermits(
+    private val limits: RequestLimitTracker,
+    private val timer: TimerService,
+    private val source: (InstanceRun, PermitRequest, (Duration?) -> Unit) -> Unit,
+) {
+    private val granted = HashMap<InstanceRun, ArrayDeque<Moment>>()
+    private val deniedUntil = HashMap<InstanceRun, Moment>()
+
+    /**
+     * Returns the time until [instance] should accept a request of this node, null if it does not limit its requests.
+     */
+    public fun waitFor(instance: UpstreamInstance): Duration? {
+        val run = instance.run
+        if (limits.limitOf(run) == null) return null
+        val until = deniedUntil[run]
+        if (until == null || hasGranted(run)) return Duration.ZERO
+        return (until - timer.now()).coerceAtLeast(Duration.ZERO)
+    }
+
+    /** Takes a permit for a send to [instance], and returns whether there was one or none is needed. */
+    internal fun tryTake(instance: UpstreamInstance): Boolean {
+        if (limits.limitOf(instance.run) == null) return true
+        if (!hasGranted(instance.run)) return false
+        granted.getValue(instance.run).removeFirst()
+        return true
+    }
+
+    /** Returns a permit that was taken for a send to [instance] that did not take place. */
+    internal fun putBack(instance: UpstreamInstance) {
+        if (limits.limitOf(instance.run) != null) keep(instance.run)
+    }
+
+    /** Requests a permit for [instance], and calls [done] with whether there is one now, or none is needed. */
+    internal fun request(
+        instance: UpstreamInstance,
+        request: PermitRequest,
+        done: (Boolean) -> Unit,
+    ) {
+        val run = instance.run
+        source(run, request) { wait ->
+            if (wait == null) {
+                deniedUntil.remove(run)
+                keep(run)
+            } else {
+                deniedUntil.values.removeIf { it < timer.now() }
+                deniedUntil[run] = timer.now() + wait
+            }
+            done(wait == null)
+        }
+    }
+
+    private fun keep(run: InstanceRun) {
+        granted.getOrPut(run) { ArrayDeque() }.addLast(timer.now() + KEPT_FOR)
+    }
+
+    private fun hasGranted(run: InstanceRun): Boolean {
+        val kept = granted[run] ?: return false
+        while (kept.isNotEmpty() && kept.first() < timer.now()) kept.removeFirst()
+        if (kept.isEmpty()) granted.remove(run)
+        return kept.isNotEmpty()
+    }
+
+    private companion object {
+        /** Short, since requests that are sent later would add to those of later permits. */
+        val KEPT_FOR = 200.milliseconds
+    }
+}
--- a/relay/src/test/kotlin/plantainturn/relay/peer/ReportAggregateTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/peer/ReportAggregateTest.kt
@@ -49,6 +49,7 @@
         known = IssuerKnowledge.NONE,
         departingRuns = emptyMap(),
         departures = emptyList(),
+        limits = emptyList(),
         prompts = emptyList(),
         ends = TopicEnds(0, 0, 0),
     )
