--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -149,7 +149,8 @@
     private val hub =
         PeerHub(incarnation, issuer, lease, notices, shareTerms, timer, instanceFollower, crashEvidenceFollower)
     private val permitDesk = PermitDesk(lease, notices, timer)
-    private val permitClient: PermitClient = PermitClient(incarnation, lease, permitDesk, limits, caller, timer)
+    private val permitClient: PermitClient =
+        PermitClient(incarnation, lease, permitDesk, limits, caller, timer) { issuerLink.isIssuerMissing() }
     private val issuerLink: IssuerLink =
         IssuerLink(
             lease,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PermitClient.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PermitClient.kt
@@ -13,7 +13,11 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Requests permits for sends from the issuer of orders, which may be this node. Without an issuer there are none. */
+/**
+ * Requests permits for sends from the issuer of orders, which may be this node. Without an issuer there are none.
+ *
+ * @param isIssuerMissing returns whether the issuer has been silent for so long that it should not be waited for
+ */
 internal class PermitClient(
     private val node: String,
     private val lease: StoreLease,
@@ -21,6 +25,7 @@
     private val limits: RequestLimitTracker,
     private val caller: HttpClient,
     private val timer: TimerService,
+    private val isIssuerMissing: () -> Boolean,
 ) {
     private val logger = LogManager.getLogger("permit")
 
@@ -43,7 +48,8 @@
             )
         val answer = { grant: PermitGrant -> done(if (grant.granted) null else grant.wait.milliseconds) }
         if (lease.fence != null) return desk.request(wish, answer)
-        val location = lease.holderLocation() ?: return done(PermitDesk.NO_ISSUER_WAIT)
+        val location = lease.holderLocation()
+        if (location == null || isIssuerMissing()) return done(PermitDesk.NO_ISSUER_WAIT)
         val body = Json.encodeToString(PermitWish.serializer(), wish).toByteArray()
         caller.call(location, HttpCall(HttpMethod.POST, PATH, body), patience + ANSWER_TIME) { result ->
             val grant = PeerMessage.decode(result, PermitGrant.serializer())
