--- a/relay/src/main/kotlin/plantainturn/relay/request/PlacementStep.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/PlacementStep.kt
@@ -10,10 +10,15 @@
     val hasNoCandidate: Boolean
         get() = false
 
-    /** The dispatch decision among [candidates] instances. */
+    /**
+     * The dispatch decision among [candidates] instances.
+     *
+     * @property unlimited number of candidates that may take requests now and don't limit them
+     */
     data class Decided(
         val decision: DispatchDecision,
         val candidates: Int,
+        val unlimited: Int,
     ) : PlacementStep {
         override val hasNoCandidate: Boolean
             get() = decision is DispatchDecision.NoCandidate
