Tell a denied request of the turns of those only that go before it, and bound how often nodes ask

A denial of a batch request made its node turn away urgent requests too until the time was over, though the issuer would have put them first. Denials now count by urgency.

A denied node asks again no sooner than it exchanges reports: at 95 nodes and 12 requests a second, asking every 50 ms would be 1,900 messages a second, where the issuer answers 250.

--- a/library/src/main/kotlin/plantainturn/request/relay/PermitQueue.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/PermitQueue.kt
@@ -2,7 +2,6 @@
 
 import plantainturn.process.time.Moment
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -89,14 +88,16 @@
 
     private fun granted(request: Waiting<T>) = PermitOutcome(request.identifier, granted = true, Duration.ZERO)
 
-    /** Tells when a permit is free behind the requests that wait. */
+    /** Tells when a permit is free behind the requests that wait and go before this one. */
     private fun denied(
         request: Waiting<T>,
         interval: Duration,
         now: Moment,
     ): PermitOutcome<T> {
-        val free = maxOf(Duration.ZERO, lastPermitAt + interval - now) + interval * waiting.size
-        return PermitOutcome(request.identifier, granted = false, free.coerceIn(MINIMUM_WAIT, MAXIMUM_INTERVAL))
+        val first = maxOf(now, lastPermitAt + interval)
+        val ahead = waiting.count { order(first).compare(it, request) <= 0 }
+        val free = first - now + interval * ahead
+        return PermitOutcome(request.identifier, granted = false, free.coerceAtMost(MAXIMUM_INTERVAL))
     }
 
     private fun intervalOf(requestsPerSecond: Double): Duration =
@@ -115,9 +116,6 @@
         /** Sends arrive with jitter, and an instance may refuse one that comes a millisecond before its turn. */
         const val USED_SHARE = 0.95
 
-        /** Limits how often a node asks again. */
-        val MINIMUM_WAIT = 50.milliseconds
-
         /** One request now and then reaches also an instance that accepts none, to learn when that is over. */
         val MAXIMUM_INTERVAL = 10.seconds
     }
--- a/library/src/test/kotlin/plantainturn/request/relay/PermitQueueTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/PermitQueueTest.kt
@@ -69,6 +69,17 @@
         assertEquals(listOf("urgent"), granted(rate = 1.0, at = 1_100))
     }
 
+    @Test
+    fun `a denied request is told of the permits of those only that go before it`() {
+        queue.add("batch", request(urgency = 3, latest = 9_000))
+        queue.add("urgent", request(urgency = 0, latest = 200))
+
+        val outcome = queue.advance(1.0, at(100)).single()
+
+        assertEquals("urgent", outcome.identifier)
+        assertTrue(outcome.wait in 900.milliseconds..1_000.milliseconds, "$outcome")
+    }
+
     @Test
     fun `all who wait may send when the limit is lifted`() {
         queue.add("a", request())
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -148,7 +148,7 @@
     private val repetitionShare = RepetitionShare(shareTerms)
     private val hub =
         PeerHub(incarnation, issuer, lease, notices, shareTerms, timer, instanceFollower, crashEvidenceFollower)
-    private val permitDesk = PermitDesk(lease, notices, timer)
+    private val permitDesk = PermitDesk(lease, notices, timer) { issuerLink.nodes }
     private val permitClient: PermitClient =
         PermitClient(incarnation, lease, permitDesk, limits, caller, timer) { issuerLink.isIssuerMissing() }
     private val issuerLink: IssuerLink =
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PermitDesk.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PermitDesk.kt
@@ -17,12 +17,17 @@
  * Hands out the permits of all nodes at the issuer of orders.
  *
  * Each lease begins with empty queues and no free permit. A holder that can't renew its lease may have a successor, so
- * it hands out half of each limit: both together stay below the one and a half times that instances tolerate.
+ * it hands out half of each limit: both together stay below the one and a half times that instances tolerate. Nodes
+ * that are denied a permit ask again no sooner than they exchange reports, so that many of them don't overload the
+ * issuer.
+ *
+ * @param nodes returns the number of nodes
  */
 internal class PermitDesk(
     private val lease: StoreLease,
     private val notices: InstanceNotices,
     private val timer: TimerService,
+    private val nodes: () -> Int,
 ) {
     private val logger = LogManager.getLogger("permit")
     private val queues = HashMap<InstanceRun, PermitQueue<Waiting>>()
@@ -72,6 +77,7 @@
         outcome: PermitOutcome<Waiting>,
     ) {
         val waiting = outcome.identifier
+        val wait = maxOf(outcome.wait, ExchangeTiming.period(nodes()))
         logger.info(
             "instance={} event=permit granted={} node={} urgency={} waited={} wait={} rate={} fence={}",
             run.name,
@@ -79,11 +85,11 @@
             waiting.wish.node,
             waiting.wish.urgency,
             timer.now() - waiting.since,
-            outcome.wait,
+            wait,
             rate,
             queuesFence,
         )
-        waiting.done(PermitGrant(outcome.granted, outcome.wait.inWholeMilliseconds))
+        waiting.done(PermitGrant(outcome.granted, wait.inWholeMilliseconds))
     }
 
     private fun wakeUp(
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -104,12 +104,12 @@
     internal fun limitOf(instance: UpstreamInstance): Double? = notices.limitOf(instance.run)
 
     /**
-     * Returns how much longer [instance] must get no request that waits for [patience] at most; null if it may get one.
+     * Returns how much longer [instance] must get no request that waits on [terms]; null if it may get one.
      */
     internal fun backoffOf(
         instance: UpstreamInstance,
-        patience: Duration,
-    ): Duration? = notices.restOf(instance) ?: permits.waitFor(instance)?.takeIf { it > patience }
+        terms: PermitTerms,
+    ): Duration? = notices.restOf(instance) ?: permits.waitFor(instance, terms.urgency)?.takeIf { it > terms.patience }
 
     /** Returns whether this run of [instance] has begun to answer a request that was sent after [moment]. */
     internal fun answeredSince(
@@ -129,7 +129,7 @@
     internal fun candidate(
         instance: UpstreamInstance,
         demand: GenerationDemand?,
-        patience: Duration,
+        terms: PermitTerms,
     ): DispatchCandidate {
         val stats = link(instance).stats
         val now = timer.now()
@@ -145,8 +145,8 @@
             connected = link(instance).pool.hasIdle,
             suspected = stats.health.isSuspected(now),
             answerSeconds = stats.answerTime?.toDouble(DurationUnit.SECONDS),
-            backoffRemaining = backoffOf(instance, patience),
-            permitWait = permits.waitFor(instance),
+            backoffRemaining = backoffOf(instance, terms),
+            permitWait = permits.waitFor(instance, terms.urgency),
         )
     }
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -240,7 +240,7 @@
                 request.identifier,
                 "permit",
                 "instance=${instance.name} granted=$granted limit=$limit patience=$patience " +
-                    "waited=${context.timer.now() - now} next=${context.links.permits.waitFor(instance)}",
+                    "waited=${context.timer.now() - now} next=${context.links.permits.waitFor(instance, urgency)}",
             )
             if (!granted) permitsDenied += instance.name
             dispatch()
@@ -436,7 +436,9 @@
     /** Returns whether an instance other than [except] could take the request now. */
     private fun hasOther(except: UpstreamName?): Boolean =
         context.fleet.instancesOf(service.name).any {
-            it.name != except && it.name !in avoided && context.links.backoffOf(it, patience = Duration.ZERO) == null
+            it.name != except &&
+                it.name !in avoided &&
+                context.links.backoffOf(it, PermitTerms(urgency, Duration.ZERO)) == null
         }
 
     /** Forwards [content] of a streamed answer; of an event stream only complete events are forwarded. */
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
@@ -37,7 +37,10 @@
         denied: Set<UpstreamName>,
         times: RequestTimeBudget,
     ): PlacementStep {
-        val permitted = permitted(avoided, mayHaveRun).map { Option(it, patience(it, denied, times)) }
+        val permitted =
+            permitted(avoided, mayHaveRun).map {
+                Option(it, PermitTerms(route.urgency, patience(it, denied, times)))
+            }
         val withoutCrash = permitted.filterNot { context.crashes.brokeAt(fingerprint, it.instance) }
         val step = find(withoutCrash, times)
         return if (step.hasNoCandidate && withoutCrash.size < permitted.size) find(permitted, times) else step
@@ -68,7 +71,7 @@
         query: DispatchQuery,
     ): PlacementStep {
         val holders = permitted.filter { demand.model in context.fleet.residentsOf(it.instance.name) }
-        val withoutBackoff = holders.filter { context.links.backoffOf(it.instance, it.patience) == null }
+        val withoutBackoff = holders.filter { context.links.backoffOf(it.instance, it.terms) == null }
         val adapter = demand.adapter
         val ready =
             if (adapter ==
@@ -126,7 +129,7 @@
     private fun candidate(
         option: Option,
         demand: GenerationDemand?,
-    ) = context.links.candidate(option.instance, demand, option.patience)
+    ) = context.links.candidate(option.instance, demand, option.terms)
 
     /** Returns how long the request waits for a permit to be sent to [instance]. */
     private fun patience(
@@ -164,10 +167,10 @@
     /**
      * An instance that may take the request.
      *
-     * @property patience how long the request waits for a permit to be sent there
+     * @property terms on which the request waits for a permit to be sent there
      */
     private class Option(
         val instance: UpstreamInstance,
-        val patience: Duration,
+        val terms: PermitTerms,
     )
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/SendPermits.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/SendPermits.kt
@@ -24,16 +24,21 @@
     private val source: (InstanceRun, PermitRequest, (Duration?) -> Unit) -> Unit,
 ) {
     private val granted = HashMap<InstanceRun, ArrayDeque<Moment>>()
-    private val deniedUntil = HashMap<InstanceRun, Moment>()
+    private val denials = HashMap<InstanceRun, MutableMap<Int, Moment>>()
 
     /**
-     * Returns the time until [instance] should accept a request of this node, null if it does not limit its requests.
+     * Returns the time until a permit for [instance] should be free for a request of this node, null if none is needed.
+     *
+     * @param urgency rank of the request's route; a denial to a less urgent request says nothing about it
      */
-    public fun waitFor(instance: UpstreamInstance): Duration? {
+    public fun waitFor(
+        instance: UpstreamInstance,
+        urgency: Int,
+    ): Duration? {
         val run = instance.run
         if (limits.limitOf(run) == null) return null
-        val until = deniedUntil[run]
-        if (until == null || hasGranted(run)) return Duration.ZERO
+        if (hasGranted(run)) return Duration.ZERO
+        val until = denials[run]?.filterKeys { it <= urgency }?.maxOfOrNull { it.value } ?: return Duration.ZERO
         return (until - timer.now()).coerceAtLeast(Duration.ZERO)
     }
 
@@ -59,11 +64,10 @@
         val run = instance.run
         source(run, request) { wait ->
             if (wait == null) {
-                deniedUntil.remove(run)
+                denials.remove(run)
                 keep(run)
             } else {
-                deniedUntil.values.removeIf { it < timer.now() }
-                deniedUntil[run] = timer.now() + wait
+                denials.getOrPut(run) { HashMap() }[request.urgency] = timer.now() + wait
             }
             done(wait == null)
         }
--- a/relay/src/test/kotlin/plantainturn/relay/peer/PermitDeskTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/peer/PermitDeskTest.kt
@@ -26,7 +26,7 @@
     private val lease =
         StoreLease(store, HolderIdentifier("node"), "127.0.0.1:1", timer, ::wallClock, settings)
     private val notices = InstanceNotices(InstanceRoster(), RetryAfterTracker(), RequestLimitTracker(), timer) { }
-    private val desk = PermitDesk(lease, notices, timer)
+    private val desk = PermitDesk(lease, notices, timer) { 3 }
     private val run = InstanceRun(UpstreamName("a"), startedAt = 1)
 
     init {
