--- a/relay/src/main/kotlin/plantainturn/relay/peer/PermitDesk.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PermitDesk.kt
@@ -77,7 +77,7 @@
         outcome: PermitOutcome<Waiting>,
     ) {
         val waiting = outcome.identifier
-        val wait = maxOf(outcome.wait, ExchangeTiming.period(nodes()))
+        val wait = if (outcome.granted) Duration.ZERO else maxOf(outcome.wait, ExchangeTiming.period(nodes()))
         logger.info(
             "instance={} event=permit granted={} node={} urgency={} waited={} wait={} rate={} fence={}",
             run.name,
