--- a/library/src/main/kotlin/plantainturn/process/ResultCode.kt
+++ b/library/src/main/kotlin/plantainturn/process/ResultCode.kt
@@ -40,7 +40,12 @@
     QUARANTINED(3006, 503, Outcome.NOT_RUN, "Requests like this one have crashed upstreams and are not run."),
     DEADLINE_PASSED_IN_QUEUE(3007, 503, Outcome.NOT_RUN, "The deadline passed before the request was started."),
     RETRIES_EXHAUSTED_NOT_RUN(3008, 503, Outcome.NOT_RUN, "Each upstream that was tried refused to run the request."),
-    UPSTREAMS_RESTING(3009, 503, Outcome.NOT_RUN, "Each upstream that could run the request asked for a pause or for fewer requests."),
+    UPSTREAMS_RESTING(
+        3009,
+        503,
+        Outcome.NOT_RUN,
+        "Each upstream that could run the request asked for a pause or for fewer requests.",
+    ),
 
     UPSTREAM_FAILED(4000, 502, Outcome.FAILED, "The upstream ran the request and failed."),
     STREAM_BROKEN(4001, 502, Outcome.FAILED, "The answer broke off and could not be resumed."),
