--- a/library/src/main/kotlin/plantainturn/request/relay/ServiceDispatch.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/ServiceDispatch.kt
@@ -8,8 +8,9 @@
  * Chooses the instance of a plain service for a request.
  *
  * Load pattern: a few instances of uneven speed with few slots each, some of which fail or become slow. The one with
- * the shortest expected answer is chosen; one in another failure domain must be clearly faster, and one that
- * limits its requests is used up to its limit. The request is rejected when the queues of all instances are full.
+ * the shortest expected answer is chosen; one in another failure domain must be clearly faster, and one that limits
+ * its requests is used up to its limit. The request is rejected when the queue of the chosen instance is full and no
+ * limited one has room.
  */
 public class ServiceDispatch {
     /** Returns where a request goes, given the [candidates] of its service. */
@@ -20,8 +21,11 @@
         val available = candidates.filter { it.backoffRemaining == null }
         if (available.isEmpty()) return decideWithoutAvailable(candidates)
         val eligible = available.filter { !it.suspected }.ifEmpty { available }
-        val best = eligible.filterNot { isFull(it) }.minByOrNull { cost(it) }
-        if (best != null) return DispatchDecision.Send(best.name, query.urgency, Duration.ZERO)
+        val best = eligible.minBy { cost(it) }
+        // One that limits its requests may cost more for its wait alone.
+        val limited = eligible.filter { it.permitWait != null && !isFull(it) }.minByOrNull { cost(it) }
+        val choice = if (isFull(best)) limited else best
+        if (choice != null) return DispatchDecision.Send(choice.name, query.urgency, Duration.ZERO)
         val retryAfter = minOf(query.maximumRetryAfter, FULL_QUEUE_RETRY_AFTER)
         return DispatchDecision.Rejected(retryAfter, retryAfter)
     }
