--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerMessage.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerMessage.kt
@@ -13,15 +13,16 @@
     private const val OK = 200
     private val logger = LogManager.getLogger("peer")
 
-    /** Returns the message in [body], or null if it is unreadable. */
+    /** Returns the message in [body], or null if it is unreadable, which is logged as [event]. */
     fun <T> decode(
         body: ByteArray,
         serializer: KSerializer<T>,
+        event: String = "peer-message-unreadable",
     ): T? =
         try {
             Json.decodeFromString(serializer, body.decodeToString())
         } catch (exception: SerializationException) {
-            logger.warn("event=peer-message-unreadable", exception)
+            logger.warn("event={}", event, exception)
             null
         }
 
@@ -29,7 +30,10 @@
     fun <T> decode(
         result: HttpCallResult,
         serializer: KSerializer<T>,
-    ): T? = if (result is HttpCallResult.Answered && result.status == OK) decode(result.body, serializer) else null
+    ): T? {
+        if (result !is HttpCallResult.Answered || result.status != OK) return null
+        return decode(result.body, serializer, event = "issuer-answer-unreadable")
+    }
 }
 
 /** Returns where the issuer's peers reach it, as far as known. */
