--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -185,7 +185,7 @@
             "route=${route.name} configuration=${context.routing.current?.version} $newAttempt " +
                 "candidates=${step.candidates} arrival=$arrivals model=${request.demand?.model} " +
                 "adapter=${request.demand?.adapter} limit=${context.links.limitOf(instance)} left=${timeLeft()} " +
-                "fingerprint=$fingerprint",
+                "fingerprint=$fingerprint parts=${request.demand?.parts?.map { it.identifier }.orEmpty()}",
         )
         newAttempt.begin(maximumIdle(instance.name))
         watchSilence(newAttempt)
