--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/CrashAttribution.kt
@@ -0,0 +1,303 @@
+package plantainturn.request.quarantine
+
+import org.apache.logging.log4j.LogManager
+import plantainturn.process.time.Moment
+import plantainturn.process.time.TimerService
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Attributes crashes of upstream runs to traits of the requests that ran there, and blocks requests with such traits.
+ *
+ * A trait is the request as a whole, or a part of its prompt that other requests may share. A break is evidence against
+ * all traits of its request; a whole answer speaks for all parts of its prompt, since nothing that crashes upstreams is
+ * ever answered.
+ * - The request as a whole is blocked after breaks at [MAXIMUM_BREAKS] runs. A part is too, if they are breaks of several
+ *   requests and it was never answered.
+ * - A part that was answered before is blocked after more breaks, at different times and with no answer in between.
+ *   Such parts mostly break off beside the one to blame, or in an outage.
+ * - Breaks at runs where a blocked trait broke off too count against no other trait.
+ *
+ * A trait that was never answered may put only [MAXIMUM_BREAKS] runs at risk at a time once it broke off. A blocked part
+ * is tried again after a while, by one request of one node, so that a wrong attribution ends.
+ *
+ * Confined to one thread. Does no input or output: the caller shares breaks, answers and trials with the other nodes.
+ */
+public class CrashAttribution(
+    private val timer: TimerService,
+    private val settings: CrashAttributionSettings = CrashAttributionSettings(),
+) {
+    private val logger = LogManager.getLogger("quarantine")
+    private val cases = LinkedHashMap<RequestFingerprint, TraitCase>()
+    private val blockedCases = LinkedHashSet<RequestFingerprint>()
+    private val answered = LinkedHashSet<RequestFingerprint>()
+    private val inFlight = HashMap<RequestFingerprint, HashMap<CrashEvidence, Int>>()
+
+    /** The traits that are blocked, each with the time until which it is if it isn't cleared before. */
+    public val blocked: Map<RequestFingerprint, Duration>
+        get() {
+            val now = timer.now()
+            return blockedCases.filter(::isBlocked).associateWith { requireNotNull(cases.getValue(it).blockedUntil) - now }
+        }
+
+    /** Returns those of [traits] that are blocked, leaving out parts for which this node has claimed a trial. */
+    public fun blockedTraitsOf(traits: RequestTraits): List<RequestFingerprint> =
+        traits.all.filter { isBlocked(it) && !mayTry(it) }
+
+    /** Returns whether a request with [traits] may not be sent anywhere now. */
+    public fun isBlocked(traits: RequestTraits): Boolean =
+        blockedTraitsOf(traits).isNotEmpty() || traits.all.any { !mayTry(it) && atRisk(it, null) >= MAXIMUM_BREAKS }
+
+    /** Returns the breaks that count against the request as a whole. */
+    public fun breaksOf(request: RequestFingerprint): List<CrashEvidence> =
+        cases[request]?.breaks(timer.now()).orEmpty().map { it.evidence }
+
+    /** Returns whether [part] is known to have been answered. */
+    public fun isAnswered(part: RequestFingerprint): Boolean = part in answered
+
+    /**
+     * Records that a request with [traits] is sent to [run] and returns true, or returns false if it must not be.
+     *
+     * Each permitted send must be followed by one call of [ended].
+     */
+    public fun tryBegin(
+        traits: RequestTraits,
+        run: CrashEvidence,
+    ): Boolean {
+        if (blockedTraitsOf(traits).isNotEmpty()) return false
+        val (tried, others) = traits.all.partition { isBlocked(it) }
+        if (others.any { atRisk(it, run) > MAXIMUM_BREAKS }) return false
+        tried.forEach { cases.getValue(it).grantedUntil = null }
+        traits.all.forEach { inFlight.getOrPut(it) { HashMap() }.merge(run, 1, Int::plus) }
+        return true
+    }
+
+    /** Records the end of a send, whatever became of it. */
+    public fun ended(
+        traits: RequestTraits,
+        run: CrashEvidence,
+    ) {
+        for (trait in traits.all) {
+            val runs = inFlight[trait] ?: continue
+            runs.computeIfPresent(run) { _, count -> (count - 1).takeIf { it > 0 } }
+            if (runs.isEmpty()) inFlight.remove(trait)
+        }
+    }
+
+    /**
+     * Adds a break that this node or another one noticed, [age] ago.
+     *
+     * Returns whether it still counts and was not known before, or not as evidence against all of its traits.
+     */
+    public fun onBreak(
+        added: RequestBreak,
+        age: Duration = Duration.ZERO,
+    ): Boolean {
+        val now = timer.now()
+        val until = now + settings.suspicionDuration - age
+        val news = added.traits.all.filterNot { isKnown(added, it) }
+        if (until <= now || news.isEmpty()) return false
+        added.answered.forEach(::rememberAnswered)
+        for (trait in news) {
+            val case = cases.remove(trait) ?: TraitCase()
+            cases[trait] = case
+            case.add(added, until)
+            if (isBlocked(trait)) case.blockedUntil = now + settings.quarantineDuration
+        }
+        val excessive = added.traits.all.filter { !isBlocked(it) && isExcessive(it, added.traits.request) }
+        excessive.filter { !isAnswered(it) }.ifEmpty { excessive }.forEach { block(it, now) }
+        evict()
+        return true
+    }
+
+    /** Withdraws the break of [request] at the run of [evidence], which lived on. */
+    public fun onSurvived(
+        request: RequestFingerprint,
+        evidence: CrashEvidence,
+    ) {
+        val withdrawn =
+            cases[request]
+                ?.breaks(timer.now())
+                .orEmpty()
+                .filter { it.evidence == evidence }
+                .flatMap { it.traits.all }
+        for (trait in withdrawn) {
+            val case = cases[trait] ?: continue
+            case.withdraw(request, evidence)
+            if (case.breaks(timer.now()).isEmpty()) drop(trait)
+        }
+    }
+
+    /**
+     * Records a whole answer to a request with [traits].
+     *
+     * Returns the parts whose answer the other nodes should hear of, because they may block them otherwise.
+     */
+    public fun onAnswer(traits: RequestTraits): List<RequestFingerprint> {
+        if (!isBlocked(traits.request)) drop(traits.request)
+        return traits.parts.filter { part ->
+            val breaks = cases[part]?.breaks(timer.now()).orEmpty()
+            onPartAnswered(part)
+            distinctRuns(breaks).size >= BREAKS_WORTH_TELLING
+        }
+    }
+
+    /** Records that a request with [part] got a whole answer here or at another node. */
+    public fun onPartAnswered(part: RequestFingerprint) {
+        rememberAnswered(part)
+        val case = drop(part) ?: return
+        if (case.blockedUntil != null) logger.info("fingerprint={} event=unblocked trials={}", part, case.trials)
+    }
+
+    /** Returns the blocked parts of [traits] if a trial of a request with them is due, otherwise an empty list. */
+    public fun trialsDue(traits: RequestTraits): List<RequestFingerprint> {
+        val blocked = blockedTraitsOf(traits)
+        val due = blocked.all { it != traits.request && cases.getValue(it).trialAt <= timer.now() }
+        return if (due) blocked else emptyList()
+    }
+
+    /** Returns the number that the next trial of [part] has. */
+    public fun nextTrialOf(part: RequestFingerprint): Int = (cases[part]?.trials ?: 0) + 1
+
+    /**
+     * Records that a node claimed the trial [number] of [part].
+     *
+     * @param own whether it is this node, which may send one request with the part now
+     */
+    public fun onTrialClaimed(
+        part: RequestFingerprint,
+        number: Int,
+        own: Boolean,
+    ) {
+        val case = cases[part]?.takeIf { isBlocked(part) } ?: return
+        val now = timer.now()
+        if (own) case.grantedUntil = now + TRIAL_DURATION
+        if (number <= case.trials) return
+        case.trials = number
+        case.trialAt = now + trialDelay(number)
+        case.blockedUntil = now + maxOf(settings.quarantineDuration, trialDelay(number) * 2)
+        logger.info("fingerprint={} event=trial number={} own={} next={}", part, number, own, trialDelay(number))
+    }
+
+    private fun isKnown(
+        added: RequestBreak,
+        trait: RequestFingerprint,
+    ): Boolean =
+        cases[trait]
+            ?.breaks(timer.now())
+            .orEmpty()
+            .any { it.evidence == added.evidence && it.traits.request == added.traits.request }
+
+    private fun trialDelay(trials: Int): Duration {
+        var delay = settings.firstTrialDelay
+        repeat(minOf(trials, MAXIMUM_DOUBLINGS)) { delay *= settings.trialBackoff }
+        return delay
+    }
+
+    private fun isBlocked(trait: RequestFingerprint): Boolean =
+        cases[trait]?.blockedUntil?.let { it > timer.now() } ?: false
+
+    private fun mayTry(part: RequestFingerprint): Boolean =
+        cases[part]?.grantedUntil?.let { it > timer.now() } ?: false
+
+    private fun block(
+        trait: RequestFingerprint,
+        now: Moment,
+    ) {
+        val case = cases.getValue(trait)
+        blockedCases += trait
+        case.blockedUntil = now + settings.quarantineDuration
+        case.trials = 0
+        case.trialAt = now + settings.firstTrialDelay
+        val runs = distinctRuns(case.breaks(now))
+        logger.info("fingerprint={} event=blocked answered={} breaks={}", trait, isAnswered(trait), runs)
+    }
+
+    /** Returns whether the breaks of [trait] that nothing else explains are too many; [request] is the latest of them. */
+    private fun isExcessive(
+        trait: RequestFingerprint,
+        request: RequestFingerprint,
+    ): Boolean {
+        val breaks = unexplained(trait)
+        return when {
+            trait == request -> distinctRuns(breaks).size >= MAXIMUM_BREAKS
+            breaks.distinctBy { it.traits.request }.size < LEAST_REQUESTS -> false
+            isAnswered(trait) -> separateBreaks(breaks) >= settings.answeredBreaks
+            else -> distinctRuns(breaks).size >= MAXIMUM_BREAKS
+        }
+    }
+
+    /** Returns the breaks of [trait] at runs where no other trait broke off that is blocked. */
+    private fun unexplained(trait: RequestFingerprint): List<RequestBreak> {
+        val now = timer.now()
+        val breaks = cases[trait]?.breaks(now).orEmpty()
+        if (breaks.isEmpty()) return breaks
+        val explained =
+            blockedCases
+                .filter { it != trait && isBlocked(it) }
+                .flatMap { other -> cases.getValue(other).breaks(now).map { it.evidence } }
+        return breaks.filter { unexplained -> explained.none(unexplained.evidence::isSameRun) }
+    }
+
+    /** Returns how many runs [trait] puts at risk, with [next] if it is given: those it broke off at and those in use. */
+    private fun atRisk(
+        trait: RequestFingerprint,
+        next: CrashEvidence?,
+    ): Int {
+        if (isAnswered(trait) || trait !in cases) return 0
+        val broken = unexplained(trait).map { it.evidence }
+        if (broken.isEmpty()) return 0
+        return (inFlight[trait]?.keys.orEmpty() + listOfNotNull(next)).fold(broken.distinct()) { runs, run ->
+            if (runs.any(run::isSameRun)) runs else runs + run
+        }.size
+    }
+
+    private fun distinctRuns(breaks: List<RequestBreak>): List<CrashEvidence> =
+        breaks.map { it.evidence }.fold(emptyList()) { runs, run ->
+            if (runs.any(run::isSameRun)) runs else runs + run
+        }
+
+    private fun separateBreaks(breaks: List<RequestBreak>): Int {
+        var count = 0
+        var last = Long.MIN_VALUE
+        for (next in breaks.distinctBy { it.evidence }.sortedBy { it.at }) {
+            if (count > 0 && next.at - last < settings.answeredSpacing.inWholeMilliseconds) continue
+            count++
+            last = next.at
+        }
+        return count
+    }
+
+    private fun rememberAnswered(part: RequestFingerprint) {
+        answered.remove(part)
+        answered.add(part)
+        if (answered.size > settings.answeredCapacity) answered.remove(answered.first())
+    }
+
+    private fun drop(trait: RequestFingerprint): TraitCase? {
+        blockedCases -= trait
+        return cases.remove(trait)
+    }
+
+    private fun evict() {
+        if (cases.size <= settings.capacity) return
+        cases.keys.filter { !isBlocked(it) && cases.getValue(it).breaks(timer.now()).isEmpty() }.forEach(::drop)
+        while (cases.size > settings.capacity) drop(cases.keys.firstOrNull { !isBlocked(it) } ?: cases.keys.first())
+    }
+
+    public companion object {
+        /** Runs at which a request or a part of it may break off, for whatever cause, before it is blocked. */
+        public const val MAXIMUM_BREAKS: Int = 3
+
+        /** Breaks of one request alone are attributed to that request and not to its parts. */
+        private const val LEAST_REQUESTS = 2
+
+        /** With one break fewer, no node is close to blocking the part. */
+        private const val BREAKS_WORTH_TELLING = 2
+
+        private const val MAXIMUM_DOUBLINGS = 6
+
+        /** How long a node may wait for a request with which to make the trial that it claimed. */
+        private val TRIAL_DURATION = 10.seconds
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/CrashAttributionSettings.kt
@@ -0,0 +1,30 @@
+package plantainturn.request.quarantine
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Limits and durations of [CrashAttribution].
+ *
+ * @property quarantineDuration how long a trait stays blocked after its last break or trial
+ * @property suspicionDuration how long a break counts
+ * @property answeredBreaks breaks after which a part is blocked that was answered before
+ * @property answeredSpacing the least time between breaks that count separately against a part that was answered before,
+ *   so that an outage of many upstreams counts once
+ * @property firstTrialDelay time after which a blocked part may be tried again
+ * @property trialBackoff factor by which that time grows with each trial
+ * @property capacity maximum number of traits with breaks that are remembered
+ * @property answeredCapacity maximum number of answered parts that are remembered
+ */
+public data class CrashAttributionSettings(
+    val quarantineDuration: Duration = 1.hours,
+    val suspicionDuration: Duration = 10.minutes,
+    val answeredBreaks: Int = 4,
+    val answeredSpacing: Duration = 1.seconds,
+    val firstTrialDelay: Duration = 60.seconds,
+    val trialBackoff: Int = 4,
+    val capacity: Int = 8_192,
+    val answeredCapacity: Int = 16_384,
+)
--- a/library/src/main/kotlin/plantainturn/request/quarantine/RequestFingerprint.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/RequestFingerprint.kt
@@ -6,7 +6,10 @@
 import java.nio.ByteBuffer
 import java.security.MessageDigest
 
-/** A digest of what a request asks of an upstream; equal if a caller sends the request again. */
+/**
+ * A digest by which a request is recognized: of what it asks of an upstream, which is equal if a caller sends the request
+ * again, or of a part of its prompt, which other requests may share.
+ */
 @Serializable
 @JvmInline
 public value class RequestFingerprint(
@@ -28,6 +31,12 @@
             body: ByteArray,
         ): RequestFingerprint = digest("$service $path", body)
 
+        /** Returns the fingerprint of the prompt part named [part] in requests to [service]. */
+        public fun ofPart(
+            service: ServiceName,
+            part: String,
+        ): RequestFingerprint = digest("part $service", part.toByteArray())
+
         private fun digest(
             name: String,
             content: ByteArray,
--- a/library/src/main/kotlin/plantainturn/request/relay/InstanceStats.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/InstanceStats.kt
@@ -41,6 +41,10 @@
     public var latestAnsweredSendAt: Moment? = null
         private set
 
+    /** When the instance last sent anything, null if it has not. */
+    public var latestHeardAt: Moment? = null
+        private set
+
     /** Decaying average of the time for a whole answer; null before the first. */
     public var answerTime: Duration? = null
         private set
@@ -76,6 +80,11 @@
         latestAnsweredSendAt = latestAnsweredSendAt?.let { maxOf(it, sentAt) } ?: sentAt
     }
 
+    /** Records that the instance sent something. */
+    public fun onHeard(now: Moment) {
+        latestHeardAt = now
+    }
+
     /** Records the load that the instance reported. */
     public fun onReportedLoad(
         load: ReportedLoad,
--- a/relay/src/main/kotlin/plantainturn/relay/node/CrashEvidenceTopic.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/CrashEvidenceTopic.kt
@@ -1,10 +1,10 @@
 package plantainturn.relay.node
 
-import kotlinx.collections.immutable.persistentListOf
-import kotlinx.serialization.Serializable
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
+import plantainturn.connection.log.LogOffset
 import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.KeyedValue
 import plantainturn.connection.store.RecordStore
@@ -13,73 +13,102 @@
 import plantainturn.connection.store.TopicName
 import plantainturn.process.time.TimerService
 import plantainturn.relay.request.CrashEvidencePublisher
-import plantainturn.request.quarantine.CrashEvidence
-import plantainturn.request.quarantine.QuarantineEntry
-import plantainturn.request.quarantine.QuarantineRegister
-import plantainturn.request.quarantine.QuarantineSettings
+import plantainturn.request.quarantine.CrashAttribution
+import plantainturn.request.quarantine.CrashAttributionSettings
+import plantainturn.request.quarantine.RequestBreak
 import plantainturn.request.quarantine.RequestFingerprint
+import plantainturn.request.quarantine.RequestTraits
+import kotlin.random.Random
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 
 /**
- * Shares crash evidence, of requests that broke off at instances, through a topic of the store that every node writes
- * and reads.
+ * Shares evidence about crashes through a topic of the store that every node writes and reads: requests that broke off,
+ * parts of prompts that were answered nevertheless, and trials of blocked parts.
  *
- * Each record has a key of its own, so that writers do not conflict, and writing or reading a record twice has no
- * effect. A restarted node recovers the evidence from the topic.
+ * Each break has a key of its own, so that writers do not conflict, and writing or reading a record twice has no
+ * effect. A restarted node recovers the evidence from the topic. A trial is claimed by an append at the known end of the
+ * topic, so that only one node makes it.
  *
+ * @param end returns where the topic ended when it was last read
  * @param wallClock returns Unix milliseconds; used only for the age of records
  */
 internal class CrashEvidenceTopic(
     private val store: RecordStore,
-    private val register: QuarantineRegister,
+    private val attribution: CrashAttribution,
     private val timer: TimerService,
+    private val random: Random,
+    private val end: () -> LogOffset,
     private val wallClock: () -> Long,
 ) : TopicListener,
     CrashEvidencePublisher {
-    /** Crash evidence as stored; [at] is in Unix milliseconds. */
-    @Serializable
-    private data class BreakRecord(
-        val fingerprint: RequestFingerprint,
-        val evidence: CrashEvidence,
-        val at: Long,
-    ) {
-        val key: String
-            get() = "$fingerprint/${evidence.upstream}/${evidence.incarnation}"
-    }
-
     private val logger = LogManager.getLogger("quarantine")
-    private val pending = LinkedHashMap<String, BreakRecord>()
-    private val written = HashMap<String, Long>()
+    private val pending = LinkedHashMap<String, CrashEvidenceRecord?>()
+    private val pendingAnswers = HashSet<RequestFingerprint>()
+    private val written = HashMap<String, CrashEvidenceRecord>()
     private var writing = false
+    private var claiming = false
+
+    override fun publish(noticed: RequestBreak) {
+        val record =
+            CrashEvidenceRecord(
+                noticed.traits.request,
+                noticed.at,
+                noticed.evidence,
+                noticed.traits.parts,
+                noticed.answered.toList(),
+            )
+        if (record.key !in written) enqueue(record.key, record)
+    }
 
-    override fun publish(
-        fingerprint: RequestFingerprint,
-        evidence: CrashEvidence,
-    ) {
-        val record = BreakRecord(fingerprint, evidence, wallClock())
-        if (record.key in written) return
-        pending[record.key] = record
-        if (pending.size > MAXIMUM_PENDING) drop(pending.keys.first())
-        scheduleWrite(BATCHING_DELAY)
+    override fun withdraw(noticed: RequestBreak) {
+        val key = CrashEvidenceRecord(noticed.traits.request, noticed.at, noticed.evidence, noticed.traits.parts).key
+        enqueue(key, null)
+    }
+
+    /** Waits for a random time, in which another node may write that the same parts were answered. */
+    override fun publishAnswered(parts: List<RequestFingerprint>) {
+        val added = parts.filter(pendingAnswers::add)
+        if (added.isEmpty()) return
+        val delay = MAXIMUM_ANSWER_DELAY * random.nextDouble()
+        timer.schedule(delay) {
+            for (part in added.filter(pendingAnswers::remove)) {
+                val record = CrashEvidenceRecord(part, wallClock())
+                enqueue(record.key, record)
+            }
+        }
+    }
+
+    override fun claimTrial(parts: List<RequestFingerprint>) {
+        if (claiming) return
+        claiming = true
+        val claims =
+            parts.map { CrashEvidenceRecord(it, wallClock(), trial = attribution.nextTrialOf(it)) }
+        store.appendAll(NAME, claims.map { KeyedValue(it.key, encode(it)) }, end()) { result ->
+            logger.info("event=trial-claimed parts={} result={}", parts, result)
+            if (result is StoreAppendResult.Appended) {
+                claims.forEach { attribution.onTrialClaimed(it.fingerprint, it.trial, own = true) }
+            }
+            timer.schedule(RETRY_DELAY) { claiming = false }
+        }
     }
 
     override fun onWhole(records: List<KeyedRecord>) {
         written.keys.retainAll(records.map { it.key }.toSet())
-        records.forEach(::applyRecord)
+        records.sortedBy { it.offset }.forEach(::applyRecord)
     }
 
     /** Records may be repeated: several nodes may notice one crash, and an append without an answer is retried. */
-    override fun isNews(record: KeyedRecord): Boolean = record.value == null || record.key !in written
+    override fun isNews(record: KeyedRecord): Boolean =
+        record.value == null || record.key !in written || !isBreak(record.key)
 
     override fun onRecord(record: KeyedRecord): Unit = applyRecord(record)
 
     /** Removes records that are too old to count. */
     fun dropExpired() {
         val now = wallClock()
-        val old = written.filterValues { now - it > QUARANTINE_SETTINGS.quarantineDuration.inWholeMilliseconds }.keys
+        val old = written.filterValues { now - it.at > SETTINGS.quarantineDuration.inWholeMilliseconds }.keys
         if (old.isEmpty()) return
         store.appendAll(NAME, old.take(MAXIMUM_BATCH_SIZE).map { KeyedValue(it, null) }, at = null) {
             logger.info("event=old-breaks-dropped count={} result={}", old.size, it)
@@ -89,24 +118,46 @@
     private fun applyRecord(record: KeyedRecord) {
         val value = record.value
         if (value == null) {
-            written.remove(record.key)
+            val withdrawn = written.remove(record.key) ?: return
+            withdrawn.evidence?.let { attribution.onSurvived(withdrawn.fingerprint, it) }
             return
         }
         if (!isNews(record)) return
         val decoded = decode(value) ?: return
-        written[record.key] = decoded.at
-        pending.remove(record.key)
+        written[record.key] = decoded
+        if (isBreak(record.key)) pending.remove(record.key)
         val age = (wallClock() - decoded.at).coerceAtLeast(0).milliseconds
-        val remaining = QUARANTINE_SETTINGS.suspicionDuration - age
-        logger.info(
-            "fingerprint={} event=break-heard {} age={} offset={}",
-            decoded.fingerprint,
-            decoded.evidence,
-            age,
-            record.offset,
-        )
-        val breaks = persistentListOf(decoded.evidence)
-        register.merge(listOf(QuarantineEntry(decoded.fingerprint, breaks, false, remaining.inWholeMilliseconds)))
+        logger.info("key={} event=break-heard age={} offset={} {}", record.key, age, record.offset, decoded)
+        apply(decoded, age)
+    }
+
+    private fun apply(
+        record: CrashEvidenceRecord,
+        age: Duration,
+    ) {
+        val evidence = record.evidence
+        when {
+            evidence != null -> {
+                val traits = RequestTraits(record.fingerprint, record.parts.toPersistentList())
+                attribution.onBreak(RequestBreak(traits, evidence, record.answered.toSet(), record.at), age)
+            }
+            record.trial > 0 -> attribution.onTrialClaimed(record.fingerprint, record.trial, own = false)
+            else -> {
+                pendingAnswers -= record.fingerprint
+                attribution.onPartAnswered(record.fingerprint)
+            }
+        }
+    }
+
+    /** A null [record] removes what was written under [key]. */
+    private fun enqueue(
+        key: String,
+        record: CrashEvidenceRecord?,
+    ) {
+        pending.remove(key)
+        pending[key] = record
+        if (pending.size > MAXIMUM_PENDING) drop(pending.keys.first())
+        scheduleWrite(BATCHING_DELAY)
     }
 
     private fun scheduleWrite(delay: Duration) {
@@ -116,30 +167,43 @@
     }
 
     private fun write() {
-        val batch = pending.values.take(MAXIMUM_BATCH_SIZE)
+        val batch = pending.entries.take(MAXIMUM_BATCH_SIZE).associate { it.key to it.value }
         if (batch.isEmpty()) {
             writing = false
             return
         }
-        val records =
-            batch.map { KeyedValue(it.key, Json.encodeToString(BreakRecord.serializer(), it).toByteArray()) }
+        val records = batch.map { (key, record) -> KeyedValue(key, record?.let(::encode)) }
         store.appendAll(NAME, records, at = null) { result ->
             writing = false
             val appended = result is StoreAppendResult.Appended
             logger.info("event=breaks-written count={} result={} left={}", batch.size, result, pending.size)
-            if (appended) batch.forEach { if (pending.remove(it.key) != null) written[it.key] = it.at }
+            if (appended) batch.forEach(::onWritten)
             if (pending.isNotEmpty()) scheduleWrite(if (appended) BATCHING_DELAY else RETRY_DELAY)
         }
     }
 
+    private fun onWritten(
+        key: String,
+        record: CrashEvidenceRecord?,
+    ) {
+        if (!pending.remove(key, record)) return
+        if (record == null) written.remove(key) else written[key] = record
+    }
+
     private fun drop(key: String) {
         pending.remove(key)
         logger.warn("event=break-dropped key={} reason=\"the store has accepted no crash evidence for long\"", key)
     }
 
-    private fun decode(value: ByteArray): BreakRecord? =
+    private fun isBreak(key: String): Boolean =
+        !key.startsWith(CrashEvidenceRecord.ANSWER_PREFIX) && !key.startsWith(CrashEvidenceRecord.TRIAL_PREFIX)
+
+    private fun encode(record: CrashEvidenceRecord): ByteArray =
+        FORMAT.encodeToString(CrashEvidenceRecord.serializer(), record).toByteArray()
+
+    private fun decode(value: ByteArray): CrashEvidenceRecord? =
         try {
-            Json.decodeFromString(BreakRecord.serializer(), value.decodeToString())
+            FORMAT.decodeFromString(CrashEvidenceRecord.serializer(), value.decodeToString())
         } catch (exception: SerializationException) {
             logger.warn("event=break-unreadable reason=\"{}\"", exception.message?.lineSequence()?.first())
             null
@@ -147,22 +211,19 @@
 
     internal companion object {
         val NAME = TopicName("breaks", keyed = true)
-
-        /** A fingerprint belongs to one caller only, so it can be retained for a long time. */
-        val QUARANTINE_SETTINGS =
-            QuarantineSettings(
-                quarantineDuration = 1.hours,
-                suspicionDuration = 10.minutes,
-                maximumAtRisk = QuarantineRegister.MAXIMUM_BREAKS,
-                capacity = 8_192,
-            )
+        val SETTINGS = CrashAttributionSettings()
 
         /** Interval between searches for records that are too old. */
         val SWEEP_PERIOD = 10.minutes
 
+        private val FORMAT = Json { ignoreUnknownKeys = true }
+
         /** A crash of an instance breaks off many requests at once, and each call is billed. */
         private val BATCHING_DELAY = 200.milliseconds
         private val RETRY_DELAY = 300.milliseconds
+
+        /** Nodes that get an answer at about the same time need not all write it. */
+        private val MAXIMUM_ANSWER_DELAY = 600.milliseconds
         private const val MAXIMUM_BATCH_SIZE = 500
         private const val MAXIMUM_PENDING = 4_096
     }
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
@@ -7,11 +7,16 @@
 import plantainturn.relay.request.FleetView
 import plantainturn.relay.request.InstanceLinks
 import plantainturn.relay.request.InstanceNotices
+import plantainturn.request.quarantine.CrashAttribution
 import plantainturn.request.relay.WorkTotals
 import plantainturn.version.route.RoutingConfiguration
 import kotlin.time.Duration
 
-/** The state of a relay node, for operators. */
+/**
+ * The state of a relay node, for operators.
+ *
+ * @property blockedSeconds how much longer requests with a trait are refused, by its fingerprint
+ */
 @Serializable
 internal data class RelayDump(
     val node: String,
@@ -24,6 +29,7 @@
     val repetitionShare: Double,
     val inProgress: Int,
     val waiting: Int,
+    val blockedSeconds: Map<String, Long>,
     val instances: Map<String, InstanceDump>,
 ) {
     /** The state of an instance of a service. */
@@ -57,6 +63,7 @@
             waiting: Int,
             nodes: Int,
             repetitionShare: Double,
+            attribution: CrashAttribution,
         ): RelayDump {
             val work = links.ownTotals()
             return RelayDump(
@@ -70,6 +77,8 @@
                 repetitionShare = repetitionShare,
                 inProgress = inProgress,
                 waiting = waiting,
+                blockedSeconds =
+                    attribution.blocked.entries.associate { (trait, left) -> "$trait" to left.inWholeSeconds },
                 instances =
                     roster.instances
                         .map { (name, instance) ->
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -49,7 +49,7 @@
 import plantainturn.relay.request.SendPermits
 import plantainturn.relay.request.WaitingRequests
 import plantainturn.relay.residence.ResidenceIssuer
-import plantainturn.request.quarantine.QuarantineRegister
+import plantainturn.request.quarantine.CrashAttribution
 import plantainturn.request.relay.EngineDispatch
 import plantainturn.request.relay.EngineTimeEstimator
 import plantainturn.request.relay.RepetitionBudget
@@ -127,8 +127,16 @@
             settings.loadWindowSeconds.seconds,
             notices,
         )
-    private val quarantine = QuarantineRegister(timer, CrashEvidenceTopic.QUARANTINE_SETTINGS)
-    private val crashEvidence = CrashEvidenceTopic(platform.store, quarantine, timer, System::currentTimeMillis)
+    private val attribution = CrashAttribution(timer, CrashEvidenceTopic.SETTINGS)
+    private val crashEvidence: CrashEvidenceTopic =
+        CrashEvidenceTopic(
+            platform.store,
+            attribution,
+            timer,
+            Random.Default,
+            { crashEvidenceFollower.end },
+            System::currentTimeMillis,
+        )
     private val demand = DemandMeter(timer)
     private val waiting = WaitingRequests()
     private val configurationFollower =
@@ -142,7 +150,7 @@
             rosterTimes.readPause / 2,
             ::instanceReadPace,
         )
-    private val crashEvidenceFollower =
+    private val crashEvidenceFollower: TopicFollower =
         TopicFollower(platform.store, CrashEvidenceTopic.NAME, crashEvidence, timer, pace = ::crashEvidenceReadPace)
     private val shareTerms = RepetitionShareTerms(settings.repetitionWindowSeconds.seconds)
     private val repetitionShare = RepetitionShare(shareTerms)
@@ -165,7 +173,7 @@
             ::createReport,
             ::onIssuerReport,
         )
-    private val crashes = CrashTracker(quarantine, crashEvidence, timer, links::answeredSince)
+    private val crashes = CrashTracker(attribution, crashEvidence, timer, links, System::currentTimeMillis)
     private val timeEstimator = EngineTimeEstimator()
     private val repetitionBudget = RepetitionBudget(repetitions(), repetitionShare::fractionAt)
     private val handler = RelayHandler(context())
@@ -419,6 +427,7 @@
                 waiting = waiting.size,
                 nodes = issuerLink.nodes,
                 repetitionShare = repetitionShare.fractionAt(timer.now()),
+                attribution = attribution,
             ).toJson()
 
     private companion object {
--- a/relay/src/main/kotlin/plantainturn/relay/request/CrashEvidencePublisher.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CrashEvidencePublisher.kt
@@ -1,13 +1,19 @@
 package plantainturn.relay.request
 
-import plantainturn.request.quarantine.CrashEvidence
+import plantainturn.request.quarantine.RequestBreak
 import plantainturn.request.quarantine.RequestFingerprint
 
-/** Publishes to the other nodes that an instance failed while it handled a request. */
-internal fun interface CrashEvidencePublisher {
-    /** Publishes that a request with [fingerprint] broke off at the instance run in [evidence]. Does not block. */
-    fun publish(
-        fingerprint: RequestFingerprint,
-        evidence: CrashEvidence,
-    )
+/** Tells the other nodes what this one noticed about requests that broke off. No call blocks. */
+internal interface CrashEvidencePublisher {
+    /** Publishes that a request broke off. */
+    fun publish(noticed: RequestBreak)
+
+    /** Publishes that a run lived on at which a request broke off. */
+    fun withdraw(noticed: RequestBreak)
+
+    /** Publishes that requests with each of the [parts] of a prompt were answered. */
+    fun publishAnswered(parts: List<RequestFingerprint>)
+
+    /** Claims the next trial of each of the blocked [parts], unless another node claims it first. */
+    fun claimTrial(parts: List<RequestFingerprint>)
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/CrashTracker.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CrashTracker.kt
@@ -4,100 +4,160 @@
 import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
+import plantainturn.request.quarantine.CrashAttribution
 import plantainturn.request.quarantine.CrashEvidence
-import plantainturn.request.quarantine.CrashVerdict
-import plantainturn.request.quarantine.QuarantineRegister
+import plantainturn.request.quarantine.RequestBreak
 import plantainturn.request.quarantine.RequestFingerprint
+import plantainturn.request.quarantine.RequestTraits
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Tracks at which instances a request broke off, and publishes this to the other nodes.
+ * Tracks at which instances requests broke off or were answered, and publishes this to the other nodes.
  *
- * A request that crashes instances may be repeated at any node. Every unexplained break counts on this node at once.
- * The first break of a request is withdrawn if the instance answers a request that was sent afterwards, and published
- * otherwise; further breaks are published at once. An instance's entry shows a crash late or not at all, so this class
- * does not wait for it.
+ * A request that crashes instances may come at any node, and so may others that share the part of its prompt that is to
+ * blame. Every unexplained break counts on this node at once, and is withdrawn if the instance answers a request that
+ * was sent afterwards. It is published at once if it adds to earlier evidence or the request has a part that is not
+ * known to have been answered, and otherwise only if it is not withdrawn. An instance's entry shows a crash late or not
+ * at all, so this class does not wait for it.
  *
  * Confined to the event loop.
  *
- * @param answeredSince whether the same run of an instance began to answer a request that this node sent after a moment
+ * @param wallClock returns Unix milliseconds
  */
 internal class CrashTracker(
-    private val register: QuarantineRegister,
+    private val attribution: CrashAttribution,
     private val publisher: CrashEvidencePublisher,
     private val timer: TimerService,
-    private val answeredSince: (UpstreamInstance, Moment) -> Boolean,
+    private val signs: SignsOfLife,
+    private val wallClock: () -> Long,
 ) {
     private val logger = LogManager.getLogger("quarantine")
 
-    /** Returns whether a request with [fingerprint] must not be sent to any instance. */
-    fun isBlocked(fingerprint: RequestFingerprint): Boolean = register.isBlocked(fingerprint)
+    /**
+     * Returns whether a request with [traits] must not be sent to any instance.
+     *
+     * If only parts of its prompt are blocked and they are due for a trial, claims that for a later request.
+     */
+    fun isBlocked(traits: RequestTraits): Boolean {
+        if (!attribution.isBlocked(traits)) return false
+        val due = attribution.trialsDue(traits)
+        if (due.isNotEmpty()) publisher.claimTrial(due)
+        return true
+    }
 
-    /** Returns the breaks and the quarantine state of [fingerprint] as `name=value` pairs for the log. */
-    fun describe(fingerprint: RequestFingerprint): String =
-        "fingerprint=$fingerprint quarantined=${register.isQuarantined(fingerprint)} " +
-            "breaks=${register.breaksOf(fingerprint)}"
+    /** Returns what is known against [traits] as `name=value` pairs for the log. */
+    fun describe(traits: RequestTraits): String =
+        "fingerprint=${traits.request} blockedBy=${attribution.blockedTraitsOf(traits)} " +
+            "breaks=${attribution.breaksOf(traits.request)}"
 
-    /** Returns whether a request with [fingerprint] broke off at the current run of [instance]. */
+    /** Returns whether the same [request] broke off at the current run of [instance]. */
     fun brokeAt(
-        fingerprint: RequestFingerprint,
+        request: RequestFingerprint,
         instance: UpstreamInstance,
-    ): Boolean = evidenceOf(instance) in register.breaksOf(fingerprint)
+    ): Boolean = evidenceOf(instance) in attribution.breaksOf(request)
 
     /** Counts a send to [instance], or returns false if it would put too many instances at risk. */
     fun tryBegin(
-        fingerprint: RequestFingerprint,
+        traits: RequestTraits,
         instance: UpstreamInstance,
-    ): Boolean = register.tryBegin(fingerprint, instance.name, evidenceOf(instance).incarnation)
+    ): Boolean = attribution.tryBegin(traits, evidenceOf(instance))
 
     /** Ends a send whose result says nothing about the request. */
     fun ended(
-        fingerprint: RequestFingerprint,
+        traits: RequestTraits,
+        instance: UpstreamInstance,
+    ): Unit = attribution.ended(traits, evidenceOf(instance))
+
+    /**
+     * Ends a send that got an answer whose end is certain.
+     *
+     * @param successful whether the instance did what the request asks for; an error may be answered without that
+     */
+    fun answered(
+        traits: RequestTraits,
         instance: UpstreamInstance,
-    ): Unit = register.ended(fingerprint, instance.name)
+        successful: Boolean,
+    ) {
+        ended(traits, instance)
+        if (successful) clear(traits)
+    }
 
-    /** Ends a send that got a complete answer. */
-    fun succeeded(
-        fingerprint: RequestFingerprint,
+    /** Ends a send whose answer ended with its connection, so that the instance may have crashed just then. */
+    fun answeredUntilClosed(
+        traits: RequestTraits,
         instance: UpstreamInstance,
-    ): Unit = register.succeeded(fingerprint, instance.name)
+    ) {
+        ended(traits, instance)
+        val endedAt = timer.now()
+        timer.schedule(ANSWER_TIMEOUT) { if (signs.answeredSince(instance, endedAt)) clear(traits) }
+    }
 
-    /** Counts a break: a send ended without an answer, or has had none for a long time. */
+    /** Ends a send and counts a break: its connection ended, or brought no answer. */
     fun broke(
-        fingerprint: RequestFingerprint,
+        traits: RequestTraits,
         instance: UpstreamInstance,
     ) {
-        val evidence = evidenceOf(instance)
-        val known = register.breaksOf(fingerprint)
-        register.broke(fingerprint, evidence) { CrashVerdict.UNKNOWN }
-        when {
-            evidence in known -> Unit
-            known.isEmpty() -> awaitAnswer(fingerprint, evidence, instance)
-            else -> publisher.publish(fingerprint, evidence)
-        }
+        ended(traits, instance)
+        count(traits, instance)
+    }
+
+    /**
+     * Counts a break of a send that has had no answer for long, and does not end the send.
+     *
+     * An instance that is merely slow is heard from by other requests. The break then counts against the request alone:
+     * many requests may wait there, and the parts of their prompts are not to blame.
+     */
+    fun silent(
+        traits: RequestTraits,
+        instance: UpstreamInstance,
+    ) {
+        val alive = signs.heardSince(instance, timer.now() - LIFE_WINDOW)
+        count(if (alive) RequestTraits(traits.request) else traits, instance)
+    }
+
+    private fun count(
+        traits: RequestTraits,
+        instance: UpstreamInstance,
+    ) {
+        val isSuspect = attribution.breaksOf(traits.request).isNotEmpty() || !traits.parts.all(attribution::isAnswered)
+        val answered = traits.parts.filter(attribution::isAnswered).toSet()
+        val noticed = RequestBreak(traits, evidenceOf(instance), answered, wallClock())
+        if (!attribution.onBreak(noticed)) return
+        logger.info("fingerprint={} event=broke {} parts={}", traits.request, noticed.evidence, traits.parts)
+        if (isSuspect) publisher.publish(noticed)
+        awaitAnswer(noticed, instance, published = isSuspect)
     }
 
-    /** A single break is weak evidence: most instances answer another request soon, and the break is then withdrawn. */
     private fun awaitAnswer(
-        fingerprint: RequestFingerprint,
-        evidence: CrashEvidence,
+        noticed: RequestBreak,
         instance: UpstreamInstance,
+        published: Boolean,
     ) {
         val brokenAt = timer.now()
         timer.schedule(ANSWER_TIMEOUT) {
-            if (answeredSince(instance, brokenAt)) {
-                logger.info("fingerprint={} event=survived {}", fingerprint, evidence)
-                register.survived(fingerprint, evidence)
-            } else {
-                publisher.publish(fingerprint, evidence)
+            if (signs.answeredSince(instance, brokenAt)) {
+                logger.info("fingerprint={} event=survived {}", noticed.traits.request, noticed.evidence)
+                attribution.onSurvived(noticed.traits.request, noticed.evidence)
+                if (published) publisher.withdraw(noticed)
+            } else if (!published) {
+                publisher.publish(noticed)
             }
         }
     }
 
+    private fun clear(traits: RequestTraits) {
+        val worthTelling = attribution.onAnswer(traits)
+        if (worthTelling.isNotEmpty()) publisher.publishAnswered(worthTelling)
+    }
+
     private fun evidenceOf(instance: UpstreamInstance) = CrashEvidence(instance.name, instance.startedAt?.toString())
 
     private companion object {
         /** Shorter than the restart of a server, so that an answer comes from the same run. */
         val ANSWER_TIMEOUT = 1.seconds
+
+        /** A busy engine sends events of some stream several times within this time. */
+        val LIFE_WINDOW = 500.milliseconds
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -33,7 +33,7 @@
     private val notices: InstanceNotices,
     internal val permits: SendPermits,
     private val noticeOf: (HttpResponse) -> InstanceNotice,
-) {
+) : SignsOfLife {
     private val links = HashMap<UpstreamName, Link>()
 
     private val runs = HashMap<Pair<UpstreamName, ModelName>, Int>()
@@ -111,16 +111,18 @@
         terms: PermitTerms,
     ): Duration? = notices.restOf(instance) ?: permits.waitFor(instance, terms.urgency)?.takeIf { it > terms.patience }
 
-    /** Returns whether this run of [instance] has begun to answer a request that was sent after [moment]. */
-    internal fun answeredSince(
+    override fun answeredSince(
         instance: UpstreamInstance,
         moment: Moment,
-    ): Boolean =
-        links[instance.name]
-            ?.takeIf { it.isFor(instance) }
-            ?.stats
-            ?.latestAnsweredSendAt
-            ?.let { it > moment } ?: false
+    ): Boolean = knownStats(instance)?.latestAnsweredSendAt?.let { it > moment } ?: false
+
+    override fun heardSince(
+        instance: UpstreamInstance,
+        moment: Moment,
+    ): Boolean = knownStats(instance)?.latestHeardAt?.let { it > moment } ?: false
+
+    private fun knownStats(instance: UpstreamInstance): InstanceStats? =
+        links[instance.name]?.takeIf { it.isFor(instance) }?.stats
 
     internal fun stats(instance: UpstreamInstance): InstanceStats = link(instance).stats
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -55,6 +55,10 @@
     var isStreaming: Boolean = false
         private set
 
+    /** Whether the end of the answer is marked by its length or by chunks, and not only by the end of the connection. */
+    var isDelimited: Boolean = false
+        private set
+
     /** Sends the request on a connection that was idle for [reuse] at most, or on a new one if [reuse] is null. */
     fun begin(reuse: Duration?) {
         stats.begin(work, begunAt)
@@ -122,7 +126,7 @@
         val ownership =
             when {
                 identifier == exchange.request.identifier.value -> AnswerOwnership.OWN
-                identifier != null || head.status().code() < FIRST_FAILURE_STATUS -> AnswerOwnership.OTHER
+                identifier != null || head.status().code() < RequestLimits.FIRST_FAILURE -> AnswerOwnership.OTHER
                 earlier == 0 -> AnswerOwnership.OWN
                 else -> AnswerOwnership.UNCLEAR
             }
@@ -142,11 +146,13 @@
         val now = context.timer.now()
         heardAt = now
         sentAt?.let(stats::onAnswerBegun)
+        stats.onHeard(now)
         this.head = head
+        isDelimited = HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head)
         val decoded = context.dialect.answerMetadata(head)
         metadata = decoded
         decoded.load?.let { stats.onReportedLoad(it, now) }
-        val success = head.status().code() < FIRST_FAILURE_STATUS && decoded.signed
+        val success = head.status().code() < RequestLimits.FIRST_FAILURE && decoded.signed
         isStreaming = success && (exchange.route.repetition.streams || isLong(head))
     }
 
@@ -154,6 +160,7 @@
         if (ended) return
         val now = context.timer.now()
         heardAt = now
+        stats.onHeard(now)
         onFirstContent(now)
         if (isStreaming) {
             exchange.onStreamContent(this, requireNotNull(head), content)
@@ -178,7 +185,7 @@
                 succeeded(now)
                 exchange.onStreamEnd(this, answer)
             }
-            status < FIRST_FAILURE_STATUS && !metadata.signed -> {
+            status < RequestLimits.FIRST_FAILURE && !metadata.signed -> {
                 failed(FailureKind.BROKEN)
                 context.metrics.onSend("unsigned")
                 exchange.onBroken(this, "successful answer without the signature of the instance")
@@ -213,8 +220,8 @@
         metadata: AnswerMetadata,
         now: Moment,
     ) {
-        if (status >= FIRST_SERVER_FAILURE) failed(FailureKind.ERROR) else succeeded(now)
-        context.metrics.onSend(if (status >= FIRST_SERVER_FAILURE) "error" else "answered")
+        if (status >= RequestLimits.FIRST_SERVER_FAILURE) failed(FailureKind.ERROR) else succeeded(now)
+        context.metrics.onSend(if (status >= RequestLimits.FIRST_SERVER_FAILURE) "error" else "answered")
         exchange.onAnswer(this, requireNotNull(head), buffered.retainedSlice(), metadata)
     }
 
@@ -256,9 +263,6 @@
         "instance=${instance.name} rank=${parameters.rank} ahead=${decision.tokensAhead} expected=${decision.expected}"
 
     private companion object {
-        const val FIRST_FAILURE_STATUS = 300
-        const val FIRST_SERVER_FAILURE = 500
-
         /** Answers up to this size are received completely and checked before they are forwarded. */
         const val MAXIMUM_BUFFERED_BYTES = 262_144
     }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
+import kotlinx.collections.immutable.toPersistentList
 import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.process.Outcome
 import plantainturn.process.ResultCode
@@ -14,6 +15,7 @@
 import plantainturn.relay.http.CallerConnectionListener
 import plantainturn.relay.http.CallerReply
 import plantainturn.request.quarantine.RequestFingerprint
+import plantainturn.request.quarantine.RequestTraits
 import plantainturn.request.relay.DispatchDecision
 import plantainturn.request.relay.PermitRequest
 import plantainturn.request.relay.ResidenceWaitLimit
@@ -41,8 +43,8 @@
     private val arrivedAt = request.source.receivedAt
     private val deadline = arrivedAt + minOf(request.callerTimeout ?: route.timeout, route.timeout)
     private val splitter = EventSplitter(PooledByteBufAllocator.DEFAULT)
-    private val fingerprint = fingerprintOf(request, service)
-    private val placement = RelayPlacement(context, request, route, service, fingerprint)
+    private val traits = traitsOf(request, service)
+    private val placement = RelayPlacement(context, request, route, service, traits.request)
     private val avoided = LinkedHashSet<UpstreamName>()
     private val sentTo = HashSet<UpstreamName>()
     private val permitsDenied = HashSet<UpstreamName>()
@@ -108,8 +110,8 @@
             giveUp(ResultCode.DEADLINE_PASSED_IN_QUEUE, ResultCode.DEADLINE_PASSED, "no time is left")
             return
         }
-        if (context.crashes.isBlocked(fingerprint)) {
-            val details = context.crashes.describe(fingerprint)
+        if (context.crashes.isBlocked(traits)) {
+            val details = context.crashes.describe(traits)
             giveUp(ResultCode.QUARANTINED, ResultCode.OUTCOME_UNKNOWN, details, maximumRetryAfter())
             return
         }
@@ -162,7 +164,7 @@
             awaitPermit(instance, mayWait = step.unlimited == 0)
             return
         }
-        if (instance == null || !mayRepeat() || !context.crashes.tryBegin(fingerprint, instance)) {
+        if (instance == null || !mayRepeat() || !context.crashes.tryBegin(traits, instance)) {
             instance?.let(context.links.permits::putBack)
             giveUp(
                 ResultCode.RETRIES_EXHAUSTED_NOT_RUN,
@@ -185,7 +187,8 @@
             "route=${route.name} configuration=${context.routing.current?.version} $newAttempt " +
                 "candidates=${step.candidates} arrival=$arrivals model=${request.demand?.model} " +
                 "adapter=${request.demand?.adapter} limit=${context.links.limitOf(instance)} left=${timeLeft()} " +
-                "fingerprint=$fingerprint parts=${request.demand?.parts?.map { it.identifier }.orEmpty()}",
+                "fingerprint=${traits.request} parts=${request.demand?.parts?.map { it.identifier }.orEmpty()} " +
+                "partFingerprints=${traits.parts}",
         )
         newAttempt.begin(maximumIdle(instance.name))
         watchSilence(newAttempt)
@@ -340,7 +343,9 @@
         if (!hasOther(watched.instance.name) || runs + 1 >= route.attempts) return
         context.eventLog.record(request.identifier, "silent", "$watched quiet=$silence")
         watched.giveUpAsSilent()
-        onBroken(watched, "silent for $silence")
+        context.crashes.ended(traits, watched.instance)
+        context.crashes.silent(traits, watched.instance)
+        continueElsewhere(watched, "silent for $silence")
     }
 
     /** Handles a failed connection: the request was not sent, so the attempt does not count as an arrival. */
@@ -348,7 +353,7 @@
         failed: RelayAttempt,
         reason: String,
     ) {
-        context.crashes.ended(fingerprint, failed.instance)
+        context.crashes.ended(traits, failed.instance)
         context.eventLog.record(request.identifier, "not-sent", "$failed reason=\"$reason\"")
         attempt = null
         arrivals -= 1
@@ -373,7 +378,7 @@
         misdirected: Boolean,
         evidence: String,
     ) {
-        context.crashes.ended(fingerprint, refused.instance)
+        context.crashes.ended(traits, refused.instance)
         context.eventLog.record(request.identifier, "refused", "$refused misdirected=$misdirected $evidence")
         attempt = null
         avoided += refused.instance.name
@@ -402,11 +407,11 @@
         body: ByteBuf,
         metadata: AnswerMetadata,
     ) {
-        context.crashes.succeeded(fingerprint, from.instance)
+        val status = head.status().code()
+        onAnswered(from, successful = status < RequestLimits.FIRST_FAILURE)
         attempt = null
         runs += 1
         mayHaveRun = true
-        val status = head.status().code()
         avoided += from.instance.name
         if (metadata.claimsNotRun) {
             body.release()
@@ -428,6 +433,18 @@
         }
     }
 
+    /** An answer that ends with its connection may have ended because the instance crashed. */
+    private fun onAnswered(
+        from: RelayAttempt,
+        successful: Boolean,
+    ) {
+        if (from.isDelimited || !successful) {
+            context.crashes.answered(traits, from.instance, successful)
+        } else {
+            context.crashes.answeredUntilClosed(traits, from.instance)
+        }
+    }
+
     private fun canTryElsewhere(): Boolean =
         runs < route.attempts &&
             timeLeft() > RequestLimits.MINIMUM_USEFUL_TIME &&
@@ -478,7 +495,7 @@
         from: RelayAttempt,
         head: HttpResponse,
     ) {
-        context.crashes.succeeded(fingerprint, from.instance)
+        onAnswered(from, successful = true)
         attempt = null
         context.metrics.onSend("answered")
         splitter.takePartial()?.let(reply::write)
@@ -487,12 +504,19 @@
         end(ResultCode.ANSWERED, RequestLimits.OK, "$from")
     }
 
-    /** Handles an answer that broke off or an instance that was silent for too long; the request may have run. */
+    /** Handles an answer that broke off; the request may have run. */
     fun onBroken(
         broken: RelayAttempt,
         reason: String,
     ) {
-        context.crashes.broke(fingerprint, broken.instance)
+        context.crashes.broke(traits, broken.instance)
+        continueElsewhere(broken, reason)
+    }
+
+    private fun continueElsewhere(
+        broken: RelayAttempt,
+        reason: String,
+    ) {
         context.eventLog.record(request.identifier, "broken", "$broken reason=\"$reason\" began=$answerBegan")
         attempt = null
         runs += 1
@@ -520,8 +544,8 @@
         val sentAt = silent.sentAt ?: return
         if (ended || attempt !== silent || silent.isAnswering) return
         if (context.links.answeredSince(silent.instance, sentAt)) return
-        context.eventLog.record(request.identifier, "unheard", "$silent fingerprint=$fingerprint")
-        context.crashes.broke(fingerprint, silent.instance)
+        context.eventLog.record(request.identifier, "unheard", "$silent fingerprint=${traits.request}")
+        context.crashes.silent(traits, silent.instance)
     }
 
     /** Cancels [running], whose result is no longer needed. A missing answer may mean that the instance crashed. */
@@ -529,11 +553,8 @@
         val silence = context.timer.now() - running.heardAt
         val unanswered =
             running.sentAt != null && (!running.isAnswering || silence > RequestLimits.CRASH_SUSPICION_SILENCE)
-        if (unanswered) {
-            context.crashes.broke(fingerprint, running.instance)
-        } else {
-            context.crashes.ended(fingerprint, running.instance)
-        }
+        context.crashes.ended(traits, running.instance)
+        if (unanswered) context.crashes.silent(traits, running.instance)
         running.cancel()
     }
 
@@ -648,13 +669,21 @@
     )
 
     private companion object {
-        fun fingerprintOf(
+        /** The last part of a prompt belongs to the request or its session alone. */
+        fun traitsOf(
             request: RelayRequest,
             service: ServiceDefinition,
-        ): RequestFingerprint {
+        ): RequestTraits {
             val body = request.source.body
             val bytes = ByteArray(body.readableBytes()).also { body.getBytes(body.readerIndex(), it) }
-            return RequestFingerprint.of(service.name, request.source.head.uri(), bytes)
+            val fingerprint = RequestFingerprint.of(service.name, request.source.head.uri(), bytes)
+            val shared =
+                request.demand
+                    ?.parts
+                    .orEmpty()
+                    .dropLast(1)
+            val parts = shared.map { RequestFingerprint.ofPart(service.name, it.identifier) }
+            return RequestTraits(fingerprint, parts.toPersistentList())
         }
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
@@ -8,6 +8,9 @@
     /** The status of a stream that ends without any event. */
     const val OK = 200
 
+    /** The lowest status that is neither a success nor informational. */
+    const val FIRST_FAILURE = 300
+
     /** The lowest status of the server error class. */
     const val FIRST_SERVER_FAILURE = 500
 
--- a/relay/src/test/kotlin/plantainturn/relay/node/CrashEvidenceTopicTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/CrashEvidenceTopicTest.kt
@@ -4,10 +4,13 @@
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.store.KeyedRecord
 import plantainturn.process.time.VirtualTimerService
+import plantainturn.request.quarantine.CrashAttribution
 import plantainturn.request.quarantine.CrashEvidence
-import plantainturn.request.quarantine.QuarantineRegister
+import plantainturn.request.quarantine.RequestBreak
 import plantainturn.request.quarantine.RequestFingerprint
+import plantainturn.request.quarantine.RequestTraits
 import plantainturn.version.configuration.UpstreamName
+import kotlin.random.Random
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
@@ -18,13 +21,13 @@
 class CrashEvidenceTopicTest {
     private val timer = VirtualTimerService()
     private val store = InMemoryRecordStore(timer)
-    private val fingerprint = RequestFingerprint(7)
+    private val traits = RequestTraits(RequestFingerprint(7))
     private var wallClockTime = 1_000_000_000L
 
     @Test
     fun `crash evidence of many requests is written in one call`() {
-        val topic = topic(register())
-        (1L..64L).forEach { topic.publish(RequestFingerprint(it), evidence(1)) }
+        val topic = topic(attribution())
+        (1L..64L).forEach { topic.publish(brokeAt(1, RequestTraits(RequestFingerprint(it)))) }
         timer.advance(1.seconds)
         assertEquals(64, store.records.size)
         assertEquals(1, store.appends)
@@ -32,9 +35,9 @@
 
     @Test
     fun `crash evidence that the store refuses is written later`() {
-        val topic = topic(register())
+        val topic = topic(attribution())
         store.refusesAppends = true
-        topic.publish(fingerprint, evidence(1))
+        topic.publish(brokeAt(1))
         timer.advance(5.seconds)
         assertEquals(0, store.records.size)
         store.refusesAppends = false
@@ -45,20 +48,20 @@
     @Test
     fun `a restarted node recovers all crash evidence, in any order and with repeated records`() {
         writeThree()
-        val register = register()
-        val topic = topic(register)
+        val attribution = attribution()
+        val topic = topic(attribution)
         repeat(2) { topic.onWhole(store.records.shuffled()) }
-        assertTrue(register.isQuarantined(fingerprint))
+        assertTrue(attribution.isBlocked(traits))
     }
 
     @Test
     fun `old crash evidence no longer counts and is removed from the store`() {
         writeThree()
         wallClockTime += 11.minutes.inWholeMilliseconds
-        val register = register()
-        val topic = topic(register)
+        val attribution = attribution()
+        val topic = topic(attribution)
         topic.onWhole(store.records.toList())
-        assertFalse(register.isBlocked(fingerprint))
+        assertFalse(attribution.isBlocked(traits))
         topic.dropExpired()
         assertEquals(3, store.records.size, "the quarantine at another node may still depend on them")
         wallClockTime += 1.hours.inWholeMilliseconds
@@ -68,20 +71,26 @@
 
     @Test
     fun `an unreadable record has no effect`() {
-        val register = register()
-        topic(register).onRecord(KeyedRecord("key", "{".toByteArray(), LogOffset(0)))
-        assertEquals(0, register.snapshot().size)
+        val attribution = attribution()
+        topic(attribution).onRecord(KeyedRecord("key", "{".toByteArray(), LogOffset(0)))
+        assertEquals(0, attribution.blocked.size)
     }
 
     private fun writeThree() {
-        val topic = topic(register())
-        (1..3).forEach { topic.publish(fingerprint, evidence(it)) }
+        val topic = topic(attribution())
+        (1..3).forEach { topic.publish(brokeAt(it)) }
         timer.advance(1.seconds)
     }
 
-    private fun register() = QuarantineRegister(timer, CrashEvidenceTopic.QUARANTINE_SETTINGS)
+    private fun attribution() = CrashAttribution(timer, CrashEvidenceTopic.SETTINGS)
 
-    private fun topic(register: QuarantineRegister) = CrashEvidenceTopic(store, register, timer) { wallClockTime }
+    private fun topic(attribution: CrashAttribution) =
+        CrashEvidenceTopic(store, attribution, timer, Random(1), { LogOffset(store.records.size.toLong()) }) {
+            wallClockTime
+        }
 
-    private fun evidence(instance: Int) = CrashEvidence(UpstreamName("server-$instance"), "1")
+    private fun brokeAt(
+        instance: Int,
+        traits: RequestTraits = this.traits,
+    ) = RequestBreak(traits, CrashEvidence(UpstreamName("server-$instance"), "1"), emptySet(), wallClockTime)
 }
--- a/relay/src/test/kotlin/plantainturn/relay/node/FatalRequestSimulation.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/FatalRequestSimulation.kt
@@ -1,14 +1,12 @@
 package plantainturn.relay.node
 
 import plantainturn.connection.roster.UpstreamInstance
-import plantainturn.connection.store.ReadPace
-import plantainturn.connection.store.TopicFollower
 import plantainturn.process.time.Moment
 import plantainturn.process.time.VirtualTimerService
 import plantainturn.relay.InstanceSamples
-import plantainturn.relay.request.CrashTracker
-import plantainturn.request.quarantine.QuarantineRegister
+import plantainturn.request.quarantine.CrashAttribution
 import plantainturn.request.quarantine.RequestFingerprint
+import plantainturn.request.quarantine.RequestTraits
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -28,15 +26,12 @@
     private val outages: Boolean = false,
 ) {
     private inner class Node {
-        val register = QuarantineRegister(timer, CrashEvidenceTopic.QUARANTINE_SETTINGS)
-        val topic = CrashEvidenceTopic(store, register, timer) { timer.now().nanoseconds / NANOSECONDS_PER_MILLISECOND }
-        val crashes = CrashTracker(register, topic, timer) { _, _ -> false }
+        private val evidence = CrashEvidenceSample(store, timer) { 0 }
+        val crashes = evidence.tracker(NoSignsOfLife)
         val startedAt = timer.now()
 
         init {
-            TopicFollower(store, CrashEvidenceTopic.NAME, topic, timer) {
-                ReadPace(2.seconds, 200.milliseconds)
-            }.start()
+            evidence.follower.start()
         }
     }
 
@@ -82,7 +77,7 @@
     private fun sendFatal(fingerprint: RequestFingerprint) {
         val node = nodes.random(random)
         val server = pick(node, fingerprint) ?: return
-        val third = crashTimes[fingerprint]?.getOrNull(QuarantineRegister.MAXIMUM_BREAKS - 1)
+        val third = crashTimes[fingerprint]?.getOrNull(CrashAttribution.MAXIMUM_BREAKS - 1)
         val now = timer.now()
         if (third != null && now - third > PROPAGATION_TIME && now - node.startedAt > PROPAGATION_TIME) {
             lateSends.merge(fingerprint, 1, Int::plus)
@@ -91,7 +86,7 @@
         val crashed = server.instance
         crash(server)
         val detectionTime = if (silentCrashes) SILENCE_TIMEOUT else LATENCY
-        timer.schedule(detectionTime) { node.crashes.broke(fingerprint, crashed) }
+        timer.schedule(detectionTime) { node.crashes.broke(RequestTraits(fingerprint), crashed) }
     }
 
     /** Crashes up to [count] servers while they handle harmless requests, which are sent again immediately. */
@@ -101,15 +96,12 @@
             val fingerprint = RequestFingerprint(++harmlessCount)
             val node = nodes.random(random)
             failed.forEach { server ->
-                if (node.crashes.isBlocked(fingerprint) ||
-                    !node.crashes.tryBegin(fingerprint, server.instance)
-                ) {
-                    return@forEach
-                }
-                node.crashes.broke(fingerprint, server.instance)
+                val traits = RequestTraits(fingerprint)
+                if (node.crashes.isBlocked(traits) || !node.crashes.tryBegin(traits, server.instance)) return@forEach
+                node.crashes.broke(traits, server.instance)
             }
             interruptedHarmless++
-            val belowBound = failed.size < QuarantineRegister.MAXIMUM_BREAKS
+            val belowBound = failed.size < CrashAttribution.MAXIMUM_BREAKS
             if (belowBound && pick(node, fingerprint) == null && servers.any { it.downUntil <= timer.now() }) {
                 refusedHarmless++
             }
@@ -121,9 +113,9 @@
         node: Node,
         fingerprint: RequestFingerprint,
     ): Server? {
-        if (node.crashes.isBlocked(fingerprint)) return null
+        if (node.crashes.isBlocked(RequestTraits(fingerprint))) return null
         val server = servers.filter { it.downUntil <= timer.now() }.randomOrNull(random) ?: return null
-        return server.takeIf { node.crashes.tryBegin(fingerprint, it.instance) }
+        return server.takeIf { node.crashes.tryBegin(RequestTraits(fingerprint), it.instance) }
     }
 
     /** Crashes [server]. Most servers restart under another name, some under the same one. */
@@ -150,7 +142,6 @@
         const val SAME_NAME_ODDS = 4
         const val MINIMUM_DOWNTIME_MILLISECONDS = 1_000L
         const val MAXIMUM_DOWNTIME_MILLISECONDS = 4_000L
-        const val NANOSECONDS_PER_MILLISECOND = 1_000_000
         val STEP = 100.milliseconds
         val LATENCY = 10.milliseconds
         val SILENCE_TIMEOUT = 1_500.milliseconds
--- a/relay/src/test/kotlin/plantainturn/relay/request/CrashTrackerTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/request/CrashTrackerTest.kt
@@ -1,11 +1,15 @@
 package plantainturn.relay.request
 
+import kotlinx.collections.immutable.persistentListOf
 import org.junit.jupiter.api.Test
+import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.process.time.Moment
 import plantainturn.process.time.VirtualTimerService
 import plantainturn.relay.InstanceSamples
-import plantainturn.request.quarantine.QuarantineRegister
+import plantainturn.request.quarantine.CrashAttribution
+import plantainturn.request.quarantine.RequestBreak
 import plantainturn.request.quarantine.RequestFingerprint
+import plantainturn.request.quarantine.RequestTraits
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
@@ -14,17 +18,18 @@
 class CrashTrackerTest {
     private val timer = VirtualTimerService()
     private val published = mutableListOf<String>()
+    private val withdrawn = mutableListOf<String>()
     private var answeredSendAt: Moment? = null
-    private val register = QuarantineRegister(timer)
-    private val tracker =
-        CrashTracker(register, { _, evidence -> published += evidence.upstream.value }, timer) { _, moment ->
-            answeredSendAt?.let { it > moment } ?: false
-        }
+    private var heardAt: Moment? = null
+    private val attribution = CrashAttribution(timer)
+    private val tracker = CrashTracker(attribution, Publisher(), timer, Signs()) { 0 }
     private val fingerprint = RequestFingerprint(1)
+    private val traits = RequestTraits(fingerprint)
+    private val part = RequestFingerprint(9)
 
     @Test
     fun `a break is published unless the instance answers a request that was sent afterwards`() {
-        tracker.broke(fingerprint, instance(1))
+        tracker.broke(traits, instance(1))
         assertTrue(tracker.brokeAt(fingerprint, instance(1)))
         timer.advance(2.seconds)
         assertEquals(listOf("server-1"), published)
@@ -33,7 +38,7 @@
 
     @Test
     fun `an answer to a request that was sent afterwards withdraws a break`() {
-        tracker.broke(fingerprint, instance(1))
+        tracker.broke(traits, instance(1))
         timer.advance(0.1.seconds)
         answeredSendAt = timer.now()
         timer.advance(2.seconds)
@@ -44,18 +49,84 @@
     @Test
     fun `an answer to a request that was sent before does not withdraw a break`() {
         answeredSendAt = timer.now()
-        tracker.broke(fingerprint, instance(1))
+        tracker.broke(traits, instance(1))
         timer.advance(2.seconds)
         assertEquals(listOf("server-1"), published)
     }
 
     @Test
     fun `a further break is published at once and only once for each instance run`() {
-        tracker.broke(fingerprint, instance(1))
-        tracker.broke(fingerprint, instance(2))
-        tracker.broke(fingerprint, instance(2))
+        tracker.broke(traits, instance(1))
+        tracker.broke(traits, instance(2))
+        tracker.broke(traits, instance(2))
         assertEquals(listOf("server-2"), published)
     }
 
+    @Test
+    fun `a break of a request with a part that was never answered is published at once, and withdrawn if it survived`() {
+        tracker.broke(traitsWithPart(1), instance(1))
+        assertEquals(listOf("server-1"), published)
+        timer.advance(0.1.seconds)
+        answeredSendAt = timer.now()
+        timer.advance(2.seconds)
+        assertEquals(listOf("server-1"), withdrawn)
+    }
+
+    @Test
+    fun `a missing answer counts against a part only if the instance is silent to all requests`() {
+        heardAt = timer.now() + 10.seconds
+        (1..3).forEach { tracker.silent(traitsWithPart(it), instance(it)) }
+        assertFalse(tracker.isBlocked(traitsWithPart(4)), "the instances were heard from")
+        heardAt = null
+        (1..3).forEach { tracker.silent(traitsWithPart(it), instance(it)) }
+        assertTrue(tracker.isBlocked(traitsWithPart(4)))
+    }
+
+    @Test
+    fun `an answer that ends with its connection clears a part only if the instance answers again`() {
+        repeat(2) { tracker.broke(traitsWithPart(it), instance(it)) }
+        tracker.answeredUntilClosed(traitsWithPart(2), instance(2))
+        timer.advance(2.seconds)
+        assertFalse(attribution.isAnswered(part))
+        answeredSendAt = timer.now() + 0.5.seconds
+        tracker.answeredUntilClosed(traitsWithPart(3), instance(3))
+        timer.advance(2.seconds)
+        assertTrue(attribution.isAnswered(part))
+    }
+
+    @Test
+    fun `an error that an instance answers says nothing about the parts of the prompt`() {
+        tracker.answered(traitsWithPart(1), instance(1), successful = false)
+        assertFalse(attribution.isAnswered(part))
+    }
+
+    private fun traitsWithPart(request: Int) = RequestTraits(RequestFingerprint(100L + request), persistentListOf(part))
+
+    private inner class Publisher : CrashEvidencePublisher {
+        override fun publish(noticed: RequestBreak) {
+            published += noticed.evidence.upstream.value
+        }
+
+        override fun withdraw(noticed: RequestBreak) {
+            withdrawn += noticed.evidence.upstream.value
+        }
+
+        override fun publishAnswered(parts: List<RequestFingerprint>) = Unit
+
+        override fun claimTrial(parts: List<RequestFingerprint>) = Unit
+    }
+
+    private inner class Signs : SignsOfLife {
+        override fun answeredSince(
+            instance: UpstreamInstance,
+            moment: Moment,
+        ): Boolean = answeredSendAt?.let { it > moment } ?: false
+
+        override fun heardSince(
+            instance: UpstreamInstance,
+            moment: Moment,
+        ): Boolean = heardAt?.let { it > moment } ?: false
+    }
+
     private fun instance(number: Int) = InstanceSamples.instance("server-$number")
 }
