Decide in one place what may follow a begun answer and whether it is complete

Callers got half an event with a complete stream when an engine ended within it by an orderly close, and a body of two servers' bytes when a long idempotent answer broke off. Both were judged by flags at several places (begun, streaming, repeatable).

CallerAnswer holds what has reached the caller, and says what may follow: any answer, the rest of a stream whose last event is numbered, or nothing. A stream that ends within an event, or with its connection before any event, has broken off.

--- a/relay/src/main/kotlin/plantainturn/relay/request/EventSplitter.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/EventSplitter.kt
@@ -19,9 +19,9 @@
     var lastIdentifier: String? = null
         private set
 
-    /** Whether the beginning of an incomplete event is buffered. */
-    val hasPartial: Boolean
-        get() = partial.isReadable
+    /** Whether the beginning of an incomplete event is buffered; empty lines alone are none. */
+    val isWithinEvent: Boolean
+        get() = partial.forEachByte { it == LINE_FEED || it == CARRIAGE_RETURN } >= 0
 
     /** Whether the incomplete event is larger than the maximum size of an event. */
     val exceedsMaximum: Boolean
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -179,8 +179,14 @@
         val answer = requireNotNull(head)
         val metadata = requireNotNull(this.metadata)
         val status = answer.status().code()
+        val incompleteness = if (isStreaming) exchange.incompleteness(this) else null
         when {
             metadata.notRun -> refused(metadata, status)
+            incompleteness != null -> {
+                failed(FailureKind.BROKEN)
+                context.metrics.onSend("broken")
+                exchange.onBroken(this, incompleteness)
+            }
             isStreaming -> {
                 succeeded(now)
                 exchange.onStreamEnd(this, answer)
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -1,9 +1,7 @@
 package plantainturn.relay.request
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.PooledByteBufAllocator
 import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import kotlinx.collections.immutable.toPersistentList
@@ -37,24 +35,22 @@
     val request: RelayRequest,
     val route: Route,
     private val service: ServiceDefinition,
-    private val reply: CallerReply,
+    reply: CallerReply,
     private val onEnd: () -> Unit,
 ) : CallerConnectionListener {
     private val arrivedAt = request.source.receivedAt
     private val deadline = arrivedAt + minOf(request.callerTimeout ?: route.timeout, route.timeout)
-    private val splitter = EventSplitter(PooledByteBufAllocator.DEFAULT)
+    private val answer = CallerAnswer(reply, route.repetition.streams)
     private val traits = traitsOf(request, service)
     private val placement = RelayPlacement(context, request, route, service, traits.request)
     private val avoided = LinkedHashSet<UpstreamName>()
     private val sentTo = HashSet<UpstreamName>()
     private val permitsDenied = HashSet<UpstreamName>()
     private var attempt: RelayAttempt? = null
-    private var fallback: BufferedAnswer? = null
     private var arrivals = 0
     private var runs = 0
     private var failedConnections = 0
     private var mayHaveRun = false
-    private var answerBegan = false
     private var ended = false
     private var waitingSince: Moment? = null
     private var waitLimit: ResidenceWaitLimit? = null
@@ -85,7 +81,7 @@
 
     /** Returns how much longer the caller waits for the beginning of the answer. */
     private fun timeLeftToBegin(): Duration {
-        if (answerBegan || !route.repetition.streams) return timeLeft()
+        if (answer.hasBegun || !route.repetition.streams) return timeLeft()
         return minOf(timeLeft(), arrivedAt + route.eventTimeout - context.timer.now())
     }
 
@@ -123,7 +119,7 @@
     }
 
     private fun timeBudget(): RequestTimeBudget {
-        val objectiveLeft = if (answerBegan) Duration.ZERO else arrivedAt + route.objective - context.timer.now()
+        val objectiveLeft = if (answer.hasBegun) Duration.ZERO else arrivedAt + route.objective - context.timer.now()
         return RequestTimeBudget(objectiveLeft, timeLeftToBegin(), maximumRetryAfter())
     }
 
@@ -177,7 +173,7 @@
         stopWaiting()
         arrivals += 1
         val rank = if (request.demand == null) null else decision.rank
-        val parameters = SendParameters(instance.name, timeLeft(), rank, splitter.lastIdentifier ?: request.resumeAfter)
+        val parameters = SendParameters(instance.name, timeLeft(), rank, answer.lastEvent ?: request.resumeAfter)
         val work = placement.workAt(instance.name)
         val newAttempt = RelayAttempt(context, this, instance, parameters, work, decision)
         attempt = newAttempt
@@ -418,18 +414,19 @@
             repeatOrGiveUp("status=$status without proof that the request did not run")
             return
         }
-        val answer = BufferedAnswer(status, context.dialect.callerHeaders(head), body)
+        val buffered = BufferedAnswer(status, context.dialect.callerHeaders(head), body)
         val failed = status >= RequestLimits.FIRST_SERVER_FAILURE && route.repetition.repeatable
-        if (failed && !answerBegan && canTryElsewhere()) {
-            fallback?.body?.release()
-            fallback = answer
-            context.eventLog.record(request.identifier, "failed", "$from status=$status")
-            dispatch()
-        } else if (answerBegan) {
-            body.release()
-            abortAnswer("status=$status when the stream was resumed")
-        } else {
-            deliver(answer, "$from")
+        when {
+            answer.continuation != AnswerContinuation.ANY_ANSWER -> {
+                body.release()
+                abortAnswer("status=$status when the stream was resumed")
+            }
+            failed && canTryElsewhere() -> {
+                answer.keep(buffered)
+                context.eventLog.record(request.identifier, "failed", "$from status=$status")
+                dispatch()
+            }
+            else -> deliver(buffered, "$from")
         }
     }
 
@@ -464,32 +461,30 @@
         head: HttpResponse,
         content: ByteBuf,
     ) {
-        val whole = if (route.repetition.streams) splitter.add(content) else content.retainedSlice()
-        if (splitter.exceedsMaximum) {
+        val whole = answer.takeComplete(content)
+        if (answer.exceedsMaximum) {
             whole?.release()
             from.onBroken("event exceeds the maximum size")
             return
         }
         if (whole == null) return
-        if (!answerBegan) {
-            answerBegan = true
+        if (!answer.hasBegun) {
             context.metrics.onFirstByte(context.timer.now() - arrivedAt)
-            val length =
-                HttpUtil.getContentLength(head, RequestLimits.UNKNOWN_LENGTH).takeIf {
-                    it >= 0 &&
-                        !route.repetition.streams
-                }
-            reply.begin(head.status().code(), context.dialect.callerHeaders(head), length)
+            val length = HttpUtil.getContentLength(head, RequestLimits.UNKNOWN_LENGTH).takeIf { it >= 0 }
+            answer.begin(head.status().code(), context.dialect.callerHeaders(head), length)
             context.eventLog.record(
                 request.identifier,
                 "first-event",
                 "$from after=${context.timer.now() - arrivedAt}",
             )
         }
-        reply.write(whole)
-        if (!reply.isWritable) from.setReading(false)
+        answer.write(whole)
+        if (!answer.isWritable) from.setReading(false)
     }
 
+    /** Returns why a streamed answer that the instance has ended is not complete, or null if it is. */
+    fun incompleteness(from: RelayAttempt): String? = answer.incompleteness(from.isDelimited)
+
     /** Handles the complete end of a streamed answer. */
     fun onStreamEnd(
         from: RelayAttempt,
@@ -498,9 +493,8 @@
         onAnswered(from, successful = true)
         attempt = null
         context.metrics.onSend("answered")
-        splitter.takePartial()?.let(reply::write)
-        if (!answerBegan) reply.begin(RequestLimits.OK, context.dialect.callerHeaders(head), null)
-        reply.finish()
+        if (!answer.hasBegun) answer.begin(RequestLimits.OK, context.dialect.callerHeaders(head), null)
+        answer.finish()
         end(ResultCode.ANSWERED, RequestLimits.OK, "$from")
     }
 
@@ -517,22 +511,22 @@
         broken: RelayAttempt,
         reason: String,
     ) {
-        context.eventLog.record(request.identifier, "broken", "$broken reason=\"$reason\" began=$answerBegan")
+        context.eventLog.record(
+            request.identifier,
+            "broken",
+            "$broken reason=\"$reason\" began=${answer.hasBegun} continuation=${answer.continuation}",
+        )
         attempt = null
         runs += 1
         mayHaveRun = true
         avoided += broken.instance.name
-        splitter.discardPartial()
-        if (ended) return
-        when {
-            answerBegan && route.repetition.repeatable && canTryElsewhere() -> dispatch()
-            answerBegan -> abortAnswer(reason)
-            else -> repeatOrGiveUp(reason)
-        }
+        answer.discardPartial()
+        if (!ended) repeatOrGiveUp(reason)
     }
 
     private fun repeatOrGiveUp(reason: String) {
-        if (route.repetition.repeatable && canTryElsewhere()) {
+        val mayContinue = answer.continuation != AnswerContinuation.NOTHING
+        if (mayContinue && route.repetition.repeatable && canTryElsewhere()) {
             dispatch()
         } else {
             giveUp(ResultCode.OUTCOME_UNKNOWN, ResultCode.OUTCOME_UNKNOWN, "reason=\"$reason\"")
@@ -565,16 +559,12 @@
         running?.let(::cancel)
         attempt = null
         if (sent) mayHaveRun = true
-        if (answerBegan) {
-            abortAnswer("the deadline passed")
-        } else {
-            giveUp(
-                ResultCode.DEADLINE_PASSED_IN_QUEUE,
-                ResultCode.DEADLINE_PASSED,
-                "sent=$sent",
-                RequestLimits.DEADLINE_RETRY_AFTER,
-            )
-        }
+        giveUp(
+            ResultCode.DEADLINE_PASSED_IN_QUEUE,
+            ResultCode.DEADLINE_PASSED,
+            "deadline=passed sent=$sent",
+            RequestLimits.DEADLINE_RETRY_AFTER,
+        )
     }
 
     /**
@@ -590,44 +580,31 @@
         retryAfter: Duration? = null,
     ) {
         if (ended) return
-        val ready = fallback
+        val ready = answer.takeKept()
         when {
-            ready != null && !answerBegan -> deliver(ready, "kept=true $details")
-            answerBegan -> abortAnswer(details)
+            ready != null -> deliver(ready, "kept=true $details")
+            answer.hasBegun -> abortAnswer(details)
             else -> {
                 val code = if (mayHaveRun && notRun.outcome == Outcome.NOT_RUN) otherwise else notRun
                 val wait = retryAfter.takeIf { code.outcome == Outcome.NOT_RUN }
-                reply.send(
-                    code.httpStatus,
-                    context.dialect.ownHeaders(request.identifier, code, wait),
-                    Unpooled.EMPTY_BUFFER,
-                )
+                val headers = context.dialect.ownHeaders(request.identifier, code, wait)
+                answer.send(BufferedAnswer(code.httpStatus, headers, Unpooled.EMPTY_BUFFER))
                 end(code, code.httpStatus, "$details comeBackAfter=$wait")
             }
         }
     }
 
     private fun deliver(
-        answer: BufferedAnswer,
+        buffered: BufferedAnswer,
         details: String,
     ) {
-        fallback = null
-        reply.send(answer.status, answer.headers, answer.body)
-        end(
-            if (answer.status <
-                RequestLimits.FIRST_SERVER_FAILURE
-            ) {
-                ResultCode.ANSWERED
-            } else {
-                ResultCode.UPSTREAM_FAILED
-            },
-            answer.status,
-            details,
-        )
+        answer.send(buffered)
+        val failed = buffered.status >= RequestLimits.FIRST_SERVER_FAILURE
+        end(if (failed) ResultCode.UPSTREAM_FAILED else ResultCode.ANSWERED, buffered.status, details)
     }
 
     private fun abortAnswer(reason: String) {
-        reply.abort()
+        answer.abort()
         end(ResultCode.STREAM_BROKEN, ResultCode.STREAM_BROKEN.httpStatus, "reason=\"$reason\"")
     }
 
@@ -635,7 +612,7 @@
         if (ended) return
         attempt?.let(::cancel)
         attempt = null
-        end(ResultCode.CANCELLED, ResultCode.CANCELLED.httpStatus, "arrivals=$arrivals began=$answerBegan")
+        end(ResultCode.CANCELLED, ResultCode.CANCELLED.httpStatus, "arrivals=$arrivals began=${answer.hasBegun}")
     }
 
     override fun onWritabilityChanged(writable: Boolean) {
@@ -651,9 +628,7 @@
         stopWaiting()
         timer?.cancel()
         watchdog?.cancel()
-        fallback?.body?.release()
-        fallback = null
-        splitter.discardPartial()
+        answer.release()
         request.source.body.release()
         val elapsed = context.timer.now() - arrivedAt
         context.metrics.onEnd(route.urgency, code, elapsed)
@@ -661,13 +636,6 @@
         onEnd()
     }
 
-    /** A complete answer of an instance. An error answer is kept in case the other instances fail too. */
-    private class BufferedAnswer(
-        val status: Int,
-        val headers: HttpHeaders,
-        val body: ByteBuf,
-    )
-
     private companion object {
         /** The last part of a prompt belongs to the request or its session alone. */
         fun traitsOf(
