--- a/library/src/main/kotlin/plantainturn/request/quarantine/CrashAttribution.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/CrashAttribution.kt
@@ -37,7 +37,10 @@
     public val blocked: Map<RequestFingerprint, Duration>
         get() {
             val now = timer.now()
-            return blockedCases.filter(::isBlocked).associateWith { requireNotNull(cases.getValue(it).blockedUntil) - now }
+            return blockedCases.filter(::isBlocked).associateWith {
+                requireNotNull(cases.getValue(it).blockedUntil) -
+                    now
+            }
         }
 
     /** Returns those of [traits] that are blocked, leaving out parts for which this node has claimed a trial. */
@@ -197,8 +200,7 @@
     private fun isBlocked(trait: RequestFingerprint): Boolean =
         cases[trait]?.blockedUntil?.let { it > timer.now() } ?: false
 
-    private fun mayTry(part: RequestFingerprint): Boolean =
-        cases[part]?.grantedUntil?.let { it > timer.now() } ?: false
+    private fun mayTry(part: RequestFingerprint): Boolean = cases[part]?.grantedUntil?.let { it > timer.now() } ?: false
 
     private fun block(
         trait: RequestFingerprint,
@@ -247,9 +249,10 @@
         if (isAnswered(trait) || trait !in cases) return 0
         val broken = unexplained(trait).map { it.evidence }
         if (broken.isEmpty()) return 0
-        return (inFlight[trait]?.keys.orEmpty() + listOfNotNull(next)).fold(broken.distinct()) { runs, run ->
-            if (runs.any(run::isSameRun)) runs else runs + run
-        }.size
+        return (inFlight[trait]?.keys.orEmpty() + listOfNotNull(next))
+            .fold(broken.distinct()) { runs, run ->
+                if (runs.any(run::isSameRun)) runs else runs + run
+            }.size
     }
 
     private fun distinctRuns(breaks: List<RequestBreak>): List<CrashEvidence> =
--- a/relay/src/main/kotlin/plantainturn/relay/node/CrashEvidenceTopic.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/CrashEvidenceTopic.kt
@@ -80,8 +80,11 @@
         }
     }
 
-    override fun claimTrial(parts: List<RequestFingerprint>) {
-        if (claiming) return
+    override fun claimTrial(
+        parts: List<RequestFingerprint>,
+        done: () -> Unit,
+    ): Boolean {
+        if (claiming) return false
         claiming = true
         val claims =
             parts.map { CrashEvidenceRecord(it, wallClock(), trial = attribution.nextTrialOf(it)) }
@@ -91,7 +94,9 @@
                 claims.forEach { attribution.onTrialClaimed(it.fingerprint, it.trial, own = true) }
             }
             timer.schedule(RETRY_DELAY) { claiming = false }
+            done()
         }
+        return true
     }
 
     override fun onWhole(records: List<KeyedRecord>) {
--- a/relay/src/main/kotlin/plantainturn/relay/request/CrashEvidencePublisher.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CrashEvidencePublisher.kt
@@ -14,6 +14,13 @@
     /** Publishes that requests with each of the [parts] of a prompt were answered. */
     fun publishAnswered(parts: List<RequestFingerprint>)
 
-    /** Claims the next trial of each of the blocked [parts], unless another node claims it first. */
-    fun claimTrial(parts: List<RequestFingerprint>)
+    /**
+     * Claims the next trial of each of the blocked [parts], unless another node claims it first.
+     *
+     * Returns false if another claim is in progress. Otherwise calls [done] once the outcome is known.
+     */
+    fun claimTrial(
+        parts: List<RequestFingerprint>,
+        done: () -> Unit,
+    ): Boolean
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/CrashTracker.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CrashTracker.kt
@@ -2,7 +2,6 @@
 
 import org.apache.logging.log4j.LogManager
 import plantainturn.connection.roster.UpstreamInstance
-import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.request.quarantine.CrashAttribution
 import plantainturn.request.quarantine.CrashEvidence
@@ -34,16 +33,21 @@
 ) {
     private val logger = LogManager.getLogger("quarantine")
 
+    /** Returns whether a request with [traits] must not be sent to any instance. */
+    fun isBlocked(traits: RequestTraits): Boolean = attribution.isBlocked(traits)
+
     /**
-     * Returns whether a request with [traits] must not be sent to any instance.
+     * Claims the trial of the blocked parts of a request with [traits], if one is due and this node claims no other.
      *
-     * If only parts of its prompt are blocked and they are due for a trial, claims that for a later request.
+     * Returns whether it does. Then calls [done] once the outcome is known; the request is no longer blocked if it may
+     * be sent.
      */
-    fun isBlocked(traits: RequestTraits): Boolean {
-        if (!attribution.isBlocked(traits)) return false
+    fun claimTrial(
+        traits: RequestTraits,
+        done: () -> Unit,
+    ): Boolean {
         val due = attribution.trialsDue(traits)
-        if (due.isNotEmpty()) publisher.claimTrial(due)
-        return true
+        return due.isNotEmpty() && publisher.claimTrial(due, done)
     }
 
     /** Returns what is known against [traits] as `name=value` pairs for the log. */
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -107,6 +107,7 @@
             return
         }
         if (context.crashes.isBlocked(traits)) {
+            if (context.crashes.claimTrial(traits) { dispatch() }) return
             val details = context.crashes.describe(traits)
             giveUp(ResultCode.QUARANTINED, ResultCode.OUTCOME_UNKNOWN, details, maximumRetryAfter())
             return
--- a/relay/src/test/kotlin/plantainturn/relay/node/CrashEvidenceSample.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/CrashEvidenceSample.kt
@@ -9,6 +9,7 @@
 import plantainturn.relay.request.SignsOfLife
 import plantainturn.request.quarantine.CrashAttribution
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -21,6 +22,7 @@
     store: InMemoryRecordStore,
     private val timer: TimerService,
     random: Random = Random(1),
+    readPause: Duration = 200.milliseconds,
     skewMilliseconds: () -> Long,
 ) {
     private val wallClock = { WALL_CLOCK_START + timer.now().nanoseconds / 1_000_000 + skewMilliseconds() }
@@ -28,7 +30,7 @@
     val topic: CrashEvidenceTopic =
         CrashEvidenceTopic(store, attribution, timer, random, { follower.end }, wallClock)
     val follower: TopicFollower =
-        TopicFollower(store, CrashEvidenceTopic.NAME, topic, timer) { ReadPace(2.seconds, 200.milliseconds) }
+        TopicFollower(store, CrashEvidenceTopic.NAME, topic, timer) { ReadPace(2.seconds, readPause) }
 
     fun tracker(signs: SignsOfLife) = CrashTracker(attribution, topic, timer, signs, wallClock)
 
--- a/relay/src/test/kotlin/plantainturn/relay/request/CrashTrackerTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/request/CrashTrackerTest.kt
@@ -113,7 +113,10 @@
 
         override fun publishAnswered(parts: List<RequestFingerprint>) = Unit
 
-        override fun claimTrial(parts: List<RequestFingerprint>) = Unit
+        override fun claimTrial(
+            parts: List<RequestFingerprint>,
+            done: () -> Unit,
+        ): Boolean = false
     }
 
     private inner class Signs : SignsOfLife {
