--- a/library/src/main/kotlin/plantainturn/request/quarantine/CrashAttribution.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/CrashAttribution.kt
@@ -1,7 +1,6 @@
 package plantainturn.request.quarantine
 
 import org.apache.logging.log4j.LogManager
-import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -12,14 +11,14 @@
  * A trait is the request as a whole, or a part of its prompt that other requests may share. A break is evidence against
  * all traits of its request; a whole answer speaks for all parts of its prompt, since nothing that crashes upstreams is
  * ever answered.
- * - The request as a whole is blocked after breaks at [MAXIMUM_BREAKS] runs. A part is too, if they are breaks of several
- *   requests and it was never answered.
+ * - The request as a whole is blocked after breaks at [MAXIMUM_BREAKS] runs. A part that was never answered is too, if
+ *   they are breaks of several requests.
  * - A part that was answered before is blocked after more breaks, at different times and with no answer in between.
  *   Such parts mostly break off beside the one to blame, or in an outage.
  * - Breaks at runs where a blocked trait broke off too count against no other trait.
  *
- * A trait that was never answered may put only [MAXIMUM_BREAKS] runs at risk at a time once it broke off. A blocked part
- * is tried again after a while, by one request of one node, so that a wrong attribution ends.
+ * A trait that was never answered may put only [MAXIMUM_BREAKS] runs at risk at a time once it broke off. A blocked
+ * part is tried again after a while, by one request of one node, so that a wrong attribution ends.
  *
  * Confined to one thread. Does no input or output: the caller shares breaks, answers and trials with the other nodes.
  */
@@ -107,12 +106,17 @@
             case.add(added, until)
             if (isBlocked(trait)) case.blockedUntil = now + settings.quarantineDuration
         }
-        val excessive = added.traits.all.filter { !isBlocked(it) && isExcessive(it, added.traits.request) }
-        excessive.filter { !isAnswered(it) }.ifEmpty { excessive }.forEach { block(it, now) }
+        attribute(added.traits)
         evict()
         return true
     }
 
+    /** Blocks those of [traits] that have too many breaks now. */
+    private fun attribute(traits: RequestTraits) {
+        val excessive = traits.all.filter { !isBlocked(it) && isExcessive(it, traits.request) }
+        excessive.filter { !isAnswered(it) }.ifEmpty { excessive }.forEach(::block)
+    }
+
     /** Withdraws the break of [request] at the run of [evidence], which lived on. */
     public fun onSurvived(
         request: RequestFingerprint,
@@ -145,20 +149,30 @@
         }
     }
 
-    /** Records that a request with [part] got a whole answer here or at another node. */
+    /**
+     * Records that a request with [part] got a whole answer here or at another node.
+     *
+     * If the part was blocked, its breaks are attributed to other traits of their requests.
+     */
     public fun onPartAnswered(part: RequestFingerprint) {
         rememberAnswered(part)
         val case = drop(part) ?: return
-        if (case.blockedUntil != null) logger.info("fingerprint={} event=unblocked trials={}", part, case.trials)
+        if (case.blockedUntil == null) return
+        logger.info("fingerprint={} event=unblocked trials={}", part, case.trials)
+        case.breaks(timer.now()).forEach { attribute(it.traits) }
     }
 
     /** Returns the blocked parts of [traits] if a trial of a request with them is due, otherwise an empty list. */
     public fun trialsDue(traits: RequestTraits): List<RequestFingerprint> {
         val blocked = blockedTraitsOf(traits)
-        val due = blocked.all { it != traits.request && cases.getValue(it).trialAt <= timer.now() }
+        val suspects = traits.parts.count { isBlocked(it) || !isAnswered(it) && hasBreaks(it) }
+        val delay = if (suspects > 1) settings.mixedTrialDelay else Duration.ZERO
+        val due = blocked.all { it != traits.request && cases.getValue(it).trialAt + delay <= timer.now() }
         return if (due) blocked else emptyList()
     }
 
+    private fun hasBreaks(trait: RequestFingerprint): Boolean = cases[trait]?.breaks(timer.now())?.isNotEmpty() ?: false
+
     /** Returns the number that the next trial of [part] has. */
     public fun nextTrialOf(part: RequestFingerprint): Int = (cases[part]?.trials ?: 0) + 1
 
@@ -192,8 +206,9 @@
             .any { it.evidence == added.evidence && it.traits.request == added.traits.request }
 
     private fun trialDelay(trials: Int): Duration {
-        var delay = settings.firstTrialDelay
-        repeat(minOf(trials, MAXIMUM_DOUBLINGS)) { delay *= settings.trialBackoff }
+        if (trials == 0) return settings.firstTrialDelay
+        var delay = settings.laterTrialDelay
+        repeat(minOf(trials - 1, MOST_EXTENSIONS)) { delay *= settings.trialBackoff }
         return delay
     }
 
@@ -202,20 +217,18 @@
 
     private fun mayTry(part: RequestFingerprint): Boolean = cases[part]?.grantedUntil?.let { it > timer.now() } ?: false
 
-    private fun block(
-        trait: RequestFingerprint,
-        now: Moment,
-    ) {
+    private fun block(trait: RequestFingerprint) {
+        val now = timer.now()
         val case = cases.getValue(trait)
         blockedCases += trait
         case.blockedUntil = now + settings.quarantineDuration
         case.trials = 0
-        case.trialAt = now + settings.firstTrialDelay
+        case.trialAt = now + trialDelay(0)
         val runs = distinctRuns(case.breaks(now))
         logger.info("fingerprint={} event=blocked answered={} breaks={}", trait, isAnswered(trait), runs)
     }
 
-    /** Returns whether the breaks of [trait] that nothing else explains are too many; [request] is the latest of them. */
+    /** Returns whether [trait] has too many breaks that nothing else explains, the latest one of [request]. */
     private fun isExcessive(
         trait: RequestFingerprint,
         request: RequestFingerprint,
@@ -241,7 +254,7 @@
         return breaks.filter { unexplained -> explained.none(unexplained.evidence::isSameRun) }
     }
 
-    /** Returns how many runs [trait] puts at risk, with [next] if it is given: those it broke off at and those in use. */
+    /** Returns how many runs [trait] puts at risk: those where it broke off or is in flight, and [next] if given. */
     private fun atRisk(
         trait: RequestFingerprint,
         next: CrashEvidence?,
@@ -298,7 +311,7 @@
         /** With one break fewer, no node is close to blocking the part. */
         private const val BREAKS_WORTH_TELLING = 2
 
-        private const val MAXIMUM_DOUBLINGS = 6
+        private const val MOST_EXTENSIONS = 6
 
         /** How long a node may wait for a request with which to make the trial that it claimed. */
         private val TRIAL_DURATION = 10.seconds
--- a/library/src/main/kotlin/plantainturn/request/quarantine/RequestFingerprint.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/RequestFingerprint.kt
@@ -7,8 +7,10 @@
 import java.security.MessageDigest
 
 /**
- * A digest by which a request is recognized: of what it asks of an upstream, which is equal if a caller sends the request
- * again, or of a part of its prompt, which other requests may share.
+ * A digest by which a request is recognized.
+ *
+ * It is of what the request asks of an upstream, and equal if a caller sends it again; or of a part of its prompt,
+ * which other requests may share.
  */
 @Serializable
 @JvmInline
--- a/relay/src/main/kotlin/plantainturn/relay/node/CrashEvidenceTopic.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/CrashEvidenceTopic.kt
@@ -28,8 +28,8 @@
  * parts of prompts that were answered nevertheless, and trials of blocked parts.
  *
  * Each break has a key of its own, so that writers do not conflict, and writing or reading a record twice has no
- * effect. A restarted node recovers the evidence from the topic. A trial is claimed by an append at the known end of the
- * topic, so that only one node makes it.
+ * effect. A restarted node recovers the evidence from the topic. A trial is claimed by an append at the known end of
+ * the topic, so that only one node makes it.
  *
  * @param end returns where the topic ended when it was last read
  * @param wallClock returns Unix milliseconds; used only for the age of records
--- a/relay/src/main/kotlin/plantainturn/relay/request/CallerAnswer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CallerAnswer.kt
@@ -8,8 +8,8 @@
 /**
  * The answer to one request, as its caller receives it. It may be composed of the answers of several instances.
  *
- * Decides what may follow what was sent so far ([continuation]) and whether an answer that an instance ended is complete
- * ([incompleteness]). An answer that can't be completed is aborted, so that the caller sees that it is incomplete.
+ * Decides what may follow what was sent so far ([continuation]), and whether an answer that an instance ended is
+ * complete ([incompleteness]). One that can't be completed is aborted, so that the caller sees that it is incomplete.
  *
  * @param isEventStream whether the answer is a stream of events, of which only complete ones are sent
  */
@@ -53,7 +53,8 @@
     /**
      * Begins an answer that is sent in parts.
      *
-     * @param length the number of bytes of the body, null if it is unknown; ignored for a stream, which may be continued
+     * @param length the number of bytes of the body, null if it is unknown; not stated for a stream, which may be
+     *   continued by another instance
      */
     fun begin(
         status: Int,
@@ -70,8 +71,8 @@
     /**
      * Returns why the answer is not complete although the instance ended it, or null if it is.
      *
-     * @param delimited whether the end was marked by the answer's length or its last chunk, and not only by the end of the
-     *   connection, as after a crash
+     * @param delimited whether the end was marked by the answer's length or its last chunk, and not only by the end of
+     *   the connection, as after a crash
      */
     fun incompleteness(delimited: Boolean): String? =
         when {
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -55,7 +55,7 @@
     var isStreaming: Boolean = false
         private set
 
-    /** Whether the end of the answer is marked by its length or by chunks, and not only by the end of the connection. */
+    /** Whether the end of the answer is marked by its length or by chunks, not only by the end of the connection. */
     var isDelimited: Boolean = false
         private set
 
--- a/relay/src/test/kotlin/plantainturn/relay/node/PromptPartCrashSimulation.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/PromptPartCrashSimulation.kt
@@ -14,8 +14,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Simulates nodes without an issuer and servers that crash on requests with certain parts in their prompts, beside other
- * requests. No two requests are alike. All requests that run at a server break off when it crashes.
+ * Simulates nodes without an issuer, and servers that crash on requests with certain parts in their prompts.
+ *
+ * No two requests are alike. All requests that run at a server break off when it crashes.
  *
  * @param nodeCount number of nodes
  * @param readPause how long nodes rest between two readings of the topic
@@ -62,7 +63,7 @@
         private var generation = 0L
         val running = ArrayList<() -> Unit>()
         var downUntil = Moment.ORIGIN
-        var instance = create()
+        var instance: UpstreamInstance = create()
 
         val isUp: Boolean
             get() = downUntil <= timer.now()
@@ -87,6 +88,9 @@
     /** The store that the nodes share. */
     val store = InMemoryRecordStore(timer)
 
+    /** The longest time that an answer takes. */
+    var longestAnswer = 500.milliseconds
+
     /** Parts that crash each server that answers a request with them. */
     val fatal = HashSet<RequestFingerprint>()
 
@@ -139,7 +143,16 @@
         }
         server.running += onCrash
         val crashes = traits.parts.any { it in fatal }
-        val duration = if (crashes) TIME_TO_CRASH else random.nextLong(50, 500).milliseconds
+        val duration =
+            if (crashes) {
+                TIME_TO_CRASH
+            } else {
+                random
+                    .nextLong(
+                        50,
+                        longestAnswer.inWholeMilliseconds,
+                    ).milliseconds
+            }
         timer.schedule(duration) {
             if (onCrash !in server.running) return@schedule
             if (crashes) {
--- a/relay/src/test/kotlin/plantainturn/relay/node/PromptPartCrashSimulationTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/PromptPartCrashSimulationTest.kt
@@ -5,6 +5,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Guards against issue 33: prompt parts that crash servers must be stopped at every node, and sound requests that share
@@ -66,6 +67,16 @@
         }
     }
 
+    @Test
+    fun `a part is told from its neighbours although no request was answered before`() {
+        for (soundPeriod in listOf(2, 5, 10)) {
+            assertStopped(fatal = listOf("bad"), from = 0, soundPeriod = soundPeriod) { step ->
+                if (step == 0) longestAnswer = 3.seconds
+                if (step % 3 == 0) send("shared", "bad")
+            }
+        }
+    }
+
     @Test
     fun `a part is stopped that was answered until then`() {
         for (seed in 0 until SEEDS) {
@@ -126,12 +137,14 @@
         assertEquals(2, sends.last() - sends.first(), "trials after one and after five minutes: $sends")
     }
 
-    /** Sends sound requests that share a part with those that [fault] sends from the tenth second on. */
+    /** Sends sound requests that share a part with those that [fault] sends, from the step [from] on. */
     private fun assertStopped(
         fatal: List<String>,
         seeds: Int = SEEDS,
         nodes: Int = 8,
         readPauseMilliseconds: Int = 500,
+        from: Int = 100,
+        soundPeriod: Int = 1,
         fault: PromptPartCrashSimulation.(Int) -> Unit,
     ) {
         for (seed in 0 until seeds) {
@@ -139,8 +152,10 @@
             fatal.forEach { simulation.fatal += simulation.part(it) }
             val judged = Judged()
             simulation.run(SECONDS) { step ->
-                if (step > 100) simulation.fault(step)
-                simulation.send("shared", "common-${step % 3}") { if (step > 250) judged.onDone(it) }
+                if (step >= from) simulation.fault(step)
+                if (step % soundPeriod == 0) {
+                    simulation.send("shared", "common-${step % 3}") { if (step > 250) judged.onDone(it) }
+                }
             }
             for (part in fatal) {
                 val late = simulation.lateSends(part)
--- a/relay/src/test/kotlin/plantainturn/relay/request/CrashTrackerTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/request/CrashTrackerTest.kt
@@ -63,7 +63,7 @@
     }
 
     @Test
-    fun `a break of a request with a part that was never answered is published at once, and withdrawn if it survived`() {
+    fun `a break of a request with a part that was never answered is published at once, and withdrawn later`() {
         tracker.broke(traitsWithPart(1), instance(1))
         assertEquals(listOf("server-1"), published)
         timer.advance(0.1.seconds)
