--- a/relay/src/test/kotlin/plantainturn/relay/node/PromptPartCrashSimulationTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/PromptPartCrashSimulationTest.kt
@@ -61,9 +61,11 @@
     @Test
     fun `a part is stopped at 95 and at 330 nodes that hear late`() {
         for (nodes in listOf(95, 330)) {
-            assertStopped(fatal = listOf("bad"), seeds = 3, nodes = nodes, readPauseMilliseconds = 1_300) { step ->
-                if (step % 5 == 0) send("shared", "bad")
-            }
+            assertStopped(
+                fatal = listOf("bad"),
+                seeds = 3,
+                create = { PromptPartCrashSimulation(it, nodes, readPause = 1_300.milliseconds) },
+            ) { step -> if (step % 5 == 0) send("shared", "bad") }
         }
     }
 
@@ -141,14 +143,13 @@
     private fun assertStopped(
         fatal: List<String>,
         seeds: Int = SEEDS,
-        nodes: Int = 8,
-        readPauseMilliseconds: Int = 500,
+        create: (Random) -> PromptPartCrashSimulation = { PromptPartCrashSimulation(it) },
         from: Int = 100,
         soundPeriod: Int = 1,
         fault: PromptPartCrashSimulation.(Int) -> Unit,
     ) {
         for (seed in 0 until seeds) {
-            val simulation = PromptPartCrashSimulation(Random(seed), nodes, readPauseMilliseconds.milliseconds)
+            val simulation = create(Random(seed))
             fatal.forEach { simulation.fatal += simulation.part(it) }
             val judged = Judged()
             simulation.run(SECONDS) { step ->
