Bound the parts of a prompt that crashes are attributed to

A header of eight kilobytes may name hundreds of parts. Records of 500 such breaks would be more than the store takes in one call, and be refused again and again with all that wait behind them.

--- a/library/src/main/kotlin/plantainturn/request/quarantine/CrashAttribution.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/CrashAttribution.kt
@@ -9,8 +9,8 @@
  * Attributes crashes of upstream runs to traits of the requests that ran there, and blocks requests with such traits.
  *
  * A trait is the request as a whole, or a part of its prompt that other requests may share. A break is evidence against
- * all traits of its request; a whole answer speaks for all parts of its prompt, since nothing that crashes upstreams is
- * ever answered.
+ * all traits of its request; a whole answer speaks for all parts of its prompt, since one that crashes upstreams is not
+ * answered.
  * - The request as a whole is blocked after breaks at [MAXIMUM_BREAKS] runs. A part that was never answered is too, if
  *   they are breaks of several requests.
  * - A part that was answered before is blocked after more breaks, at different times and with no answer in between.
@@ -36,10 +36,9 @@
     public val blocked: Map<RequestFingerprint, Duration>
         get() {
             val now = timer.now()
-            return blockedCases.filter(::isBlocked).associateWith {
-                requireNotNull(cases.getValue(it).blockedUntil) -
-                    now
-            }
+            return blockedCases
+                .associateWith { (cases.getValue(it).blockedUntil ?: now) - now }
+                .filterValues { it.isPositive() }
         }
 
     /** Returns those of [traits] that are blocked, leaving out parts for which this node has claimed a trial. */
@@ -171,8 +170,6 @@
         return if (due) blocked else emptyList()
     }
 
-    private fun hasBreaks(trait: RequestFingerprint): Boolean = cases[trait]?.breaks(timer.now())?.isNotEmpty() ?: false
-
     /** Returns the number that the next trial of [part] has. */
     public fun nextTrialOf(part: RequestFingerprint): Int = (cases[part]?.trials ?: 0) + 1
 
@@ -205,6 +202,8 @@
             .orEmpty()
             .any { it.evidence == added.evidence && it.traits.request == added.traits.request }
 
+    private fun hasBreaks(trait: RequestFingerprint): Boolean = cases[trait]?.breaks(timer.now())?.isNotEmpty() ?: false
+
     private fun trialDelay(trials: Int): Duration {
         if (trials == 0) return settings.firstTrialDelay
         var delay = settings.laterTrialDelay
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -651,7 +651,8 @@
                     ?.parts
                     .orEmpty()
                     .dropLast(1)
-            val parts = shared.map { RequestFingerprint.ofPart(service.name, it.identifier) }
+            val bounded = shared.take(RequestLimits.MAXIMUM_TRAIT_PARTS)
+            val parts = bounded.map { RequestFingerprint.ofPart(service.name, it.identifier) }
             return RequestTraits(fingerprint, parts.toPersistentList())
         }
     }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
@@ -23,6 +23,12 @@
     /** Maximum sends of one request, including refused ones; a platform's services have few instances. */
     const val MAXIMUM_ARRIVALS = 4
 
+    /**
+     * Parts of a prompt that crashes may be attributed to. With the names of more, the records of one write could be
+     * larger than a platform's store accepts in a call.
+     */
+    const val MAXIMUM_TRAIT_PARTS = 64
+
     /** Less than a round trip plus the shortest work; a send with less time left is useless. */
     val MINIMUM_USEFUL_TIME = 10.milliseconds
 
