Log the era of the store with each position

Readings, ends and grants in the logs, and the dump, name the era that the store's answer told. What is decided is as before: offsets are compared alone.

--- a/library/src/main/kotlin/plantainturn/connection/store/RecordStore.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/RecordStore.kt
@@ -13,13 +13,14 @@
     /**
      * Appends a record for [key].
      *
-     * @param at if given, the record is appended only if the topic ends there
+     * @param at if given, the record is appended only if the topic ends there; should the store append it in another
+     *   era, the result is [StoreAppendResult.Unknown]
      */
     public fun append(
         topic: TopicName,
         key: String,
         value: ByteArray,
-        at: LogOffset?,
+        at: StorePosition?,
         done: (StoreAppendResult) -> Unit,
     ): Unit = appendAll(topic, listOf(KeyedValue(key, value)), at, done)
 
@@ -27,7 +28,7 @@
     public fun appendAll(
         topic: TopicName,
         records: List<KeyedValue>,
-        at: LogOffset?,
+        at: StorePosition?,
         done: (StoreAppendResult) -> Unit,
     )
 
--- a/library/src/main/kotlin/plantainturn/connection/store/RecordsSince.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/RecordsSince.kt
@@ -1,14 +1,12 @@
 package plantainturn.connection.store
 
-import plantainturn.connection.log.LogOffset
-
 /**
  * The records of a topic from [from] on up to [next], without a gap.
  *
  * @property next where the topic ended when they were read
  */
 public data class RecordsSince(
-    val from: LogOffset,
+    val from: StorePosition,
     val records: List<KeyedRecord>,
-    val next: LogOffset,
+    val next: StorePosition,
 )
--- a/library/src/main/kotlin/plantainturn/connection/store/StoreAppendResult.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/StoreAppendResult.kt
@@ -1,17 +1,15 @@
 package plantainturn.connection.store
 
-import plantainturn.connection.log.LogOffset
-
 /** What became of an append to the store. */
 public sealed interface StoreAppendResult {
-    /** The record stands at [offset]. */
+    /** The first record stands at [position]. */
     public data class Appended(
-        val offset: LogOffset,
+        val position: StorePosition,
     ) : StoreAppendResult
 
     /** Nothing was appended, because the topic ends at [end] and not where the caller expected. */
     public data class Conflict(
-        val end: LogOffset,
+        val end: StorePosition,
     ) : StoreAppendResult
 
     /** Nothing was appended, and nothing will be. */
--- a/library/src/main/kotlin/plantainturn/connection/store/StoreReadResult.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/StoreReadResult.kt
@@ -1,7 +1,5 @@
 package plantainturn.connection.store
 
-import plantainturn.connection.log.LogOffset
-
 /** What a read of the store gave. */
 public sealed interface StoreReadResult {
     /**
@@ -11,11 +9,13 @@
      */
     public data class Records(
         val records: List<KeyedRecord>,
-        val next: LogOffset,
+        val next: StorePosition,
     ) : StoreReadResult
 
     /** The requested records are no longer kept; read the newest record of each key instead. */
-    public data object Expired : StoreReadResult
+    public data class Expired(
+        val era: StoreEra,
+    ) : StoreReadResult
 
     /** There was no usable answer. */
     public data class Unavailable(
--- a/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
@@ -1,7 +1,6 @@
 package plantainturn.connection.store
 
 import org.apache.logging.log4j.LogManager
-import plantainturn.connection.log.LogOffset
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import kotlin.time.Duration
@@ -26,7 +25,7 @@
     private val pace: () -> ReadPace,
 ) {
     private val logger = LogManager.getLogger(TopicFollower::class.java)
-    private var known: LogOffset? = null
+    private var known: StorePosition? = null
     private var expired = false
     private var catchingUp = false
     private var hintedAt: Moment? = null
@@ -35,28 +34,29 @@
     private var readNumber = 0L
     private var resting = false
     private val recent = ArrayDeque<KeyedRecord>()
-    private var recentFrom: LogOffset? = null
+    private var recentFrom: StorePosition? = null
 
     /** When the store last answered a read, null if it has not. */
     public var heardAt: Moment? = null
         private set
 
-    /** Where the topic ended when it was last read; 0 before the first reading. */
-    public val end: LogOffset
-        get() = known ?: LogOffset.FIRST
+    /** Where the topic ended when it was last read; the first position before the first reading. */
+    public val end: StorePosition
+        get() = known ?: StorePosition.FIRST
 
     /** Returns the records from [from] on for a peer that has read up to there, null if too many have come since. */
-    public fun since(from: LogOffset): RecordsSince? {
+    public fun since(from: StorePosition): RecordsSince? {
         val next = known ?: return null
         val first = recentFrom ?: return null
-        if (from < first || from >= next) return null
-        return RecordsSince(from, recent.filter { it.offset >= from }, next)
+        if (from.offset < first.offset || from.offset >= next.offset) return null
+        return RecordsSince(from, recent.filter { it.offset >= from.offset }, next)
     }
 
     /** Takes over what a peer has read, if it follows what is known here. */
     public fun offer(offered: RecordsSince) {
         val before = known ?: return
-        if (offered.from <= before && offered.next > before) take(offered.records, offered.next, before)
+        val follows = offered.from.offset <= before.offset && offered.next.offset > before.offset
+        if (follows) take(offered.records, offered.next, before)
     }
 
     /** Begins to follow. */
@@ -66,9 +66,9 @@
      * Reads the newest records if the topic is known to end at [hinted], and the outstanding read has not told so
      * meanwhile.
      */
-    public fun catchUp(hinted: LogOffset) {
+    public fun catchUp(hinted: StorePosition) {
         val before = known
-        if (before == null || hinted <= before) {
+        if (before == null || hinted.offset <= before.offset) {
             hintedAt = null
             return
         }
@@ -90,7 +90,7 @@
         } else {
             val sent = timer.now()
             val longest = pace().wait
-            store.read(topic, from, longest) { if (number == readNumber) further(it, sent + longest) }
+            store.read(topic, from.offset, longest) { if (number == readNumber) further(it, sent + longest) }
             watch(number, sent)
         }
     }
@@ -129,23 +129,23 @@
 
     private fun take(
         records: List<KeyedRecord>,
-        next: LogOffset,
-        before: LogOffset,
+        next: StorePosition,
+        before: StorePosition,
     ) {
-        known = maxOf(before, next)
+        known = maxOf(before, next, compareBy { it.offset })
         for (record in records) {
-            if (record.offset >= before && listener.isNews(record)) {
+            if (record.offset >= before.offset && listener.isNews(record)) {
                 recent += record
                 listener.onRecord(record)
             }
         }
-        while (recent.size > RECENT) recentFrom = recent.removeFirst().offset.next()
+        while (recent.size > RECENT) recentFrom = next.copy(offset = recent.removeFirst().offset.next())
     }
 
     /** Takes over [result] unless it is older than what is known, as a reading of a lagging copy may be. */
     private fun takeWhole(result: StoreReadResult.Records): Boolean {
         val before = known
-        if (before != null && result.next < before) {
+        if (before != null && result.next.offset < before.offset) {
             logger.info("topic={} event=stale-reading known={} read={}", topic, before, result.next)
             return false
         }
@@ -168,8 +168,8 @@
                 take(result.records, result.next, end)
                 rest(timer.now())
             }
-            StoreReadResult.Expired -> {
-                logger.info("topic={} event=history-expired at={} action=read-newest", topic, known)
+            is StoreReadResult.Expired -> {
+                logger.info("topic={} event=history-expired at={} era={} action=read-newest", topic, known, result.era)
                 expired = true
                 readOn()
             }
--- a/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
@@ -5,10 +5,10 @@
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
 import plantainturn.connection.engine.FenceNumber
-import plantainturn.connection.log.LogOffset
 import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.RecordStore
 import plantainturn.connection.store.StoreAppendResult
+import plantainturn.connection.store.StorePosition
 import plantainturn.connection.store.StoreReadResult
 import plantainturn.connection.store.TopicName
 import plantainturn.process.time.Moment
@@ -147,7 +147,7 @@
             is StoreAppendResult.Appended -> {
                 val renewed =
                     current.copy(
-                        end = result.offset.next(),
+                        end = result.position.next(),
                         renewedAt = sentAt,
                         validUntil = sentAt + settings.term,
                         clockDifference = difference,
@@ -208,7 +208,7 @@
         holderRecord = record
         val before = observed
         observed =
-            if (before != null && before.end == result.next) {
+            if (before != null && before.end.offset == result.next.offset) {
                 before.copy(confirmed = true)
             } else {
                 Observation(
@@ -225,10 +225,10 @@
     private fun claim(seen: Observation) {
         val sentAt = timer.now()
         val difference = clockDifference()
-        val record = HolderRecord(holder.value, address, seen.end.value)
+        val record = HolderRecord(holder.value, address, seen.end.offset.value)
         append(record, seen.end) { result ->
             when (result) {
-                is StoreAppendResult.Appended -> granted(result.offset, seen, sentAt, difference)
+                is StoreAppendResult.Appended -> granted(result.position, seen, sentAt, difference)
                 is StoreAppendResult.Conflict, is StoreAppendResult.Unknown -> observed = null
                 is StoreAppendResult.Refused -> logger.debug("event=lease-claim-refused result={}", result)
             }
@@ -236,7 +236,7 @@
     }
 
     private fun granted(
-        offset: LogOffset,
+        position: StorePosition,
         seen: Observation,
         sentAt: Moment,
         difference: Long,
@@ -245,20 +245,26 @@
         val ordersFrom = maxOf(sentAt, seen.ordersFrom(settings))
         held =
             Held(
-                fence = FenceNumber(offset.value),
-                end = offset.next(),
+                fence = FenceNumber(position.offset.value),
+                end = position.next(),
                 renewedAt = sentAt,
                 validUntil = sentAt + settings.term,
                 ordersFrom = ordersFrom,
                 clockDifference = difference,
             )
-        holderRecord = HolderRecord(holder.value, address, offset.value)
-        logger.info("event=lease-granted fence={} previous={} ordersIn={}", offset, seen.record, ordersFrom - sentAt)
+        holderRecord = HolderRecord(holder.value, address, position.offset.value)
+        logger.info(
+            "event=lease-granted fence={} era={} previous={} ordersIn={}",
+            position.offset,
+            position.era,
+            seen.record,
+            ordersFrom - sentAt,
+        )
     }
 
     private fun append(
         record: HolderRecord,
-        at: LogOffset,
+        at: StorePosition,
         done: (StoreAppendResult) -> Unit,
     ) {
         callInProgress = true
@@ -298,7 +304,7 @@
 
     private data class Held(
         val fence: FenceNumber,
-        val end: LogOffset,
+        val end: StorePosition,
         val renewedAt: Moment,
         val validUntil: Moment,
         val ordersFrom: Moment,
@@ -306,7 +312,7 @@
     )
 
     private data class Observation(
-        val end: LogOffset,
+        val end: StorePosition,
         val record: HolderRecord?,
         val at: Moment,
         val confirmed: Boolean,
--- a/library/src/test/kotlin/plantainturn/connection/store/FakeRecordStore.kt
+++ b/library/src/test/kotlin/plantainturn/connection/store/FakeRecordStore.kt
@@ -28,7 +28,7 @@
     override fun appendAll(
         topic: TopicName,
         records: List<KeyedValue>,
-        at: LogOffset?,
+        at: StorePosition?,
         done: (StoreAppendResult) -> Unit,
     ) {
         val fate = fates.removeFirstOrNull() ?: Fate.PLAIN
@@ -54,7 +54,7 @@
         }
         timer.schedule(latency / 2) {
             val newest = records.associateBy { it.key }.values.toList()
-            val end = LogOffset(records.size.toLong())
+            val end = StorePosition(StoreEra.FIRST, LogOffset(records.size.toLong()))
             timer.schedule(latency / 2) { done(StoreReadResult.Records(newest, end)) }
         }
     }
@@ -76,16 +76,16 @@
                 done(StoreReadResult.Unavailable("time-out"))
             } else {
                 val now = records.drop(from.value.toInt())
-                done(StoreReadResult.Records(now, LogOffset(records.size.toLong())))
+                done(StoreReadResult.Records(now, StorePosition(StoreEra.FIRST, LogOffset(records.size.toLong()))))
             }
         }
     }
 
     private fun carryOut(
         added: List<KeyedValue>,
-        at: LogOffset?,
+        at: StorePosition?,
     ): StoreAppendResult {
-        val end = LogOffset(records.size.toLong())
+        val end = StorePosition(StoreEra.FIRST, LogOffset(records.size.toLong()))
         if (at != null && at != end) return StoreAppendResult.Conflict(end)
         added.forEach { records += KeyedRecord(it.key, it.value, LogOffset(records.size.toLong())) }
         return StoreAppendResult.Appended(end)
--- a/library/src/test/kotlin/plantainturn/connection/store/TopicFollowerTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/store/TopicFollowerTest.kt
@@ -42,10 +42,10 @@
         val other = follower(heard, restMilliseconds = 60_000)
         timer.advance(1.seconds)
 
-        other.offer(RecordsSince(LogOffset(2), listOf(KeyedRecord("c", ByteArray(1), LogOffset(2))), LogOffset(3)))
+        other.offer(RecordsSince(position(2), listOf(KeyedRecord("c", ByteArray(1), LogOffset(2))), position(3)))
 
         assertEquals(listOf("a"), heard)
-        assertEquals(LogOffset(1), other.end)
+        assertEquals(position(1), other.end)
     }
 
     /** Found by hamasaki-keg, trouble-3 of snapshot 2127b7ca: a configuration was in force 2.1 s after its writing. */
@@ -57,7 +57,7 @@
         val follower = follower(heard, restMilliseconds = 800)
         timer.advance(1.seconds)
         write("b")
-        val hinting = timer.subscribe(200.milliseconds) { follower.catchUp(LogOffset(2)) }
+        val hinting = timer.subscribe(200.milliseconds) { follower.catchUp(position(2)) }
         timer.advance(700.milliseconds)
         hinting.cancel()
 
@@ -82,6 +82,8 @@
         assertEquals(listOf("a", "b"), heard)
     }
 
+    private fun position(offset: Long) = StorePosition(StoreEra.FIRST, LogOffset(offset))
+
     private fun write(key: String) {
         store.records += KeyedRecord(key, ByteArray(1), LogOffset(store.records.size.toLong()))
     }
--- a/library/src/test/kotlin/plantainturn/connection/store/TopicNewsTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/store/TopicNewsTest.kt
@@ -31,7 +31,7 @@
         assertEquals(listOf("b=ready"), heard)
         val since = assertNotNull(follower.since(from), "a peer can still be told")
         assertEquals(listOf("b"), since.records.map { it.key })
-        assertEquals(LogOffset(602), since.next)
+        assertEquals(LogOffset(602), since.next.offset)
     }
 
     private fun write(
--- a/relay/src/main/kotlin/plantainturn/relay/node/CrashEvidenceTopic.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/CrashEvidenceTopic.kt
@@ -4,11 +4,11 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
-import plantainturn.connection.log.LogOffset
 import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.KeyedValue
 import plantainturn.connection.store.RecordStore
 import plantainturn.connection.store.StoreAppendResult
+import plantainturn.connection.store.StorePosition
 import plantainturn.connection.store.TopicListener
 import plantainturn.connection.store.TopicName
 import plantainturn.process.time.TimerService
@@ -39,7 +39,7 @@
     private val attribution: CrashAttribution,
     private val timer: TimerService,
     private val random: Random,
-    private val end: () -> LogOffset,
+    private val end: () -> StorePosition,
     private val wallClock: () -> Long,
 ) : TopicListener,
     CrashEvidencePublisher {
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import plantainturn.connection.roster.InstanceRoster
+import plantainturn.connection.store.StoreEra
 import plantainturn.process.control.lease.StoreLease
 import plantainturn.relay.request.FleetView
 import plantainturn.relay.request.InstanceLinks
@@ -21,6 +22,7 @@
 internal data class RelayDump(
     val node: String,
     val uptimeMilliseconds: Long,
+    val storeEra: Long,
     val configurationVersion: Long?,
     val holder: StoreLease.HolderRecord?,
     val fence: Long?,
@@ -64,11 +66,13 @@
             nodes: Int,
             repetitionShare: Double,
             attribution: CrashAttribution,
+            storeEra: StoreEra,
         ): RelayDump {
             val work = links.ownTotals()
             return RelayDump(
                 node = node,
                 uptimeMilliseconds = uptime.inWholeMilliseconds,
+                storeEra = storeEra.number,
                 configurationVersion = configuration?.version?.number,
                 holder = lease.holderRecord,
                 fence = lease.fence?.value,
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -14,6 +14,8 @@
 import plantainturn.connection.roster.RosterTimes
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.connection.store.ReadPace
+import plantainturn.connection.store.StoreEra
+import plantainturn.connection.store.StorePosition
 import plantainturn.connection.store.TopicFollower
 import plantainturn.process.control.lease.HolderIdentifier
 import plantainturn.process.control.lease.IssuerFitness
@@ -310,9 +312,9 @@
     private fun onIssuerReport(report: IssuerReport) {
         report.instances?.let { instanceFollower.offer(it.decode()) }
         report.breaks?.let { crashEvidenceFollower.offer(it.decode()) }
-        configurationFollower.catchUp(LogOffset(report.ends.configuration))
-        instanceFollower.catchUp(LogOffset(report.ends.instances))
-        crashEvidenceFollower.catchUp(LogOffset(report.ends.breaks))
+        configurationFollower.catchUp(StorePosition(StoreEra.FIRST, LogOffset(report.ends.configuration)))
+        instanceFollower.catchUp(StorePosition(StoreEra.FIRST, LogOffset(report.ends.instances)))
+        crashEvidenceFollower.catchUp(StorePosition(StoreEra.FIRST, LogOffset(report.ends.breaks)))
     }
 
     private fun onConfiguration() {
@@ -391,7 +393,11 @@
             limits = notices.limits().map { (run, statement) -> RelayedLimit.of(run, statement, timer.now()) },
             prompts = links.prompts.takeUnannounced(),
             ends =
-                TopicEnds(configurationFollower.end.value, instanceFollower.end.value, crashEvidenceFollower.end.value),
+                TopicEnds(
+                    configurationFollower.end.offset.value,
+                    instanceFollower.end.offset.value,
+                    crashEvidenceFollower.end.offset.value,
+                ),
         )
 
     /** Rounds, since traffic between failure domains is billed and further digits do not affect any decision. */
@@ -428,6 +434,7 @@
                 nodes = issuerLink.nodes,
                 repetitionShare = repetitionShare.fractionAt(timer.now()),
                 attribution = attribution,
+                storeEra = maxOf(configurationFollower.end, instanceFollower.end).era,
             ).toJson()
 
     private companion object {
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -2,6 +2,8 @@
 
 import plantainturn.connection.engine.FenceNumber
 import plantainturn.connection.log.LogOffset
+import plantainturn.connection.store.StoreEra
+import plantainturn.connection.store.StorePosition
 import plantainturn.connection.store.TopicFollower
 import plantainturn.process.control.lease.StoreLease
 import plantainturn.process.control.residence.ModelPressure
@@ -60,8 +62,8 @@
             residenceWhole = known.session == null,
             residence = residenceChanges.since(known.residenceRevision),
             arrivals = issuer.arrivals().map { (model, wait) -> model.value to wait.inWholeMilliseconds }.toMap(),
-            instances = instances.since(LogOffset(report.ends.instances))?.let(RelayedRecords::of),
-            breaks = breaks.since(LogOffset(report.ends.breaks))?.let(RelayedRecords::of),
+            instances = instances.since(positionOf(report.ends.instances))?.let(RelayedRecords::of),
+            breaks = breaks.since(positionOf(report.ends.breaks))?.let(RelayedRecords::of),
             storeAge = instances.heardAt?.let { (now - it).inWholeMilliseconds },
             loadAges = issuer.recentLoads().map { (now - it).inWholeMilliseconds },
             prompts = promptAnnouncements.since(known.prompts),
@@ -69,6 +71,8 @@
         )
     }
 
+    private fun positionOf(offset: Long) = StorePosition(StoreEra.FIRST, LogOffset(offset))
+
     private fun updateAggregate(now: Moment) {
         aggregatedAt = now
         val timeout = ExchangeTiming.nodeTimeout(received.size)
--- a/relay/src/main/kotlin/plantainturn/relay/peer/RelayedRecords.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/RelayedRecords.kt
@@ -4,6 +4,8 @@
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.RecordsSince
+import plantainturn.connection.store.StoreEra
+import plantainturn.connection.store.StorePosition
 
 /**
  * Records of a topic that the issuer has read and a node has not, as the issuer sends them to the node.
@@ -31,16 +33,16 @@
 
     fun decode(): RecordsSince =
         RecordsSince(
-            LogOffset(from),
+            StorePosition(StoreEra.FIRST, LogOffset(from)),
             records.map { KeyedRecord(it.key, it.value?.toByteArray(Charsets.ISO_8859_1), LogOffset(it.offset)) },
-            LogOffset(next),
+            StorePosition(StoreEra.FIRST, LogOffset(next)),
         )
 
     companion object {
         fun of(since: RecordsSince): RelayedRecords =
             RelayedRecords(
-                since.from.value,
-                since.next.value,
+                since.from.offset.value,
+                since.next.offset.value,
                 since.records.map { RelayedRecord(it.offset.value, it.key, it.value?.toString(Charsets.ISO_8859_1)) },
             )
     }
--- a/relay/src/test/kotlin/plantainturn/relay/node/CrashEvidenceTopicTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/CrashEvidenceTopicTest.kt
@@ -3,6 +3,8 @@
 import org.junit.jupiter.api.Test
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.store.KeyedRecord
+import plantainturn.connection.store.StoreEra
+import plantainturn.connection.store.StorePosition
 import plantainturn.process.time.VirtualTimerService
 import plantainturn.request.quarantine.CrashAttribution
 import plantainturn.request.quarantine.CrashEvidence
@@ -85,9 +87,9 @@
     private fun attribution() = CrashAttribution(timer, CrashEvidenceTopic.SETTINGS)
 
     private fun topic(attribution: CrashAttribution) =
-        CrashEvidenceTopic(store, attribution, timer, Random(1), { LogOffset(store.records.size.toLong()) }) {
-            wallClockTime
-        }
+        CrashEvidenceTopic(store, attribution, timer, Random(1), ::end) { wallClockTime }
+
+    private fun end() = StorePosition(StoreEra.FIRST, LogOffset(store.records.size.toLong()))
 
     private fun brokeAt(
         instance: Int,
--- a/relay/src/test/kotlin/plantainturn/relay/node/InMemoryRecordStore.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/InMemoryRecordStore.kt
@@ -5,6 +5,8 @@
 import plantainturn.connection.store.KeyedValue
 import plantainturn.connection.store.RecordStore
 import plantainturn.connection.store.StoreAppendResult
+import plantainturn.connection.store.StoreEra
+import plantainturn.connection.store.StorePosition
 import plantainturn.connection.store.StoreReadResult
 import plantainturn.connection.store.TopicName
 import plantainturn.process.time.TimerService
@@ -25,7 +27,7 @@
     override fun appendAll(
         topic: TopicName,
         records: List<KeyedValue>,
-        at: LogOffset?,
+        at: StorePosition?,
         done: (StoreAppendResult) -> Unit,
     ) {
         appends++
@@ -33,7 +35,7 @@
             done(StoreAppendResult.Refused("appends are refused"))
             return
         }
-        val first = LogOffset(this.records.size.toLong())
+        val first = StorePosition(StoreEra.FIRST, LogOffset(this.records.size.toLong()))
         records.forEach { this.records += KeyedRecord(it.key, it.value, LogOffset(this.records.size.toLong())) }
         timer.schedule(LATENCY) { done(StoreAppendResult.Appended(first)) }
     }
@@ -43,7 +45,7 @@
         done: (StoreReadResult) -> Unit,
     ) {
         val newest = records.associateBy { it.key }.values.filter { it.value != null }
-        val end = LogOffset(records.size.toLong())
+        val end = StorePosition(StoreEra.FIRST, LogOffset(records.size.toLong()))
         timer.schedule(LATENCY) { done(StoreReadResult.Records(newest, end)) }
     }
 
@@ -57,7 +59,7 @@
         if (found.isEmpty() && wait.isPositive()) {
             timer.schedule(LATENCY) { read(topic, from, wait - LATENCY, done) }
         } else {
-            done(StoreReadResult.Records(found, LogOffset(from.value + found.size)))
+            done(StoreReadResult.Records(found, StorePosition(StoreEra.FIRST, LogOffset(from.value + found.size))))
         }
     }
 
--- a/relay/src/test/kotlin/plantainturn/relay/residence/ResidenceIssuerTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/residence/ResidenceIssuerTest.kt
@@ -10,6 +10,7 @@
 import plantainturn.connection.store.KeyedValue
 import plantainturn.connection.store.RecordStore
 import plantainturn.connection.store.StoreAppendResult
+import plantainturn.connection.store.StorePosition
 import plantainturn.connection.store.StoreReadResult
 import plantainturn.connection.store.TopicName
 import plantainturn.process.control.lease.HolderIdentifier
@@ -53,7 +54,7 @@
         override fun appendAll(
             topic: TopicName,
             records: List<KeyedValue>,
-            at: LogOffset?,
+            at: StorePosition?,
             done: (StoreAppendResult) -> Unit,
         ) = Unit
 
