Order positions of the store by its era first

After the store came back from a copy, nodes compared offsets of the new history with those of the old one: each reading was dropped as stale until the topic had outgrown its former end, peers handed old records and ends on, and fences, which are offsets, went back.

A position is now an era and an offset, and a later era follows all positions of earlier ones: in readings, hints and records of peers, conditional appends, the lease and its fences. An answer of another era makes a node read the topic anew as a whole. The copy is taken for what it is: what is known of an instance holds unless the copy has a later run, unknown entries wait until they are written again, evidence of crashes is written again, a node that starts gets a configuration that the store has lost from its peers, and records of an earlier era prove no grant, release or end of a lease.

StoreLeaseTest plays restores among its seeded faults. Ruled out: that the entry was late or the link harmed, as every reading of 17.3 to 25.9 s is logged as stale.

--- a/library/src/main/kotlin/plantainturn/connection/roster/InstanceRoster.kt
+++ b/library/src/main/kotlin/plantainturn/connection/roster/InstanceRoster.kt
@@ -81,6 +81,32 @@
         all.forEach(::put)
     }
 
+    /**
+     * Takes over the entries [copied] of a store that has come back from a copy, and returns the instances that it
+     * leaves out.
+     *
+     * An entry may be older than what is known of its instance, which therefore holds unless the entry is of a later
+     * run. An instance that is not known may have left since the copy was made, so it is left out until its entry is
+     * written again. Instances without an entry in the copy are treated as removed.
+     */
+    public fun restore(
+        copied: List<UpstreamInstance>,
+        now: Moment,
+    ): Set<UpstreamName> {
+        val present = copied.associateBy { it.name }
+        instances.keys.filter { it !in present }.forEach { remove(it, now) }
+        copied.filter { instances[it.name]?.let { known -> isLaterRun(it, known) } ?: false }.forEach(::put)
+        return present.keys - instances.keys
+    }
+
+    private fun isLaterRun(
+        entry: UpstreamInstance,
+        known: UpstreamInstance,
+    ): Boolean {
+        val startedAt = entry.startedAt ?: return false
+        return known.startedAt?.let { startedAt > it } ?: true
+    }
+
     /** Records that the store stopped answering; nothing expires until it answers again. */
     public fun onStoreLost() {
         storeUnavailable = true
--- a/library/src/main/kotlin/plantainturn/connection/store/StoreEra.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/StoreEra.kt
@@ -18,7 +18,7 @@
     override fun toString(): String = number.toString()
 
     public companion object {
-        /** The era of a store that names none. */
-        public val FIRST: StoreEra = StoreEra(0)
+        /** The era of a store that has never come back from a copy. */
+        public val FIRST: StoreEra = StoreEra(1)
     }
 }
--- a/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
@@ -11,7 +11,8 @@
  *
  * Peers that read the same topic spare it reads: what one has read [since] is [offered][offer] to the others. A long
  * read may hear nothing although there are records, so peers' hints of a later end are followed too. Readings that are
- * older than what is known are dropped. Confined to the thread of the node's event loop.
+ * older than what is known are dropped. When the store has come back from a copy, shown by a later era of any answer or
+ * hint, the topic is read anew as a whole. Confined to the thread of the node's event loop.
  *
  * @param hintPatience how long a hint of a later end may be known before the topic is read anew for it
  * @param pace how long reads wait and rest, looked at again while a read rests
@@ -48,15 +49,15 @@
     public fun since(from: StorePosition): RecordsSince? {
         val next = known ?: return null
         val first = recentFrom ?: return null
-        if (from.offset < first.offset || from.offset >= next.offset) return null
+        if (from.era != next.era || from < first || from >= next) return null
         return RecordsSince(from, recent.filter { it.offset >= from.offset }, next)
     }
 
     /** Takes over what a peer has read, if it follows what is known here. */
     public fun offer(offered: RecordsSince) {
         val before = known ?: return
-        val follows = offered.from.offset <= before.offset && offered.next.offset > before.offset
-        if (follows) take(offered.records, offered.next, before)
+        val sameEra = offered.from.era == before.era && offered.next.era == before.era
+        if (sameEra && offered.from <= before && offered.next > before) take(offered.records, offered.next, before)
     }
 
     /** Begins to follow. */
@@ -68,7 +69,7 @@
      */
     public fun catchUp(hinted: StorePosition) {
         val before = known
-        if (before == null || hinted.offset <= before.offset) {
+        if (before == null || hinted <= before) {
             hintedAt = null
             return
         }
@@ -90,7 +91,7 @@
         } else {
             val sent = timer.now()
             val longest = pace().wait
-            store.read(topic, from.offset, longest) { if (number == readNumber) further(it, sent + longest) }
+            store.read(topic, from.offset, longest) { if (number == readNumber) further(it, from, sent + longest) }
             watch(number, sent)
         }
     }
@@ -132,7 +133,7 @@
         next: StorePosition,
         before: StorePosition,
     ) {
-        known = maxOf(before, next, compareBy { it.offset })
+        known = maxOf(before, next)
         for (record in records) {
             if (record.offset >= before.offset && listener.isNews(record)) {
                 recent += record
@@ -145,27 +146,48 @@
     /** Takes over [result] unless it is older than what is known, as a reading of a lagging copy may be. */
     private fun takeWhole(result: StoreReadResult.Records): Boolean {
         val before = known
-        if (before != null && result.next.offset < before.offset) {
+        if (before != null && result.next < before) {
             logger.info("topic={} event=stale-reading known={} read={}", topic, before, result.next)
             return false
         }
+        val restored = before != null && before.era < result.next.era
+        if (restored && lostSince == null) listener.onRegained()
         regained()
         known = result.next
         recent.clear()
         recentFrom = result.next
-        listener.onWhole(result.records)
+        if (restored) {
+            logger.warn("topic={} event=store-restored known={} read={}", topic, before, result.next)
+            listener.onRestored(result.records)
+        } else {
+            listener.onWhole(result.records)
+        }
         return true
     }
 
     private fun further(
         result: StoreReadResult,
+        from: StorePosition,
         due: Moment,
     ) {
         when (result) {
             is StoreReadResult.Records -> {
+                val current = end.era
+                if (result.next.era > current) {
+                    logger.info(
+                        "topic={} event=era-changed known={} read={} action=read-newest",
+                        topic,
+                        end,
+                        result.next,
+                    )
+                    expired = true
+                    readOn()
+                    return
+                }
                 if (timer.now() > due + LATE_ANSWER) noteOutage(due)
                 regained()
-                take(result.records, result.next, end)
+                // An answer of an earlier era, or to a read of one, does not continue what is known.
+                if (result.next.era == current && from.era == current) take(result.records, result.next, end)
                 rest(timer.now())
             }
             is StoreReadResult.Expired -> {
--- a/library/src/main/kotlin/plantainturn/connection/store/TopicListener.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicListener.kt
@@ -5,6 +5,15 @@
     /** The topic's newest [records] replace all that was heard before. */
     public fun onWhole(records: List<KeyedRecord>)
 
+    /**
+     * The store has come back from a copy, in which [records] are the newest of the topic.
+     *
+     * What was heard before may be newer than these. Writers repeat what was lost, but a topic's own writer has to do
+     * so itself. The store counts as regained, although it may not have been noticed to be lost. Unless overridden, the
+     * records replace all that was heard before, which suits those that tell their order themselves.
+     */
+    public fun onRestored(records: List<KeyedRecord>): Unit = onWhole(records)
+
     /**
      * Whether [record], the next one, changes anything.
      *
--- a/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
@@ -5,9 +5,11 @@
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
 import plantainturn.connection.engine.FenceNumber
+import plantainturn.connection.log.LogOffset
 import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.RecordStore
 import plantainturn.connection.store.StoreAppendResult
+import plantainturn.connection.store.StoreEra
 import plantainturn.connection.store.StorePosition
 import plantainturn.connection.store.StoreReadResult
 import plantainturn.connection.store.TopicName
@@ -18,10 +20,14 @@
  * A lease on a store with conditional appends.
  *
  * Each append names the end of the topic that its writer has seen, so of two concurrent writers one is refused. The
- * fence is the offset of the holder's first record. The holder counts its term from when it sent a renewal. A contender
- * counts from when it read the last record and waits longer than any term. The wall clock decides neither; a jump of
- * [wallClock] relative to the monotonic clock only shows that this VM was suspended. The lease then permits no orders
- * until a renewal that was sent afterwards is confirmed.
+ * fence is derived from the position of the holder's first record and grows over restores of the store, too. The
+ * holder counts its term from when it sent a renewal. A contender counts from when it read the last record and waits
+ * longer than any term. The wall clock decides neither; a jump of [wallClock] relative to the monotonic clock only
+ * shows that this VM was suspended. The lease then permits no orders until a renewal that was sent afterwards is
+ * confirmed.
+ *
+ * When the store has come back from a copy, its records prove no grant of an earlier era: the holder claims anew, under
+ * a higher fence, and a contender waits as if the last holder had just renewed, whatever the copy says.
  *
  * Confined to the thread of the node's event loop.
  *
@@ -59,9 +65,9 @@
     public val isExclusive: Boolean
         get() = held?.let { timer.now() < it.validUntil && !wasSuspended(it) } ?: false
 
-    /** Whether this node is the first holder ever: its record is the first in the topic. */
+    /** Whether this node is the first holder ever: its record is the first in a store that was never restored. */
     public val isFirstHolder: Boolean
-        get() = held?.fence?.value == 0L
+        get() = held?.fence == fenceOf(StorePosition.FIRST)
 
     /** Returns whether this node may issue orders now. */
     public fun permitsOrders(): Boolean {
@@ -177,7 +183,9 @@
             callInProgress = false
             if (result is StoreReadResult.Records && held === current) {
                 val newest = newest(result)
-                if (newest?.holder == holder.value && newest.fence == current.fence.value) {
+                if (result.next.era > current.end.era) {
+                    reclaim(current, result, newest)
+                } else if (newest?.holder == holder.value && newest.fence == current.fence.value) {
                     held = current.copy(end = result.next)
                 } else {
                     lose("held by ${newest?.holder}")
@@ -187,11 +195,36 @@
         }
     }
 
+    /**
+     * Claims the lease again after a restore, unless another node has done so in the new era.
+     *
+     * Within the term no other node can have been granted the lease: a contender waits longer, since it read this
+     * holder's last renewal or, after the restore, since its first reading of the new era. After the term, another one
+     * may have been granted it by a record that the restore lost.
+     */
+    private fun reclaim(
+        current: Held,
+        result: StoreReadResult.Records,
+        newest: HolderRecord?,
+    ) {
+        val successor = newest?.takeIf { it.holder != holder.value && isOfEra(it, result.next) }
+        if (stopping || successor != null) {
+            lose("the store was restored, held by ${successor?.holder}")
+            observe(result)
+            return
+        }
+        val now = timer.now()
+        val refusedByEngines = settings.outageTolerance.isPositive()
+        val ordersFrom =
+            if (isExclusive || refusedByEngines) current.ordersFrom else now + settings.term + settings.handOverPause
+        claim(result.next, newest, ordersFrom)
+    }
+
     private fun contend() {
         val seen = observed
         when {
             seen == null || timer.now() >= seen.mayClaimAt(settings) && !seen.confirmed -> read()
-            timer.now() >= seen.mayClaimAt(settings) -> claim(seen)
+            timer.now() >= seen.mayClaimAt(settings) -> claim(seen.end, seen.record, seen.ordersFrom(settings))
         }
     }
 
@@ -204,11 +237,12 @@
     }
 
     private fun observe(result: StoreReadResult.Records) {
+        val before = observed
+        if (before != null && result.next.era < before.end.era) return
         val record = newest(result)
         holderRecord = record
-        val before = observed
         observed =
-            if (before != null && before.end.offset == result.next.offset) {
+            if (before != null && before.end == result.next) {
                 before.copy(confirmed = true)
             } else {
                 Observation(
@@ -218,46 +252,69 @@
                     confirmed = record == null,
                     // Only one process can listen at an address, so the previous holder there has ended.
                     previousHolderEnded = record != null && record.address == address && record.holder != holder.value,
+                    isCertain = if (record == null) result.next.era == StoreEra.FIRST else isOfEra(record, result.next),
                 )
             }
     }
 
-    private fun claim(seen: Observation) {
+    /** Whether [record] was written in the era of [end], and is not from a copy that may lack later ones. */
+    private fun isOfEra(
+        record: HolderRecord,
+        end: StorePosition,
+    ): Boolean = FenceNumber(record.fence) >= fenceOf(end.copy(offset = LogOffset.FIRST))
+
+    private fun claim(
+        end: StorePosition,
+        previous: HolderRecord?,
+        ordersFrom: Moment,
+    ) {
         val sentAt = timer.now()
         val difference = clockDifference()
-        val record = HolderRecord(holder.value, address, seen.end.offset.value)
-        append(record, seen.end) { result ->
+        val record = HolderRecord(holder.value, address, fenceOf(end).value)
+        append(record, end) { result ->
             when (result) {
-                is StoreAppendResult.Appended -> granted(result.position, seen, sentAt, difference)
-                is StoreAppendResult.Conflict, is StoreAppendResult.Unknown -> observed = null
-                is StoreAppendResult.Refused -> logger.debug("event=lease-claim-refused result={}", result)
+                is StoreAppendResult.Appended ->
+                    granted(result.position, previous, maxOf(sentAt, ordersFrom), sentAt, difference)
+                is StoreAppendResult.Conflict -> {
+                    lose("another node wrote after the restore")
+                    observed = null
+                }
+                is StoreAppendResult.Unknown -> {
+                    renewalFailedAt = timer.now()
+                    observed = null
+                }
+                is StoreAppendResult.Refused -> {
+                    renewalFailedAt = timer.now()
+                    logger.debug("event=lease-claim-refused result={}", result)
+                }
             }
         }
     }
 
     private fun granted(
         position: StorePosition,
-        seen: Observation,
+        previous: HolderRecord?,
+        ordersFrom: Moment,
         sentAt: Moment,
         difference: Long,
     ) {
         observed = null
-        val ordersFrom = maxOf(sentAt, seen.ordersFrom(settings))
+        val fence = fenceOf(position)
         held =
             Held(
-                fence = FenceNumber(position.offset.value),
+                fence = fence,
                 end = position.next(),
                 renewedAt = sentAt,
                 validUntil = sentAt + settings.term,
                 ordersFrom = ordersFrom,
                 clockDifference = difference,
             )
-        holderRecord = HolderRecord(holder.value, address, position.offset.value)
+        holderRecord = HolderRecord(holder.value, address, fence.value)
         logger.info(
-            "event=lease-granted fence={} era={} previous={} ordersIn={}",
-            position.offset,
-            position.era,
-            seen.record,
+            "event=lease-granted fence={} position={} previous={} ordersIn={}",
+            fence,
+            position,
+            previous,
             ordersFrom - sentAt,
         )
     }
@@ -317,9 +374,10 @@
         val at: Moment,
         val confirmed: Boolean,
         val previousHolderEnded: Boolean,
+        val isCertain: Boolean,
     ) {
         fun mayClaimAt(settings: StoreLeaseSettings): Moment =
-            if (isFree || previousHolderEnded) at else at + settings.contenderWait
+            if (isCertain && (isFree || previousHolderEnded)) at else at + settings.contenderWait
 
         /**
          * Returns when orders may start: immediately if no holder preceded or its process has ended, otherwise at least
@@ -327,6 +385,7 @@
          */
         fun ordersFrom(settings: StoreLeaseSettings): Moment =
             when {
+                !isCertain -> at + settings.term + settings.handOverPause
                 record == null || previousHolderEnded -> at
                 isFree -> at + settings.handOverPause
                 else -> at + settings.term + settings.handOverPause
@@ -342,5 +401,12 @@
         const val NO_HOLDER = ""
         const val UNREADABLE = "?"
         const val NANOSECONDS_PER_MILLISECOND = 1_000_000
+
+        /** More than the renewals of many years; with it, fences of thousands of eras are exact in any JSON number. */
+        const val FENCES_PER_ERA = 1L shl 32
+
+        /** Returns the fence of a holder whose first record stands at [position]; it grows with each later position. */
+        fun fenceOf(position: StorePosition): FenceNumber =
+            FenceNumber((position.era.number - StoreEra.FIRST.number) * FENCES_PER_ERA + position.offset.value)
     }
 }
--- a/library/src/test/kotlin/plantainturn/connection/store/FakeRecordStore.kt
+++ b/library/src/test/kotlin/plantainturn/connection/store/FakeRecordStore.kt
@@ -23,6 +23,18 @@
     /** Whether long reads answer as soon as there is a record; otherwise they hear nothing until their wait is over. */
     var readsHearRecords: Boolean = false
 
+    /** The present era; results are of the era in which the call is carried out. */
+    var era = StoreEra.FIRST
+        private set
+
+    /** Comes back from a copy with the first [size] records. */
+    fun restore(size: Int) {
+        records.subList(minOf(size, records.size), records.size).clear()
+        era = StoreEra(era.number + 1)
+    }
+
+    private fun end() = StorePosition(era, LogOffset(records.size.toLong()))
+
     enum class Fate { PLAIN, ANSWER_LOST, LATE }
 
     override fun appendAll(
@@ -54,7 +66,7 @@
         }
         timer.schedule(latency / 2) {
             val newest = records.associateBy { it.key }.values.toList()
-            val end = StorePosition(StoreEra.FIRST, LogOffset(records.size.toLong()))
+            val end = end()
             timer.schedule(latency / 2) { done(StoreReadResult.Records(newest, end)) }
         }
     }
@@ -65,6 +77,10 @@
         wait: Duration,
         done: (StoreReadResult) -> Unit,
     ) {
+        if (from.value > records.size) {
+            timer.schedule(latency) { done(StoreReadResult.Expired(era)) }
+            return
+        }
         val found = records.drop(from.value.toInt())
         if (found.isEmpty() && readsHearRecords && wait > LOOK_PERIOD) {
             timer.schedule(LOOK_PERIOD) { read(topic, from, wait - LOOK_PERIOD, done) }
@@ -76,7 +92,7 @@
                 done(StoreReadResult.Unavailable("time-out"))
             } else {
                 val now = records.drop(from.value.toInt())
-                done(StoreReadResult.Records(now, StorePosition(StoreEra.FIRST, LogOffset(records.size.toLong()))))
+                done(StoreReadResult.Records(now, end()))
             }
         }
     }
@@ -85,8 +101,12 @@
         added: List<KeyedValue>,
         at: StorePosition?,
     ): StoreAppendResult {
-        val end = StorePosition(StoreEra.FIRST, LogOffset(records.size.toLong()))
-        if (at != null && at != end) return StoreAppendResult.Conflict(end)
+        val end = end()
+        if (at != null && at.offset != end.offset) return StoreAppendResult.Conflict(end)
+        if (at != null && at.era != era) {
+            added.forEach { records += KeyedRecord(it.key, it.value, LogOffset(records.size.toLong())) }
+            return StoreAppendResult.Unknown("appended in era $era")
+        }
         added.forEach { records += KeyedRecord(it.key, it.value, LogOffset(records.size.toLong())) }
         return StoreAppendResult.Appended(end)
     }
--- a/library/src/test/kotlin/plantainturn/connection/store/TopicFollowerTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/store/TopicFollowerTest.kt
@@ -82,6 +82,85 @@
         assertEquals(listOf("a", "b"), heard)
     }
 
+    @Test
+    fun `records are heard after a restore though the topic is shorter than before`() {
+        repeat(5) { write("a") }
+        val heard = ArrayList<String>()
+        val follower = follower(heard, restMilliseconds = 0)
+        timer.advance(1.seconds)
+        heard.clear()
+
+        store.restore(2)
+        write("b")
+        timer.advance(9.seconds)
+
+        assertEquals(listOf("a", "b"), heard)
+        assertEquals(StorePosition(StoreEra(2), LogOffset(3)), follower.end)
+    }
+
+    @Test
+    fun `a record at the offset of a lost one is heard though the topic has outgrown its former end`() {
+        repeat(5) { write("a") }
+        val heard = ArrayList<String>()
+        follower(heard, restMilliseconds = 800)
+        timer.advance(1.seconds)
+        write("a")
+        timer.advance(100.milliseconds)
+        heard.clear()
+
+        store.restore(2)
+        write("b")
+        repeat(6) { write("c") }
+        timer.advance(2.seconds)
+
+        assertEquals(setOf("a", "b", "c"), heard.toSet())
+    }
+
+    @Test
+    fun `what peers read and hint at in an earlier era has no effect after a restore`() {
+        repeat(5) { write("a") }
+        val heard = ArrayList<String>()
+        val reader = follower(ArrayList(), restMilliseconds = 0)
+        val follower = follower(heard, restMilliseconds = 0)
+        timer.advance(1.seconds)
+        val before = reader.end
+        write("lost")
+        timer.advance(1.seconds)
+        val lost = assertNotNull(reader.since(before))
+        store.restore(5)
+        timer.advance(9.seconds)
+        heard.clear()
+
+        follower.offer(lost)
+        repeat(4) {
+            follower.catchUp(lost.next)
+            timer.advance(200.milliseconds)
+        }
+
+        assertEquals(emptyList(), heard)
+        assertNull(reader.since(before))
+    }
+
+    @Test
+    fun `a hint of a later era is followed by a node that rests`() {
+        repeat(5) { write("a") }
+        val heard = ArrayList<String>()
+        val follower = follower(heard, restMilliseconds = 60_000)
+        timer.advance(1.seconds)
+        write("a")
+        timer.advance(1.seconds)
+        heard.clear()
+
+        store.restore(2)
+        write("b")
+        repeat(4) {
+            follower.catchUp(StorePosition(StoreEra(2), LogOffset(3)))
+            timer.advance(200.milliseconds)
+        }
+
+        assertEquals(listOf("a", "b"), heard)
+    }
+
     private fun position(offset: Long) = StorePosition(StoreEra.FIRST, LogOffset(offset))
 
     private fun write(key: String) {
--- a/library/src/test/kotlin/plantainturn/process/control/lease/StoreLeaseTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/control/lease/StoreLeaseTest.kt
@@ -172,6 +172,61 @@
         assertFalse(other.lease.permitsOrders())
     }
 
+    @Test
+    fun `the holder gets a higher fence after a restore that lost its record, also where all nodes start again`() {
+        val nodes = nodes(3)
+        run(nodes, 1_000)
+        val before = requireNotNull(nodes.single { it.lease.permitsOrders() }.lease.fence)
+        store.restore(0)
+        run(nodes, 1_000)
+        val after = requireNotNull(nodes.single { it.lease.permitsOrders() }.lease.fence)
+        store.restore(1)
+        val started = List(3) { Node(lease(it, holder = "again-$it")) }
+        run(started, 10_000)
+        val last = requireNotNull(started.single { it.lease.permitsOrders() }.lease.fence)
+
+        assertTrue(after > before, "$before, $after")
+        assertTrue(last > after, "$after, $last")
+        assertFalse(started.any { it.lease.isFirstHolder })
+    }
+
+    @Test
+    fun `a release in the copy does not shorten the wait of a contender`() {
+        val nodes = nodes(2)
+        run(nodes, 1_000)
+        val first = nodes.single { it.lease.permitsOrders() }
+        first.lease.release()
+        first.contends = false
+        run(nodes, 100)
+        val copied = store.records.size
+        run(nodes, 1_500)
+        val second = nodes.single { it !== first }
+        assertTrue(second.lease.permitsOrders())
+        second.reaches = false
+        val restarted = Node(lease(0, holder = "restarted"))
+
+        store.restore(copied)
+
+        run(listOf(second, restarted), 5_000) {
+            assertTrue(listOf(second, restarted).count { it.lease.permitsOrders() } <= 1)
+        }
+        assertTrue(restarted.lease.permitsOrders())
+    }
+
+    @Test
+    fun `a claim that the store appends in another era is not a grant`() {
+        val nodes = nodes(2)
+        run(nodes, 1_000)
+        val holder = nodes.single { it.lease.permitsOrders() }
+        val size = store.records.size
+        store.restore(size)
+
+        run(nodes, 5_000) { assertTrue(nodes.count { it.lease.permitsOrders() } <= 1) }
+
+        assertTrue(holder.lease.permitsOrders())
+        assertTrue(requireNotNull(holder.lease.fence).value >= 1L shl 32)
+    }
+
     @Test
     fun `at most one node may issue orders, whatever faults the store and the links have`() {
         for (seed in 1..40) {
@@ -196,6 +251,7 @@
             3 -> store.latency = 10.milliseconds
             4 -> node.stepping = !node.stepping
             5 -> nodes.forEach { it.reaches = true }
+            6 -> if (random.nextInt(4) == 0) store.restore(random.nextInt(store.records.size + 1))
             else -> Unit
         }
     }
--- a/relay/src/main/kotlin/plantainturn/relay/node/CrashEvidenceTopic.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/CrashEvidenceTopic.kt
@@ -28,7 +28,8 @@
  * parts of prompts that were answered nevertheless, and trials of blocked parts.
  *
  * Each break has a key of its own, so that writers do not conflict, and writing or reading a record twice has no
- * effect. A restarted node recovers the evidence from the topic. A trial is claimed by an append at the known end of
+ * effect. A restarted node recovers the evidence from the topic, so what the store loses when it comes back from a copy
+ * is written again. A trial is claimed by an append at the known end of
  * the topic, so that only one node makes it.
  *
  * @param end returns where the topic ended when it was last read
@@ -47,6 +48,8 @@
     private val pending = LinkedHashMap<String, CrashEvidenceRecord?>()
     private val pendingAnswers = HashSet<RequestFingerprint>()
     private val written = HashMap<String, CrashEvidenceRecord>()
+    private val lost = HashMap<String, CrashEvidenceRecord>()
+    private val withdrawn = LinkedHashSet<String>()
     private var writing = false
     private var claiming = false
 
@@ -104,6 +107,21 @@
         records.sortedBy { it.offset }.forEach(::applyRecord)
     }
 
+    /** Waits for a random time before it writes what was lost, as all nodes notice the loss at the same time. */
+    override fun onRestored(records: List<KeyedRecord>) {
+        val present = records.map { it.key }.toSet()
+        lost += written.filterKeys { it !in present }
+        written.keys.removeAll(lost.keys)
+        val (outdated, valid) = records.sortedBy { it.offset }.partition { it.key in withdrawn }
+        outdated.forEach { enqueue(it.key, null) }
+        valid.forEach(::applyRecord)
+        logger.info("event=breaks-restored read={} lost={} withdrawn={}", present.size, lost.size, outdated.size)
+        timer.schedule(MAXIMUM_ANSWER_DELAY * random.nextDouble()) {
+            lost.forEach { (key, record) -> enqueue(key, record) }
+            lost.clear()
+        }
+    }
+
     /** Records may be repeated: several nodes may notice one crash, and an append without an answer is retried. */
     override fun isNews(record: KeyedRecord): Boolean =
         record.value == null || record.key !in written || !isBreak(record.key)
@@ -123,13 +141,16 @@
     private fun applyRecord(record: KeyedRecord) {
         val value = record.value
         if (value == null) {
-            val withdrawn = written.remove(record.key) ?: return
-            withdrawn.evidence?.let { attribution.onSurvived(withdrawn.fingerprint, it) }
+            noteWithdrawn(record.key)
+            val removed = written.remove(record.key) ?: return
+            removed.evidence?.let { attribution.onSurvived(removed.fingerprint, it) }
             return
         }
+        lost.remove(record.key)
         if (!isNews(record)) return
         val decoded = decode(value) ?: return
         written[record.key] = decoded
+        withdrawn.remove(record.key)
         if (isBreak(record.key)) pending.remove(record.key)
         val age = (wallClock() - decoded.at).coerceAtLeast(0).milliseconds
         logger.info("key={} event=break-heard age={} offset={} {}", record.key, age, record.offset, decoded)
@@ -180,7 +201,8 @@
         val records = batch.map { (key, record) -> KeyedValue(key, record?.let(::encode)) }
         store.appendAll(NAME, records, at = null) { result ->
             writing = false
-            val appended = result is StoreAppendResult.Appended
+            // What was appended before a restore that is known by now may be lost.
+            val appended = result is StoreAppendResult.Appended && result.position.era >= end().era
             logger.info("event=breaks-written count={} result={} left={}", batch.size, result, pending.size)
             if (appended) batch.forEach(::onWritten)
             if (pending.isNotEmpty()) scheduleWrite(if (appended) BATCHING_DELAY else RETRY_DELAY)
@@ -192,7 +214,19 @@
         record: CrashEvidenceRecord?,
     ) {
         if (!pending.remove(key, record)) return
-        if (record == null) written.remove(key) else written[key] = record
+        if (record == null) {
+            noteWithdrawn(key)
+            written.remove(key)
+        } else {
+            withdrawn.remove(key)
+            written[key] = record
+        }
+    }
+
+    private fun noteWithdrawn(key: String) {
+        lost.remove(key)
+        withdrawn += key
+        if (withdrawn.size > MAXIMUM_PENDING) withdrawn.remove(withdrawn.first())
     }
 
     private fun drop(key: String) {
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -6,7 +6,6 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.apache.logging.log4j.LogManager
-import plantainturn.connection.log.LogOffset
 import plantainturn.connection.roster.InstanceRoster
 import plantainturn.connection.roster.InstanceRun
 import plantainturn.connection.roster.RequestLimitTracker
@@ -14,8 +13,6 @@
 import plantainturn.connection.roster.RosterTimes
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.connection.store.ReadPace
-import plantainturn.connection.store.StoreEra
-import plantainturn.connection.store.StorePosition
 import plantainturn.connection.store.TopicFollower
 import plantainturn.process.control.lease.HolderIdentifier
 import plantainturn.process.control.lease.IssuerFitness
@@ -37,6 +34,7 @@
 import plantainturn.relay.peer.PermitDesk
 import plantainturn.relay.peer.RelayedDeparture
 import plantainturn.relay.peer.RelayedLimit
+import plantainturn.relay.peer.RelayedRecords
 import plantainturn.relay.peer.TopicEnds
 import plantainturn.relay.request.CrashTracker
 import plantainturn.relay.request.DemandMeter
@@ -157,7 +155,17 @@
     private val shareTerms = RepetitionShareTerms(settings.repetitionWindowSeconds.seconds)
     private val repetitionShare = RepetitionShare(shareTerms)
     private val hub =
-        PeerHub(incarnation, issuer, lease, notices, shareTerms, timer, instanceFollower, crashEvidenceFollower)
+        PeerHub(
+            incarnation,
+            issuer,
+            lease,
+            notices,
+            shareTerms,
+            timer,
+            instanceFollower,
+            crashEvidenceFollower,
+            configuration,
+        )
     private val permitDesk = PermitDesk(lease, notices, timer) { issuerLink.nodes }
     private val permitClient: PermitClient =
         PermitClient(incarnation, lease, permitDesk, limits, caller, timer) { issuerLink.isIssuerMissing() }
@@ -186,6 +194,7 @@
     private var stopping = false
     private var reportCount = 0L
     private var claimableSince: Moment? = null
+    private var issuerConfigurationVersion: Long? = null
 
     /** Starts to listen and to follow the store. Returns once all ports are bound or have failed, with the failures. */
     public fun start(): List<Throwable> {
@@ -310,11 +319,13 @@
     }
 
     private fun onIssuerReport(report: IssuerReport) {
+        issuerConfigurationVersion = report.configurationVersion
+        report.configuration?.let { configuration.onPeerRecord(it.decode()) }
         report.instances?.let { instanceFollower.offer(it.decode()) }
         report.breaks?.let { crashEvidenceFollower.offer(it.decode()) }
-        configurationFollower.catchUp(StorePosition(StoreEra.FIRST, LogOffset(report.ends.configuration)))
-        instanceFollower.catchUp(StorePosition(StoreEra.FIRST, LogOffset(report.ends.instances)))
-        crashEvidenceFollower.catchUp(StorePosition(StoreEra.FIRST, LogOffset(report.ends.breaks)))
+        configurationFollower.catchUp(report.ends.configuration)
+        instanceFollower.catchUp(report.ends.instances)
+        crashEvidenceFollower.catchUp(report.ends.breaks)
     }
 
     private fun onConfiguration() {
@@ -392,12 +403,13 @@
             departures = roster.departures().map(RelayedDeparture::of),
             limits = notices.limits().map { (run, statement) -> RelayedLimit.of(run, statement, timer.now()) },
             prompts = links.prompts.takeUnannounced(),
+            configurationVersion = configuration.versionNumber,
+            configuration =
+                issuerConfigurationVersion
+                    ?.let(configuration::lostRecordAfter)
+                    ?.let(RelayedRecords.RelayedRecord::of),
             ends =
-                TopicEnds(
-                    configurationFollower.end.offset.value,
-                    instanceFollower.end.offset.value,
-                    crashEvidenceFollower.end.offset.value,
-                ),
+                TopicEnds(configurationFollower.end, instanceFollower.end, crashEvidenceFollower.end),
         )
 
     /** Rounds, since traffic between failure domains is billed and further digits do not affect any decision. */
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -19,6 +19,8 @@
  * @property residence models and their adapters at each engine, null for a removed engine
  * @property instances records of the topic of instances that the node has not read, null if there are none
  * @property breaks records of the topic of crash evidence that the node has not read, null if there are none
+ * @property configurationVersion the number of the configuration in force at the issuer, -1 if there is none
+ * @property configuration its record, if the node lacks it and can't read it as the store has lost it
  * @property storeAge milliseconds since the store last answered the issuer about instances
  * @property loadAges milliseconds since the start of recent loads from the weight store, for the next issuer
  * @property prompts cached parts of prompts that the node has not received
@@ -42,5 +44,7 @@
     val loadAges: List<Long>,
     val prompts: List<KeptPart>,
     val breaks: RelayedRecords?,
+    val configurationVersion: Long,
+    val configuration: RelayedRecords.RelayedRecord?,
     val ends: TopicEnds,
 )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -1,14 +1,13 @@
 package plantainturn.relay.peer
 
 import plantainturn.connection.engine.FenceNumber
-import plantainturn.connection.log.LogOffset
-import plantainturn.connection.store.StoreEra
-import plantainturn.connection.store.StorePosition
 import plantainturn.connection.store.TopicFollower
 import plantainturn.process.control.lease.StoreLease
 import plantainturn.process.control.residence.ModelPressure
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
+import plantainturn.relay.node.ConfigurationWatch
+import plantainturn.relay.peer.RelayedRecords.RelayedRecord
 import plantainturn.relay.request.AdapterDemand
 import plantainturn.relay.request.InstanceNotices
 import plantainturn.relay.residence.ResidenceIssuer
@@ -32,6 +31,7 @@
     private val timer: TimerService,
     private val instances: TopicFollower,
     private val breaks: TopicFollower,
+    private val configuration: ConfigurationWatch,
 ) {
     private val received = HashMap<String, ReceivedReport>()
     private val promptAnnouncements = PromptAnnouncements()
@@ -47,6 +47,7 @@
         val now = timer.now()
         received[report.node] = ReceivedReport(report, now)
         promptAnnouncements.add(report.prompts)
+        report.configuration?.let { configuration.onPeerRecord(it.decode()) }
         notices.onPeerLimits(report.limits.associate { it.run to it.toStatement(now) })
         if (aggregatedAt?.let { now - it >= AGGREGATION_PERIOD } != false) updateAggregate(now)
         val known = report.known.takeIf { it.session == session } ?: IssuerKnowledge.NONE
@@ -62,17 +63,17 @@
             residenceWhole = known.session == null,
             residence = residenceChanges.since(known.residenceRevision),
             arrivals = issuer.arrivals().map { (model, wait) -> model.value to wait.inWholeMilliseconds }.toMap(),
-            instances = instances.since(positionOf(report.ends.instances))?.let(RelayedRecords::of),
-            breaks = breaks.since(positionOf(report.ends.breaks))?.let(RelayedRecords::of),
+            instances = instances.since(report.ends.instances)?.let(RelayedRecords::of),
+            breaks = breaks.since(report.ends.breaks)?.let(RelayedRecords::of),
             storeAge = instances.heardAt?.let { (now - it).inWholeMilliseconds },
             loadAges = issuer.recentLoads().map { (now - it).inWholeMilliseconds },
             prompts = promptAnnouncements.since(known.prompts),
+            configurationVersion = configuration.versionNumber,
+            configuration = configuration.lostRecordAfter(report.configurationVersion)?.let(RelayedRecord::of),
             ends = aggregate.ends?.latest(report.ends) ?: report.ends,
         )
     }
 
-    private fun positionOf(offset: Long) = StorePosition(StoreEra.FIRST, LogOffset(offset))
-
     private fun updateAggregate(now: Moment) {
         aggregatedAt = now
         val timeout = ExchangeTiming.nodeTimeout(received.size)
--- a/relay/src/main/kotlin/plantainturn/relay/peer/RelayedRecords.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/RelayedRecords.kt
@@ -4,7 +4,6 @@
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.RecordsSince
-import plantainturn.connection.store.StoreEra
 import plantainturn.connection.store.StorePosition
 
 /**
@@ -15,8 +14,8 @@
  */
 @Serializable
 internal data class RelayedRecords(
-    val from: Long,
-    val next: Long,
+    val from: StorePosition,
+    val next: StorePosition,
     val records: List<RelayedRecord>,
 ) {
     /**
@@ -29,21 +28,28 @@
         val offset: Long,
         val key: String,
         val value: String?,
-    )
+    ) {
+        fun decode(): KeyedRecord = KeyedRecord(key, value?.toByteArray(Charsets.ISO_8859_1), LogOffset(offset))
+
+        companion object {
+            fun of(record: KeyedRecord): RelayedRecord =
+                RelayedRecord(record.offset.value, record.key, record.value?.toString(Charsets.ISO_8859_1))
+        }
+    }
 
     fun decode(): RecordsSince =
         RecordsSince(
-            StorePosition(StoreEra.FIRST, LogOffset(from)),
-            records.map { KeyedRecord(it.key, it.value?.toByteArray(Charsets.ISO_8859_1), LogOffset(it.offset)) },
-            StorePosition(StoreEra.FIRST, LogOffset(next)),
+            from,
+            records.map { it.decode() },
+            next,
         )
 
     companion object {
         fun of(since: RecordsSince): RelayedRecords =
             RelayedRecords(
-                since.from.offset.value,
-                since.next.offset.value,
-                since.records.map { RelayedRecord(it.offset.value, it.key, it.value?.toString(Charsets.ISO_8859_1)) },
+                since.from,
+                since.next,
+                since.records.map(RelayedRecord::of),
             )
     }
 }
--- a/relay/src/test/kotlin/plantainturn/relay/node/CrashEvidenceTopicTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/CrashEvidenceTopicTest.kt
@@ -71,6 +71,26 @@
         assertEquals(3, store.records.count { it.value == null })
     }
 
+    @Test
+    fun `crash evidence that a restore of the store lost is written again, and what was withdrawn is not believed`() {
+        val attribution = attribution()
+        val topic = topic(attribution)
+        (1..3).forEach { topic.publish(brokeAt(it)) }
+        timer.advance(1.seconds)
+        val copied = store.records.take(1)
+        topic.withdraw(brokeAt(1))
+        timer.advance(1.seconds)
+        store.records.clear()
+        store.records += copied
+
+        topic.onRestored(store.records.toList())
+        timer.advance(2.seconds)
+
+        val newest = store.records.associateBy { it.key }.values
+        assertEquals(2, newest.count { it.value != null })
+        assertTrue(attribution.breaksOf(traits.request).isEmpty(), "the copy's break was withdrawn")
+    }
+
     @Test
     fun `an unreadable record has no effect`() {
         val attribution = attribution()
--- a/relay/src/test/kotlin/plantainturn/relay/peer/ReportAggregateTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/peer/ReportAggregateTest.kt
@@ -1,6 +1,9 @@
 package plantainturn.relay.peer
 
 import org.junit.jupiter.api.Test
+import plantainturn.connection.log.LogOffset
+import plantainturn.connection.store.StoreEra
+import plantainturn.connection.store.StorePosition
 import plantainturn.request.relay.WorkTotals
 import kotlin.test.assertEquals
 
@@ -25,16 +28,32 @@
         assertEquals(mapOf("x" to WorkTotals(1, 2, 3)), aggregate.workOfOthers("new"))
     }
 
+    @Test
+    fun `an end of a later era is later though its offset is lower`() {
+        val restored = TopicEnds(position(5), StorePosition(StoreEra(2), LogOffset(3)), position(7))
+
+        assertEquals(restored, ends(5, 90, 7).latest(restored))
+        assertEquals(restored, restored.latest(ends(5, 90, 7)))
+    }
+
     @Test
     fun `the longest suspicion and the latest ends are reported`() {
-        val one = report("a").copy(suspects = mapOf("x" to 300), ends = TopicEnds(5, 90, 7))
-        val two = report("b").copy(suspects = mapOf("x" to 900), ends = TopicEnds(6, 80, 8))
+        val one = report("a").copy(suspects = mapOf("x" to 300), ends = ends(5, 90, 7))
+        val two = report("b").copy(suspects = mapOf("x" to 900), ends = ends(6, 80, 8))
         val aggregate = ReportAggregate(mapOf("a" to one, "b" to two))
 
         assertEquals(mapOf("x" to 900L), aggregate.suspects)
-        assertEquals(TopicEnds(6, 90, 8), aggregate.ends)
+        assertEquals(ends(6, 90, 8), aggregate.ends)
     }
 
+    private fun ends(
+        configuration: Long,
+        instances: Long,
+        breaks: Long,
+    ) = TopicEnds(position(configuration), position(instances), position(breaks))
+
+    private fun position(offset: Long) = StorePosition(StoreEra.FIRST, LogOffset(offset))
+
     private fun report(
         node: String,
         vararg work: Pair<String, WorkTotals>,
@@ -51,6 +70,8 @@
         departures = emptyList(),
         limits = emptyList(),
         prompts = emptyList(),
-        ends = TopicEnds(0, 0, 0),
+        configurationVersion = 1,
+        configuration = null,
+        ends = ends(0, 0, 0),
     )
 }
