--- a/library/src/main/kotlin/plantainturn/connection/roster/UpstreamInstance.kt
+++ b/library/src/main/kotlin/plantainturn/connection/roster/UpstreamInstance.kt
@@ -17,6 +17,7 @@
  * @property residents base models in its accelerator memory with their adapters; empty for a plain service
  * @property hostCopies models whose weights are in its host memory
  * @property diskCopies models whose weights are on its disk
+ * @property softwareVersion the version of its software
  */
 public data class UpstreamInstance(
     val name: UpstreamName,
@@ -29,6 +30,7 @@
     val residents: PersistentMap<ModelName, PersistentSet<ModelName>>,
     val hostCopies: PersistentSet<ModelName>,
     val diskCopies: PersistentSet<ModelName>,
+    val softwareVersion: SoftwareVersion = SoftwareVersion.UNNAMED,
 ) {
     /** Identifies this run. */
     val run: InstanceRun
--- a/relay/src/main/kotlin/plantainturn/relay/node/InstanceWatch.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/InstanceWatch.kt
@@ -80,10 +80,11 @@
         val moved = before?.location != current.location || before.startedAt != current.startedAt
         if (before == null || moved || before.leaving != current.leaving) {
             logger.info(
-                "instance={} event=entry offset={} service={} location={} leaving={} startedAt={}",
+                "instance={} event=entry offset={} service={} version={} location={} leaving={} startedAt={}",
                 current.name,
                 record.offset,
                 current.service,
+                current.softwareVersion,
                 current.location,
                 current.leaving,
                 current.startedAt,
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -266,7 +266,8 @@
     private fun isLong(head: HttpResponse): Boolean = HttpUtil.getContentLength(head, 0L) > MAXIMUM_BUFFERED_BYTES
 
     override fun toString(): String =
-        "instance=${instance.name} rank=${parameters.rank} ahead=${decision.tokensAhead} expected=${decision.expected}"
+        "instance=${instance.name} version=${instance.softwareVersion} rank=${parameters.rank} " +
+            "ahead=${decision.tokensAhead} expected=${decision.expected}"
 
     private companion object {
         /** Answers up to this size are received completely and checked before they are forwarded. */
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -185,7 +185,8 @@
                 "candidates=${step.candidates} arrival=$arrivals model=${request.demand?.model} " +
                 "adapter=${request.demand?.adapter} limit=${context.links.limitOf(instance)} left=${timeLeft()} " +
                 "fingerprint=${traits.request} parts=${request.demand?.parts?.map { it.identifier }.orEmpty()} " +
-                "partFingerprints=${traits.parts}",
+                "partFingerprints=${traits.parts} resumes=${request.resumedStream} " +
+                "after=${answer.lastEvent ?: request.resumeAfter}",
         )
         newAttempt.begin(maximumIdle(instance.name))
         watchSilence(newAttempt)
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayRequest.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayRequest.kt
@@ -14,6 +14,8 @@
  * @property callerTimeout how long the caller waits, counted from its sending of the request; null if not given
  * @property demand the demand on a model engine, null if the request does not name a model
  * @property resumeAfter identifier of the last event that the caller received, null unless it resumes a stream
+ * @property resumedStream the attempt of the caller that brought the first event of the stream that is resumed; null if
+ *   the caller names none
  */
 public class RelayRequest(
     public val identifier: RequestIdentifier,
@@ -22,5 +24,6 @@
     public val callerTimeout: Duration?,
     public val demand: GenerationDemand?,
     public val resumeAfter: String?,
+    public val resumedStream: RequestIdentifier?,
     public val source: CallerRequest,
 )
