Continue a stream only at the software version that began it

Callers would see events of two versions in one stream: a stream that broke off went on at any server, within its answer and when its client took it up, as versions were not read and nothing told a node where a stream had begun.

The version of the run that brought the first event now binds the stream. A node records it under the attempt that brought the event, also when it continues another's stream, and corrects it when the entry shows that another run had begun before the send. While a service has, or within the life of a stream had, several versions, nodes tell the origins to the issuer, which tells the others as far as a bound of bytes allows and answers questions for the rest; what may have been lost is told again to a new issuer. A stream of unknown origin is refused with a time to come back, after 0.7 s of asking, unless one version alone has served for long enough; the issuer notes mixed services in the store for nodes that start. A stream that is bound waits for no load of a model: with no other server of its version the answer ends as cut, at once.

Ruled out: a topic of the store, which costs every node its bytes and is gone while the store is away, and a rule that derives the version from the attempt, as both versions need room and every exception has to be told anyway.

--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
@@ -39,6 +39,7 @@
     data class InstanceDump(
         val service: String,
         val location: String,
+        val version: String,
         val leaving: Boolean,
         val models: Map<String, List<String>>,
         val ownWork: WorkTotals?,
@@ -94,6 +95,7 @@
                                 InstanceDump(
                                     instance.service.value,
                                     instance.location.toString(),
+                                    instance.softwareVersion.name,
                                     instance.leaving,
                                     models.toMap(),
                                     work[name],
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -12,6 +12,7 @@
 import plantainturn.connection.roster.RetryAfterTracker
 import plantainturn.connection.roster.RosterTimes
 import plantainturn.connection.roster.SocketLocation
+import plantainturn.connection.roster.VersionHistory
 import plantainturn.connection.store.ReadPace
 import plantainturn.connection.store.TopicFollower
 import plantainturn.process.control.lease.HolderIdentifier
@@ -35,6 +36,7 @@
 import plantainturn.relay.peer.RelayedDeparture
 import plantainturn.relay.peer.RelayedLimit
 import plantainturn.relay.peer.RelayedRecords
+import plantainturn.relay.peer.StreamOriginLink
 import plantainturn.relay.peer.TopicEnds
 import plantainturn.relay.request.CrashTracker
 import plantainturn.relay.request.DemandMeter
@@ -47,6 +49,7 @@
 import plantainturn.relay.request.RequestEventLog
 import plantainturn.relay.request.ResidenceClient
 import plantainturn.relay.request.SendPermits
+import plantainturn.relay.request.StreamVersions
 import plantainturn.relay.request.WaitingRequests
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.quarantine.CrashAttribution
@@ -56,7 +59,7 @@
 import plantainturn.request.relay.RepetitionSettings
 import plantainturn.request.relay.RepetitionShare
 import plantainturn.request.relay.RepetitionShareTerms
-import plantainturn.request.relay.ServiceDispatch
+import plantainturn.request.relay.StreamOrigins
 import plantainturn.version.configuration.FailureDomain
 import java.io.ByteArrayOutputStream
 import java.util.Collections
@@ -138,6 +141,23 @@
             System::currentTimeMillis,
         )
     private val demand = DemandMeter(timer)
+    private val versionHistory = VersionHistory(timer)
+    private val streamOrigins = StreamOrigins(timer)
+    private val versionRecords =
+        VersionRecords(platform.store, versionHistory, timer, System::currentTimeMillis) { lease.isExclusive }
+    private val streamOriginLink: StreamOriginLink =
+        StreamOriginLink(streamOrigins, lease, caller) { issuerLink.isIssuerMissing() }
+    private val streamVersions =
+        StreamVersions(
+            streamOrigins,
+            streamOriginLink,
+            versionHistory,
+            timer,
+            { streamLifetime },
+            ::isInstanceViewCurrent,
+            System::currentTimeMillis,
+        )
+    private var streamLifetime = MINIMUM_STREAM_LIFETIME
     private val waiting = WaitingRequests()
     private val configurationFollower =
         TopicFollower(platform.store, platform.configurationTopic, configuration, timer, pace = ::readPace)
@@ -165,6 +185,7 @@
             instanceFollower,
             crashEvidenceFollower,
             configuration,
+            streamOrigins,
         )
     private val permitDesk = PermitDesk(lease, notices, timer) { issuerLink.nodes }
     private val permitClient: PermitClient =
@@ -180,6 +201,7 @@
             links,
             notices,
             repetitionShare,
+            streamOrigins,
             ::createReport,
             ::onIssuerReport,
         )
@@ -213,6 +235,7 @@
             configurationFollower.start()
             instanceFollower.start()
             crashEvidenceFollower.start()
+            versionRecords.start()
             startTasks()
         }
         listening.await()
@@ -281,6 +304,7 @@
         timer.subscribe(EXCHANGE_PERIOD) { if (!stopping || lease.fence == null) issuerLink.step() }
         timer.subscribe(RETRY_PERIOD) { waiting.retryAll() }
         timer.subscribe(rosterTimes.sweepPeriod) { instances.expire() }
+        timer.subscribe(VERSION_PERIOD) { versionRecords.step() }
         timer.subscribe(CrashEvidenceTopic.SWEEP_PERIOD) { if (lease.isExclusive) crashEvidence.dropExpired() }
         fleet.subscribe {
             links.prompts.retain { engine, model -> model in fleet.residentsOf(engine) }
@@ -328,12 +352,26 @@
         crashEvidenceFollower.catchUp(report.ends.breaks)
     }
 
+    /** Whether no other node can know instances that this one does not, other than for a moment. */
+    private fun isInstanceViewCurrent(): Boolean {
+        val heard = instanceFollower.heardAt?.let { timer.now() - it < MAXIMUM_VIEW_AGE } ?: false
+        return versionRecords.isLoaded && (heard || lease.fence != null || !issuerLink.isIssuerMissing())
+    }
+
     private fun onConfiguration() {
+        val longest =
+            configuration.current
+                ?.table
+                ?.routes
+                ?.maxOfOrNull { it.timeout } ?: Duration.ZERO
+        streamLifetime = maxOf(longest, MINIMUM_STREAM_LIFETIME)
         waiting.retryAll()
     }
 
     private fun onRoster() {
         links.retain(roster.instances)
+        versionHistory.onInstances(roster.instances.values)
+        streamOrigins.onInstances(roster.instances.values)
         fleet.onRosterChange()
     }
 
@@ -350,9 +388,9 @@
             fleet = fleet,
             links = links,
             residence = issuerLink as ResidenceClient,
+            streamVersions = streamVersions,
             timeEstimator = timeEstimator,
             engineDispatch = EngineDispatch(timeEstimator),
-            serviceDispatch = ServiceDispatch(),
             repetitionBudget = repetitionBudget,
             crashes = crashes,
             demand = demand,
@@ -403,6 +441,10 @@
             departures = roster.departures().map(RelayedDeparture::of),
             limits = notices.limits().map { (run, statement) -> RelayedLimit.of(run, statement, timer.now()) },
             prompts = links.prompts.takeUnannounced(),
+            streams =
+                streamOrigins.takeUnannounced(STREAMS_PER_REPORT, streamLifetime) {
+                    versionHistory.isMixed(it, streamLifetime)
+                },
             configurationVersion = configuration.versionNumber,
             configuration =
                 issuerConfigurationVersion
@@ -416,7 +458,7 @@
     private fun round(value: Double): Double = Math.round(value * ROUNDING_FACTOR) / ROUNDING_FACTOR
 
     private fun registerEndpoints() {
-        PeerEndpoint(hub, issuer, permitDesk).registerOn(peerServer)
+        PeerEndpoint(hub, issuer, permitDesk, streamOriginLink).registerOn(peerServer)
         readinessServer.on(
             platform.readinessCall,
         ) { _, done -> done(InternalHttpResponse(if (isReady()) OK else UNAVAILABLE)) }
@@ -455,6 +497,16 @@
         const val UNAVAILABLE = 503
         const val ROUNDING_FACTOR = 1_000.0
 
+        /** Streams of removed routes may outlive the longest present timeout. */
+        val MINIMUM_STREAM_LIFETIME = 15.seconds
+
+        /** Several times the pause between readings of a node that reads by itself. */
+        val MAXIMUM_VIEW_AGE = 3.seconds
+        val VERSION_PERIOD = 100.milliseconds
+
+        /** Several times the streams that begin at a node between two reports. */
+        const val STREAMS_PER_REPORT = 64
+
         /** Half of the shortest time within which a change must take effect. */
         val SHORT_WAIT = 800.milliseconds
         val SHORT_REST = 200.milliseconds
--- a/relay/src/main/kotlin/plantainturn/relay/peer/ExchangeTiming.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/ExchangeTiming.kt
@@ -17,10 +17,18 @@
     private val MINIMUM_ISSUER_TIMEOUT = 900.milliseconds
     private val MINIMUM_NODE_TIMEOUT = 1_500.milliseconds
     private val MINIMUM_ARRIVALS_AGE = 1_000.milliseconds
+
+    /** Limits the origins of streams that all exchanges together carry, to some hundred kilobytes per second. */
+    private const val STREAMS_PER_SECOND = 4_000
     private const val ISSUER_TIMEOUT_PERIODS = 4
+    private const val MILLISECONDS_PER_SECOND = 1_000
     private const val NODE_TIMEOUT_PERIODS = 5
     private const val ARRIVALS_AGE_PERIODS = 4
 
+    /** Returns how many origins of streams the issuer's report to each of [nodes] nodes contains at most. */
+    fun streamsPerReport(nodes: Int): Int =
+        (STREAMS_PER_SECOND * period(nodes).inWholeMilliseconds / (MILLISECONDS_PER_SECOND * maxOf(1, nodes))).toInt()
+
     /** Returns the time between two exchanges of each node if there are [nodes] nodes. */
     fun period(nodes: Int): Duration = maxOf(MINIMUM_PERIOD, PERIOD_PER_NODE * nodes)
 
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerKnowledge.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerKnowledge.kt
@@ -8,15 +8,17 @@
  * @property session identifies the term of the issuer; the numbers of another term are not comparable
  * @property residenceRevision the newest revision of the residence
  * @property prompts the number of cached prompt parts announced so far
+ * @property streams the number of origins of streams announced so far
  */
 @Serializable
 internal data class IssuerKnowledge(
     val session: String?,
     val residenceRevision: Long,
     val prompts: Long,
+    val streams: Long,
 ) {
     companion object {
         /** Nothing received yet. */
-        val NONE = IssuerKnowledge(session = null, residenceRevision = -1, prompts = 0)
+        val NONE = IssuerKnowledge(session = null, residenceRevision = -1, prompts = 0, streams = 0)
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -17,6 +17,7 @@
 import plantainturn.relay.request.ResidenceClient
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.relay.RepetitionShare
+import plantainturn.request.relay.StreamOrigins
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.ServiceName
 import plantainturn.version.configuration.UpstreamName
@@ -42,6 +43,7 @@
     private val links: InstanceLinks,
     private val notices: InstanceNotices,
     private val repetitionShare: RepetitionShare,
+    private val streamOrigins: StreamOrigins,
     private val createReport: (IssuerKnowledge) -> NodeReport,
     private val onIssuerReport: (IssuerReport) -> Unit,
 ) : ResidenceClient {
@@ -116,7 +118,10 @@
             exchanging = false
             val report = PeerMessage.decode(result, IssuerReport.serializer())
             when {
-                report == null -> logger.debug("issuer={} event=exchange-failed result={}", location, result)
+                report == null -> {
+                    streamOrigins.announceAgain()
+                    logger.debug("issuer={} event=exchange-failed result={}", location, result)
+                }
                 report.issuing -> applyReport(report, from, sentAt)
                 else -> lookUpIssuer()
             }
@@ -149,6 +154,8 @@
         notices.onPeerLimits(report.limits.associate { it.run to it.toStatement(now) })
         issuerStoreAnsweredAt = if (report.issuing) report.storeAge?.let { now - it.milliseconds } else null
         onIssuerReport(report)
+        if (report.known.session != knowledge.session) streamOrigins.announceAgain()
+        streamOrigins.learn(report.streams)
         knowledge = if (report.issuing) report.known else IssuerKnowledge.NONE
         knowledgeIssuer = from
         links.prompts.merge(report.prompts)
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import plantainturn.request.relay.KeptPart
+import plantainturn.request.relay.StreamOrigin
 import plantainturn.request.relay.WorkTotals
 
 /**
@@ -24,6 +25,7 @@
  * @property storeAge milliseconds since the store last answered the issuer about instances
  * @property loadAges milliseconds since the start of recent loads from the weight store, for the next issuer
  * @property prompts cached parts of prompts that the node has not received
+ * @property streams origins of streams that the node has not received, as many as the exchanges can carry
  * @property arrivals expected milliseconds until each model that is being loaded is resident
  */
 @Serializable
@@ -43,6 +45,7 @@
     val storeAge: Long?,
     val loadAges: List<Long>,
     val prompts: List<KeptPart>,
+    val streams: List<StreamOrigin>,
     val breaks: RelayedRecords?,
     val configurationVersion: Long,
     val configuration: RelayedRecords.RelayedRecord?,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import plantainturn.request.relay.KeptPart
+import plantainturn.request.relay.StreamOrigin
 import plantainturn.request.relay.WorkTotals
 
 /**
@@ -18,6 +19,7 @@
  * @property departingRuns its running requests by engine and model, for models no longer counted as resident there
  * @property departures runs of instances that have an entry and announced in an answer that they are leaving
  * @property limits what instances that have an entry said about their limits on requests
+ * @property streams origins of its callers' streams, while several software versions serve
  * @property configurationVersion the number of the configuration in force at the node, -1 if there is none
  * @property configuration its record, if the issuer lacks it and can't read it as the store has lost it
  * @property prompts shareable parts of prompts that engines have processed for its callers since its last report
@@ -36,6 +38,7 @@
     val departures: List<RelayedDeparture>,
     val limits: List<RelayedLimit>,
     val prompts: List<KeptPart>,
+    val streams: List<StreamOrigin>,
     val configurationVersion: Long,
     val configuration: RelayedRecords.RelayedRecord?,
     val ends: TopicEnds,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerEndpoint.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerEndpoint.kt
@@ -14,6 +14,7 @@
     private val hub: PeerHub,
     private val issuer: ResidenceIssuer,
     private val permits: PermitDesk,
+    private val streamOrigins: StreamOriginLink,
 ) {
     /** Registers the handlers of peer calls on [server]. */
     fun registerOn(server: InternalHttpServer) {
@@ -33,6 +34,7 @@
             val wish = PeerMessage.decode(body, AdapterWish.serializer())
             if (wish == null) done(InternalHttpResponse(BAD_REQUEST)) else grant(wish, done)
         }
+        server.on("POST ${StreamOriginLink.PATH}", ::answerQuestion)
         server.on("POST ${PermitClient.PATH}") { body, done ->
             val wish = PeerMessage.decode(body, PermitWish.serializer())
             if (wish == null) {
@@ -43,6 +45,20 @@
         }
     }
 
+    private fun answerQuestion(
+        body: ByteArray,
+        done: (InternalHttpResponse) -> Unit,
+    ) {
+        val question = PeerMessage.decode(body, StreamOriginLink.Question.serializer())
+        done(
+            if (question == null) {
+                InternalHttpResponse(BAD_REQUEST)
+            } else {
+                answer(StreamOriginLink.Answer.serializer(), streamOrigins.answer(question))
+            },
+        )
+    }
+
     private fun grant(
         wish: AdapterWish,
         done: (InternalHttpResponse) -> Unit,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -11,8 +11,11 @@
 import plantainturn.relay.request.AdapterDemand
 import plantainturn.relay.request.InstanceNotices
 import plantainturn.relay.residence.ResidenceIssuer
+import plantainturn.request.relay.KeptPart
 import plantainturn.request.relay.RepetitionShareAllocator
 import plantainturn.request.relay.RepetitionShareTerms
+import plantainturn.request.relay.StreamOrigin
+import plantainturn.request.relay.StreamOrigins
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.UpstreamName
 import kotlin.time.Duration.Companion.milliseconds
@@ -32,9 +35,11 @@
     private val instances: TopicFollower,
     private val breaks: TopicFollower,
     private val configuration: ConfigurationWatch,
+    private val streamOrigins: StreamOrigins,
 ) {
     private val received = HashMap<String, ReceivedReport>()
-    private val promptAnnouncements = PromptAnnouncements()
+    private val promptAnnouncements = Announcements<KeptPart>(RETAINED_PARTS)
+    private val streamAnnouncements = Announcements<StreamOrigin>(RETAINED_STREAMS)
     private var residenceChanges = ResidenceChanges()
     private var session: String? = null
     private var aggregate = ReportAggregate(emptyMap())
@@ -47,6 +52,8 @@
         val now = timer.now()
         received[report.node] = ReceivedReport(report, now)
         promptAnnouncements.add(report.prompts)
+        streamAnnouncements.add(report.streams)
+        streamOrigins.learn(report.streams)
         report.configuration?.let { configuration.onPeerRecord(it.decode()) }
         notices.onPeerLimits(report.limits.associate { it.run to it.toStatement(now) })
         if (aggregatedAt?.let { now - it >= AGGREGATION_PERIOD } != false) updateAggregate(now)
@@ -59,7 +66,13 @@
             suspects = aggregate.suspects,
             departures = aggregate.departures,
             limits = notices.limits().map { (run, statement) -> RelayedLimit.of(run, statement, now) },
-            known = IssuerKnowledge(session, residenceChanges.revision, promptAnnouncements.totalAdded),
+            known =
+                IssuerKnowledge(
+                    session,
+                    residenceChanges.revision,
+                    promptAnnouncements.totalAdded,
+                    streamAnnouncements.totalAdded,
+                ),
             residenceWhole = known.session == null,
             residence = residenceChanges.since(known.residenceRevision),
             arrivals = issuer.arrivals().map { (model, wait) -> model.value to wait.inWholeMilliseconds }.toMap(),
@@ -68,6 +81,7 @@
             storeAge = instances.heardAt?.let { (now - it).inWholeMilliseconds },
             loadAges = issuer.recentLoads().map { (now - it).inWholeMilliseconds },
             prompts = promptAnnouncements.since(known.prompts),
+            streams = streamAnnouncements.since(known.streams, ExchangeTiming.streamsPerReport(received.size)),
             configurationVersion = configuration.versionNumber,
             configuration = configuration.lostRecordAfter(report.configurationVersion)?.let(RelayedRecord::of),
             ends = aggregate.ends?.latest(report.ends) ?: report.ends,
@@ -139,6 +153,10 @@
     )
 
     private companion object {
+        /** Covers several seconds of a busy deployment. */
+        const val RETAINED_PARTS = 512
+        const val RETAINED_STREAMS = 512
+
         /** Shorter than the interval between two reports of a node. */
         val AGGREGATION_PERIOD = 100.milliseconds
     }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayContext.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayContext.kt
@@ -16,9 +16,9 @@
     val fleet: FleetView,
     val links: InstanceLinks,
     val residence: ResidenceClient,
+    val streamVersions: StreamVersions,
     val timeEstimator: EngineTimeEstimator,
     val engineDispatch: EngineDispatch,
-    val serviceDispatch: ServiceDispatch,
     val repetitionBudget: RepetitionBudget,
     val crashes: CrashTracker,
     val demand: DemandMeter,
@@ -26,4 +26,6 @@
     val eventLog: RequestEventLog,
     val metrics: RelayMetrics,
     val random: Random,
-)
+) {
+    val serviceDispatch: ServiceDispatch = ServiceDispatch()
+}
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -41,6 +41,7 @@
     private val arrivedAt = request.source.receivedAt
     private val deadline = arrivedAt + minOf(request.callerTimeout ?: route.timeout, route.timeout)
     private val answer = CallerAnswer(reply, route.repetition.streams)
+    private val stream = request.resumedStream ?: request.identifier
     private val traits = traitsOf(request, service)
     private val placement = RelayPlacement(context, request, route, service, traits.request)
     private val avoided = LinkedHashSet<UpstreamName>()
@@ -112,13 +113,59 @@
             giveUp(ResultCode.QUARANTINED, ResultCode.OUTCOME_UNKNOWN, details, maximumRetryAfter())
             return
         }
-        when (val step = placement.find(avoided, mayHaveRun, permitsDenied, timeBudget())) {
+        val constraint = versionConstraint()
+        if (constraint == VersionConstraint.Unknown) awaitOrigin() else place(constraint, left)
+    }
+
+    private fun place(
+        constraint: VersionConstraint,
+        left: Duration,
+    ) {
+        when (val step = placement.find(avoided, mayHaveRun, permitsDenied, timeBudget(), constraint)) {
             is PlacementStep.Decided -> execute(step)
             is PlacementStep.NeedsAdapter -> awaitAdapter(step)
             is PlacementStep.NeedsModel -> awaitModel(step.model, left)
         }
     }
 
+    /** A stream is continued, within its answer or by its caller, at the software version that began it only. */
+    private fun versionConstraint(): VersionConstraint =
+        when {
+            !route.repetition.streams -> VersionConstraint.None
+            answer.hasBegun -> context.streamVersions.constraintOf(stream, service.name)
+            request.resumeAfter != null ->
+                context.streamVersions.constraintOf(request.resumedStream, service.name)
+            else -> VersionConstraint.None
+        }
+
+    /** Asks for the origin of the stream for a short time; then the caller may come back when others know it. */
+    private fun awaitOrigin() {
+        if (awaitingIssuer) return
+        val resumed = request.resumedStream
+        if (answer.hasBegun || resumed == null || context.timer.now() - arrivedAt > RequestLimits.ORIGIN_TIMEOUT) {
+            giveUp(
+                ResultCode.NO_UPSTREAM,
+                ResultCode.OUTCOME_UNKNOWN,
+                "stream=$resumed version=unknown",
+                minOf(RequestLimits.ORIGIN_RETRY_AFTER, maximumRetryAfter()),
+            )
+            return
+        }
+        awaitingIssuer = true
+        context.streamVersions.find(resumed) {
+            val pause =
+                if (versionConstraint() == VersionConstraint.Unknown) {
+                    RequestLimits.ORIGIN_RETRY_INTERVAL
+                } else {
+                    Duration.ZERO
+                }
+            context.timer.schedule(pause) {
+                awaitingIssuer = false
+                dispatch()
+            }
+        }
+    }
+
     private fun timeBudget(): RequestTimeBudget {
         val objectiveLeft = if (answer.hasBegun) Duration.ZERO else arrivedAt + route.objective - context.timer.now()
         return RequestTimeBudget(objectiveLeft, timeLeftToBegin(), maximumRetryAfter())
@@ -146,7 +193,7 @@
                 giveUp(
                     ResultCode.NO_UPSTREAM,
                     ResultCode.OUTCOME_UNKNOWN,
-                    "candidates=0",
+                    "candidates=0 version=${versionConstraint()}",
                     RequestLimits.NO_UPSTREAM_RETRY_AFTER,
                 )
         }
@@ -450,12 +497,15 @@
             hasOther(except = null)
 
     /** Returns whether an instance other than [except] could take the request now. */
-    private fun hasOther(except: UpstreamName?): Boolean =
-        context.fleet.instancesOf(service.name).any {
+    private fun hasOther(except: UpstreamName?): Boolean {
+        val constraint = versionConstraint()
+        return context.fleet.instancesOf(service.name).any {
             it.name != except &&
                 it.name !in avoided &&
+                constraint.permits(it) &&
                 context.links.backoffOf(it, PermitTerms(urgency, Duration.ZERO)) == null
         }
+    }
 
     /** Forwards [content] of a streamed answer; of an event stream only complete events are forwarded. */
     fun onStreamContent(
@@ -474,6 +524,7 @@
             context.metrics.onFirstByte(context.timer.now() - arrivedAt)
             val length = HttpUtil.getContentLength(head, RequestLimits.UNKNOWN_LENGTH).takeIf { it >= 0 }
             answer.begin(head.status().code(), context.dialect.callerHeaders(head), length)
+            context.streamVersions.onFirstEvent(stream, from.instance, from.sentAt ?: arrivedAt)
             context.eventLog.record(
                 request.identifier,
                 "first-event",
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
@@ -25,7 +25,8 @@
     /**
      * Returns the next step for the request.
      *
-     * Instances at which the same request broke off are used only if there is no other.
+     * Instances at which the same request broke off are used only if there is no other. A request that is bound to a
+     * software version waits for no model, as models are loaded without regard to versions.
      *
      * @param denied instances for which the request was denied a permit
      * @param avoided instances that refused or failed the request, or to which it could not be sent
@@ -36,14 +37,17 @@
         mayHaveRun: Boolean,
         denied: Set<UpstreamName>,
         times: RequestTimeBudget,
+        constraint: VersionConstraint,
     ): PlacementStep {
         val permitted =
-            permitted(avoided, mayHaveRun).map {
+            permitted(avoided, mayHaveRun, constraint).map {
                 Option(it, PermitTerms(route.urgency, patience(it, denied, times)))
             }
         val withoutCrash = permitted.filterNot { context.crashes.brokeAt(fingerprint, it.instance) }
         val step = find(withoutCrash, times)
-        return if (step.hasNoCandidate && withoutCrash.size < permitted.size) find(permitted, times) else step
+        val found = if (step.hasNoCandidate && withoutCrash.size < permitted.size) find(permitted, times) else step
+        val waitsForModel = found is PlacementStep.NeedsModel && constraint != VersionConstraint.None
+        return if (waitsForModel) NO_CANDIDATE else found
     }
 
     private fun find(
@@ -145,8 +149,9 @@
     private fun permitted(
         avoided: Set<UpstreamName>,
         mayHaveRun: Boolean,
+        constraint: VersionConstraint,
     ): List<UpstreamInstance> {
-        val allowed = context.fleet.instancesOf(service.name)
+        val allowed = context.fleet.instancesOf(service.name).filter(constraint::permits)
         return allowed.filter { it.name !in avoided }.ifEmpty { if (mayHaveRun) emptyList() else allowed }
     }
 
@@ -173,4 +178,8 @@
         val instance: UpstreamInstance,
         val terms: PermitTerms,
     )
+
+    private companion object {
+        val NO_CANDIDATE = PlacementStep.Decided(DispatchDecision.NoCandidate, candidates = 0, unlimited = 0)
+    }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
@@ -5,6 +5,13 @@
 
 /** Time limits, counts and HTTP statuses used while a request is relayed. */
 internal object RequestLimits {
+    /** Nodes tell each other the origins of streams within two exchanges of reports. */
+    val ORIGIN_TIMEOUT = 700.milliseconds
+    val ORIGIN_RETRY_INTERVAL = 100.milliseconds
+
+    /** When another issuer may have been told what a lost one knew. */
+    val ORIGIN_RETRY_AFTER = 1.seconds
+
     /** The status of a stream that ends without any event. */
     const val OK = 200
 
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/request/StreamVersions.kt
@@ -0,0 +1,56 @@
+package plantainturn.relay.request
+
+import plantainturn.connection.roster.UpstreamInstance
+import plantainturn.connection.roster.VersionHistory
+import plantainturn.process.time.Moment
+import plantainturn.process.time.TimerService
+import plantainturn.request.RequestIdentifier
+import plantainturn.request.relay.StreamOrigins
+import plantainturn.version.configuration.ServiceName
+import kotlin.time.Duration
+
+/**
+ * Decides at which software versions streams may be continued.
+ *
+ * What is not known is not guessed: a stream of unknown origin is continued only where one version alone has served for
+ * longer than any stream lives.
+ *
+ * @param lifetime returns the longest time that a stream lives
+ * @param isViewCurrent returns whether the known instances are those that other nodes know too
+ * @param wallClock returns Unix milliseconds
+ */
+internal class StreamVersions(
+    private val origins: StreamOrigins,
+    private val client: StreamOriginClient,
+    private val history: VersionHistory,
+    private val timer: TimerService,
+    private val lifetime: () -> Duration,
+    private val isViewCurrent: () -> Boolean,
+    private val wallClock: () -> Long,
+) {
+    /** Returns where [stream] of [service] may be continued; it is null if the caller does not name it. */
+    fun constraintOf(
+        stream: RequestIdentifier?,
+        service: ServiceName,
+    ): VersionConstraint {
+        val version = stream?.let(origins::versionOf)
+        return when {
+            version != null -> VersionConstraint.Only(version)
+            isViewCurrent() && !history.isMixed(service, lifetime()) -> VersionConstraint.None
+            else -> VersionConstraint.Unknown
+        }
+    }
+
+    /** Asks another node for the origin of [stream], and calls [done] when it is known here or can't be learned now. */
+    fun find(
+        stream: RequestIdentifier,
+        done: () -> Unit,
+    ): Unit = client.find(stream, done)
+
+    /** Records that [instance], to which the request was sent at [sentAt], brought the first event of an answer. */
+    fun onFirstEvent(
+        stream: RequestIdentifier,
+        instance: UpstreamInstance,
+        sentAt: Moment,
+    ): Unit = origins.onEvent(stream, instance, wallClock() - (timer.now() - sentAt).inWholeMilliseconds)
+}
--- a/relay/src/test/kotlin/plantainturn/relay/peer/ReportAggregateTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/peer/ReportAggregateTest.kt
@@ -70,6 +70,7 @@
         departures = emptyList(),
         limits = emptyList(),
         prompts = emptyList(),
+        streams = emptyList(),
         configurationVersion = 1,
         configuration = null,
         ends = ends(0, 0, 0),
