Answer the requests that are still at work when the time of a planned stop ends

Callers got a closed connection without an answer when the time to stop was over, also for requests that may run once only: the node ended with them in progress. They get 502, as their result is not known, or 503 if they were never sent, 0.15 s before the node ends. StopDeadlineTest failed before: the connection ended without a status. Not changed: requests that come until 2.8 s after the signal are taken, as the balancer may have no other node; later ones and waiting ones are refused.

--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -283,7 +283,9 @@
                 val isIssuer = lease.permitsOrders()
                 val drained = handler.inProgress == 0 && callerServer.openConnections == 0 && !isIssuer
                 val timedOut = elapsed > settings.stopSeconds.seconds - STOP_MARGIN
-                if (elapsed > STOP_ACCEPTING_DELAY && drained || timedOut) stopped.countDown()
+                if (timedOut) handler.endAll()
+                val answered = elapsed > settings.stopSeconds.seconds - LAST_ANSWER_MARGIN
+                if (elapsed > STOP_ACCEPTING_DELAY && drained || answered) stopped.countDown()
             }
         }
         stopped.await()
@@ -535,6 +537,9 @@
         val STOP_CHECK_PERIOD = 50.milliseconds
         val STOP_MARGIN = 300.milliseconds
 
+        /** After the last answers have been written. */
+        val LAST_ANSWER_MARGIN = 150.milliseconds
+
         fun location(text: String): SocketLocation =
             requireNotNull(SocketLocation.parse(text)) { "the settings were not validated, invalid address: $text" }
     }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -36,7 +36,7 @@
     val route: Route,
     private val service: ServiceDefinition,
     reply: CallerReply,
-    private val onEnd: () -> Unit,
+    private val onEnd: (RelayExchange) -> Unit,
 ) : CallerConnectionListener {
     private val arrivedAt = request.source.receivedAt
     private val deadline = arrivedAt + minOf(request.callerTimeout ?: route.timeout, route.timeout)
@@ -100,6 +100,20 @@
             RequestLimits.STOPPING_RETRY_AFTER,
         )
 
+    /** Ends the request because the time of this node ends. */
+    fun onEndOfNode() {
+        val running = attempt
+        if (running?.sentAt != null) mayHaveRun = true
+        running?.let(::cancel)
+        attempt = null
+        giveUp(
+            ResultCode.STOPPING,
+            ResultCode.OUTCOME_UNKNOWN,
+            "sent=${running?.sentAt != null}",
+            RequestLimits.STOPPING_RETRY_AFTER,
+        )
+    }
+
     private fun dispatch() {
         if (ended) return
         val left = timeLeftToBegin()
@@ -686,7 +700,7 @@
         val elapsed = context.timer.now() - arrivedAt
         context.metrics.onEnd(route.urgency, code, elapsed)
         context.eventLog.recordEnd(request.identifier, code, status, "elapsed=$elapsed route=${route.name} $details")
-        onEnd()
+        onEnd(this)
     }
 
     private companion object {
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
@@ -16,9 +16,10 @@
     private val context: RelayContext,
 ) : CallerHandler {
     /** Number of requests in progress. */
-    var inProgress: Int = 0
-        private set
+    val inProgress: Int
+        get() = exchanges.size
 
+    private val exchanges = LinkedHashSet<RelayExchange>()
     private var stopping = false
 
     /** Refuses all requests from now on. */
@@ -26,6 +27,9 @@
         stopping = true
     }
 
+    /** Ends the requests in progress with an answer, as the time of this node ends. */
+    fun endAll(): Unit = exchanges.toList().forEach { it.onEndOfNode() }
+
     override fun handle(
         request: CallerRequest,
         reply: CallerReply,
@@ -57,8 +61,8 @@
             val details = "route=${route.name} configuration=${configuration.version}"
             return refuse(request.source, reply, identifier, ResultCode.NO_UPSTREAM, details, NOT_READY_RETRY_AFTER)
         }
-        inProgress++
-        val exchange = RelayExchange(context, request, route, service, reply) { inProgress-- }
+        val exchange = RelayExchange(context, request, route, service, reply, exchanges::remove)
+        exchanges += exchange
         exchange.start()
         return exchange
     }
