--- a/review/lab/VersionsDuringCut.java
+++ b/review/lab/VersionsDuringCut.java
@@ -26,7 +26,10 @@
         Lab.Relay other = lab.relay("edge-2", "kitakyu");
         Lab.Link toStore = new Lab.Link(lab, lab.store.address);
         Lab.Link fromPeers = new Lab.Link(lab, holder.peers);
+        Lab.Link toPeer = new Lab.Link(lab, other.peers);
+        List<Lab.Link> links = List.of(toStore, fromPeers, toPeer);
         holder.write("hakata", toStore.address, fromPeers.address);
+        other.write("kitakyu", lab.store.address, toPeer.address);
         holder.start();
         holder.awaitReady();
         Lab.sleep(2_000);
@@ -37,8 +40,7 @@
 
         if (trouble) {
             lab.log("edge-1 is cut off from the store and the other relay");
-            toStore.cut = true;
-            fromPeers.cut = true;
+            links.forEach(link -> link.cut = true);
         }
         Lab.Server newer = new Lab.Server(lab, "i-new", "taru-model", "v2", Configurations.MODEL, 64);
         newer.register();
@@ -49,8 +51,7 @@
         newer.end();
         Lab.sleep(1_500);
         if (trouble) {
-            toStore.cut = false;
-            fromPeers.cut = false;
+            links.forEach(link -> link.cut = false);
             lab.log("the cut of edge-1 heals");
         }
         Lab.sleep(13_000);
