--- a/review/lab/DepartureDuringCut.java
+++ b/review/lab/DepartureDuringCut.java
@@ -80,7 +80,6 @@
         Lab.sleep(LEAVES_AT - Lab.now());
         while (Lab.now() < LEAVES_BY && !reached.contains(second)) Lab.sleep(20);
         lab.log("server %s leaves", second.id);
-        second.leaving = true;
         second.removeEntry();
         Lab.sleep(HEALS_AT - Lab.now());
         if (trouble) {
--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -535,9 +535,10 @@
                     + models + "],\"seq\":" + number + "}");
         }
 
-        /** The entry is removed; the server goes on with what it runs. */
+        /** The entry is removed; the server goes on with what it runs, and says in its answers that it leaves. */
         synchronized void removeEntry() {
             registered = false;
+            leaving = true;
             lab.log("entry of server %s is removed", id);
             lab.store.put("keyed.servers", id, "");
         }
@@ -545,6 +546,7 @@
         /** Reports that the server is removed at short notice. */
         synchronized void announceRemoval(long remainingMilliseconds) {
             state = "\"draining\",\"remaining_ms\":" + remainingMilliseconds;
+            leaving = true;
             lab.log("server %s reports that it is draining, %d ms remain", id, remainingMilliseconds);
             beat(1_000);
         }
@@ -593,12 +595,12 @@
         private void answer(Message request, byte[] body, OutputStream output) throws IOException, InterruptedException {
             String expected = request.header("expect-instance", id);
             if (!expected.equals(id)) {
-                send(output, "421 Misdirected Request", "Instance-Id: " + id + "\r\n", new byte[0]);
+                send(output, "421 Misdirected Request", "Instance-Id: " + id + "\r\n" + mark(), new byte[0]);
             } else if (request.path().equals("/api/report")) {
-                send(output, "200 OK", "Content-Type: application/json\r\n", report().getBytes(StandardCharsets.UTF_8));
+                send(output, "200 OK", "Content-Type: application/json\r\n" + mark(), report().getBytes(StandardCharsets.UTF_8));
             } else if (request.path().equals("/api/order")) {
                 lab.log("server %s gets order %s", id, new String(body, StandardCharsets.UTF_8));
-                send(output, "200 OK", "", "{}".getBytes(StandardCharsets.UTF_8));
+                send(output, "200 OK", mark(), "{}".getBytes(StandardCharsets.UTF_8));
             } else if (request.headers().containsKey("model")) {
                 stream(request, output);
             } else {
@@ -635,8 +637,11 @@
         }
 
         private String own(String attempt) {
-            String mark = leaving ? "Server-Leaving: 1\r\n" : "";
-            return "Attempt-Id: " + attempt + "\r\nServer-Stamp: " + id + "." + attempt + "\r\n" + mark;
+            return "Attempt-Id: " + attempt + "\r\nServer-Stamp: " + id + "." + attempt + "\r\n" + mark();
+        }
+
+        private String mark() {
+            return leaving ? "Server-Leaving: 1\r\n" : "";
         }
 
         private static void send(OutputStream output, String status, String headers, byte[] body) throws IOException {
