--- a/review/rig/Http.java
+++ b/review/rig/Http.java
@@ -121,7 +121,13 @@
     /** Sends a request with [attempt] as its id and returns the answer, null if the connection ended before it. */
     Message call(String method, String host, String path, String attempt, String headers, byte[] body, int milliseconds)
         throws IOException {
-        socket.setSoTimeout(milliseconds);
+        return call(method, host, path, attempt, headers, body, milliseconds, milliseconds);
+    }
+
+    /** The same, with a time limit of [milliseconds] and [patience], after which the caller leaves. */
+    Message call(String method, String host, String path, String attempt, String headers, byte[] body, int milliseconds,
+        int patience) throws IOException {
+        socket.setSoTimeout(patience);
         write(method + " " + path + " HTTP/1.1\nHost: " + host + "\nAttempt-Id: " + attempt + "\nDeadline-Ms: "
             + milliseconds + "\n" + headers + (body.length > 0 || method.equals("POST") ? "Content-Length: " + body.length
             + "\n" : "") + "\n", body);
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -160,6 +160,16 @@
             }
         }
 
+        /** Sends SIGTERM and waits for the end, for the time to stop at most; then sends SIGKILL. */
+        void terminate() {
+            process.destroy();
+            try {
+                if (!process.waitFor(8, TimeUnit.SECONDS)) kill();
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
         Path log() {
             return work.resolve(name + ".log");
         }
--- a/review/rig/Upstream.java
+++ b/review/rig/Upstream.java
@@ -28,6 +28,9 @@
     /** The version of its software from its next start on. */
     volatile String nextVersion = "v1";
 
+    /** The port that its entry names, 0 for its own. */
+    volatile int advertisedPort;
+
     /** Returns further fields of its entry. */
     volatile Supplier<String> extra = () -> "";
 
@@ -58,6 +61,10 @@
         return born;
     }
 
+    int port() {
+        return port;
+    }
+
     boolean isUp() {
         return listener != null;
     }
@@ -81,8 +88,9 @@
         }
     }
 
-    private synchronized void register() {
-        store.putAsServer(name, "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + port
+    synchronized void register() {
+        store.putAsServer(name, "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:"
+            + (advertisedPort == 0 ? port : advertisedPort)
             + "\",\"zone\":\"" + zone + "\",\"version\":\"" + version + "\",\"slots\":64,\"state\":\"ready\",\"cold_left_ms\":0,\"born\":"
             + born + extra.get() + ",\"seq\":" + sequence++ + "}");
     }
