--- a/review/rig/Lookups.java
+++ b/review/rig/Lookups.java
@@ -1,6 +1,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -20,10 +21,15 @@
     private static final int LONG_PERIODS = 5;
     private static final int LEAST_REQUESTS = 20;
     private static final double LEAST_SHARE = 0.25;
+    private static final int CONTACT_MILLISECONDS = 3_000;
+    private static final int ALLOWED_RETRIES = 3;
 
     private static final String FIRST_ROUTE = """
         {"name": "record", "host": "desk.example", "path_prefix": "/record/", "route_kind": "idempotent",
          "timeout_ms": 1000, "goal_ms": 121, "priority": 1, "service": "records", "max_attempts": 2}""";
+    private static final String OTHER_HOST_ROUTE = """
+        {"name": "stock-of-others", "host": "others.example", "path_prefix": "/stock/", "route_kind": "idempotent",
+         "timeout_ms": 1000, "goal_ms": 121, "priority": 1, "service": "stock", "max_attempts": 2}""";
     private static final String LATER_ROUTE = """
         {"name": "stock", "host": "desk.example", "path_prefix": "/stock/", "route_kind": "idempotent",
          "timeout_ms": 1000, "goal_ms": 121, "priority": 1, "service": "stock", "max_attempts": 2}""";
@@ -43,6 +49,9 @@
 
     /** How many servers of the later route are to crash, each while it runs a request. */
     final AtomicInteger crashes = new AtomicInteger();
+
+    /** When the fatal request reached a server, which then crashed. */
+    private final List<Double> fatalAt = new CopyOnWriteArrayList<>();
     private volatile boolean judged;
     private volatile boolean ended;
 
@@ -69,7 +78,7 @@
     /** Starts servers and relays, adds the later route, and begins to send. */
     void start() throws IOException {
         Store store = new Store();
-        store.put("keyed.op", "config", "{\"version\": 3, \"routes\": [" + FIRST_ROUTE + "], " + REST);
+        store.put("keyed.op", "config", "{\"version\": 3, \"routes\": [" + FIRST_ROUTE + ", " + OTHER_HOST_ROUTE + "], " + REST);
         for (String service : List.of("records", "stock")) {
             for (int number = 1; number <= SERVERS; number++) {
                 Upstream server = new Upstream(store, "i-" + service + number, service, "hakata", this::serve);
@@ -85,7 +94,8 @@
         }
         for (Rig.Relay relay : relays) relay.start();
         Rig.awaitReady(relays);
-        store.put("keyed.op", "config", "{\"version\": 7, \"routes\": [" + FIRST_ROUTE + ", " + LATER_ROUTE + "], " + REST);
+        store.put("keyed.op", "config", "{\"version\": 7, \"routes\": [" + FIRST_ROUTE + ", " + OTHER_HOST_ROUTE + ", "
+            + LATER_ROUTE + "], " + REST);
         Rig.note("the route /stock/ is added");
         Rig.sleep(3_000);
         send(first, () -> "/record/" + numbers.incrementAndGet());
@@ -104,8 +114,21 @@
         return broken ? Rig.BROKEN : Rig.HELD;
     }
 
+    /** Judges by rule BUDGET how often the fatal request reached servers, and returns the exit status. */
+    int judgeFatal() {
+        ended = true;
+        Rig.note("the fatal request reached servers " + fatalAt.size() + " times");
+        if (fatalAt.size() < 3) return Rig.HELD;
+        double from = fatalAt.get(2) + CONTACT_MILLISECONDS / 1_000.0;
+        long late = fatalAt.stream().filter(at -> at > from).count();
+        Rig.note("the third crash was at " + fatalAt.get(2) + "; " + late + " requests reached servers later than " + from);
+        return late > ALLOWED_RETRIES ? Rig.BROKEN : Rig.HELD;
+    }
+
     private void serve(Upstream server, Http connection, Http.Message request) throws IOException {
-        if (server.service.equals("stock") && crashes.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+        boolean fatal = request.header("Host").equals("others.example");
+        if (fatal) fatalAt.add(Rig.seconds());
+        if (fatal || server.service.equals("stock") && crashes.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
             Rig.note(server.name + " crashes while it runs " + request.header("Attempt-Id"));
             server.crash(3_000);
             return;
@@ -141,26 +164,36 @@
             int left = (int) ((until - System.nanoTime()) / 1_000_000);
             if (left <= 50) return;
             Rig.Relay relay = relays.get((offset + attempt) % relays.size());
-            Http.Message answer = attempt(relay, tally, path, left);
+            Http.Message answer = attempt(relay, tally, "desk.example", path, left);
             if (answer != null && answer.status() == 200) return;
             String wait = answer == null ? null : answer.header("Retry-After");
             if (wait != null) Rig.sleep((long) Math.min(Double.parseDouble(wait) * 1_000, left / 3.0));
         }
     }
 
-    private Http.Message attempt(Rig.Relay relay, Tally tally, String path, int left) {
+    /** Sends a request on the route of another host again and again, which crashes each server that runs it. */
+    void sendFatal(int times, long pauseMilliseconds) {
+        for (int time = 0; time < times; time++) {
+            Rig.Relay relay = relays.get(time % relays.size());
+            Rig.daemonThread(() -> attempt(relay, new Tally(), "others.example", "/stock/kegs", TIME_LIMIT_MILLISECONDS))
+                .start();
+            Rig.sleep(pauseMilliseconds);
+        }
+    }
+
+    private Http.Message attempt(Rig.Relay relay, Tally tally, String host, String path, int left) {
         String identifier = "a-" + numbers.incrementAndGet();
         boolean counts = judged && !ended;
         if (counts) tally.requests.incrementAndGet();
         try (Http connection = Http.connect(relay.callers, 1_000)) {
-            Http.Message answer = connection.call("GET", "desk.example", path, identifier, "", new byte[0], left);
+            Http.Message answer = connection.call("GET", host, path, identifier, "", new byte[0], left);
             boolean served = answer != null && answer.status() == 200 && answer.header("Server-Stamp") != null;
             if (counts && served) tally.served.incrementAndGet();
-            Rig.note(identifier + " GET " + path + " at " + relay.name + ": "
+            Rig.note(identifier + " GET " + host + path + " at " + relay.name + ": "
                 + (answer == null ? "no answer" : answer.status() + " code " + answer.header("X-Result-Code")));
             return answer;
         } catch (IOException exception) {
-            Rig.note(identifier + " GET " + path + " at " + relay.name + ": " + exception.getMessage());
+            Rig.note(identifier + " GET " + host + path + " at " + relay.name + ": " + exception.getMessage());
             return null;
         }
     }
