--- a/review/earlier/1/run.sh
+++ /dev/null
@@ -1,8 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
-cd "$(dirname "${BASH_SOURCE[0]}")/../../.." || exit 2
-[ -f daemon/target/plantainturn.jar ] && [ -f review/target/lab/VersionsAfterRestart.class ] || { echo "build first"; exit 2; }
-timeout 115 java -Xmx1g -cp review/target/lab VersionsAfterRestart review/earlier/1/record.txt
-status=$?
-[ "$status" -le 2 ] && exit "$status"
-exit 2
