--- a/review/rig/DeepPart.java
+++ b/review/rig/DeepPart.java
@@ -44,6 +44,7 @@
 
     private static final Map<String, Engine> ENGINES = new ConcurrentHashMap<>();
     private static final List<Double> CRASHES = new CopyOnWriteArrayList<>();
+    private static final List<Double> ARRIVALS = new CopyOnWriteArrayList<>();
     private static final AtomicInteger NUMBERS = new AtomicInteger();
     private static final AtomicInteger SOUND_SERVED = new AtomicInteger();
     private static final AtomicInteger SOUND_REQUESTS = new AtomicInteger();
@@ -82,7 +83,7 @@
         if (SOUND_REQUESTS.get() < 20) return Rig.COULD_NOT_RUN;
         if (CRASHES.size() < 5) return Rig.HELD;
         double from = CRASHES.get(4) + CONTACT_MILLISECONDS / 1_000.0;
-        long late = CRASHES.stream().filter(at -> at > from).count();
+        long late = ARRIVALS.stream().filter(at -> at > from).count();
         Rig.note("the fifth crash was at " + CRASHES.get(4) + "; " + late + " reached servers later than " + from);
         return late > ALLOWED_REQUESTS ? Rig.BROKEN : Rig.HELD;
     }
@@ -94,9 +95,11 @@
             server.answer(connection, request, 421, "", new byte[0]);
             return;
         }
+        double arrived = Rig.seconds();
         Rig.sleep(60);
         if (request.header("Prompt-Prefix").contains(CRASHING)) {
             CRASHES.add(Rig.seconds());
+            ARRIVALS.add(arrived);
             Rig.note(server.name + " crashes on " + request.header("Attempt-Id") + ", crash " + CRASHES.size());
             engine.restart();
             server.crash(RESTART_MILLISECONDS);
--- a/review/rig/Engine.java
+++ b/review/rig/Engine.java
@@ -11,6 +11,7 @@
     private final Set<String> onDisk = ConcurrentHashMap.newKeySet();
     private boolean busy;
     private long sequence;
+    private long fence;
 
     Engine(String model) {
         models.add(model);
@@ -21,6 +22,7 @@
         models.clear();
         busy = false;
         sequence = 0;
+        fence = 0;
     }
 
     boolean holds(String model) {
@@ -51,11 +53,14 @@
         String order = new String(request.body, StandardCharsets.UTF_8);
         String model = order.replaceAll(".*\"model\":\"([^\"]*)\".*", "$1");
         long expected = Long.parseLong(order.replaceAll(".*\"expected\":(\\d+).*", "$1"));
-        reply(connection, accept(order.contains("\"loading\""), model, expected), "{}");
+        long token = Long.parseLong(order.replaceAll(".*\"fencing_token\":(\\d+).*", "$1"));
+        reply(connection, accept(order.contains("\"loading\""), model, expected, token), "{}");
         return true;
     }
 
-    private synchronized int accept(boolean load, String model, long expected) {
+    private synchronized int accept(boolean load, String model, long expected, long token) {
+        if (token < fence) return 412;
+        fence = token;
         if (expected != sequence || busy) return 409;
         if (load == models.contains(model)) return 200;
         sequence++;
--- a/review/rig/Lookups.java
+++ b/review/rig/Lookups.java
@@ -1,6 +1,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -24,6 +26,9 @@
     private static final int CONTACT_MILLISECONDS = 3_000;
     private static final int ALLOWED_RETRIES = 3;
 
+    /** The path of the fatal request. With OTHER_PATH=1 no sound request has it. */
+    private static final String FATAL_PATH = System.getenv("OTHER_PATH") == null ? "/stock/kegs" : "/stock/other";
+
     private static final String FIRST_ROUTE = """
         {"name": "record", "host": "desk.example", "path_prefix": "/record/", "route_kind": "idempotent",
          "timeout_ms": 1000, "goal_ms": 121, "priority": 1, "service": "records", "max_attempts": 2}""";
@@ -52,6 +57,9 @@
 
     /** When the fatal request reached a server, which then crashed. */
     private final List<Double> fatalAt = new CopyOnWriteArrayList<>();
+
+    /** The first moment at which each client attempt with the fatal request reached a server. */
+    private final Map<String, Double> fatalAttempts = new ConcurrentHashMap<>();
     private volatile boolean judged;
     private volatile boolean ended;
 
@@ -117,17 +125,22 @@
     /** Judges by rule BUDGET how often the fatal request reached servers, and returns the exit status. */
     int judgeFatal() {
         ended = true;
-        Rig.note("the fatal request reached servers " + fatalAt.size() + " times");
+        Rig.note("the fatal request reached servers " + fatalAt.size() + " times, in " + fatalAttempts.size()
+            + " client attempts");
         if (fatalAt.size() < 3) return Rig.HELD;
         double from = fatalAt.get(2) + CONTACT_MILLISECONDS / 1_000.0;
-        long late = fatalAt.stream().filter(at -> at > from).count();
-        Rig.note("the third crash was at " + fatalAt.get(2) + "; " + late + " requests reached servers later than " + from);
+        long late = fatalAttempts.values().stream().filter(at -> at > from).count();
+        Rig.note("the third crash was at " + fatalAt.get(2) + "; " + late + " client attempts first reached servers later than "
+            + from);
         return late > ALLOWED_RETRIES ? Rig.BROKEN : Rig.HELD;
     }
 
     private void serve(Upstream server, Http connection, Http.Message request) throws IOException {
         boolean fatal = request.header("Host").equals("others.example");
-        if (fatal) fatalAt.add(Rig.seconds());
+        if (fatal) {
+            fatalAt.add(Rig.seconds());
+            fatalAttempts.putIfAbsent(request.header("Attempt-Id"), Rig.seconds());
+        }
         if (fatal || server.service.equals("stock") && crashes.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
             Rig.note(server.name + " crashes while it runs " + request.header("Attempt-Id"));
             server.crash(3_000);
@@ -175,7 +188,7 @@
     void sendFatal(int times, long pauseMilliseconds) {
         for (int time = 0; time < times; time++) {
             Rig.Relay relay = relays.get(time % relays.size());
-            Rig.daemonThread(() -> attempt(relay, new Tally(), "others.example", "/stock/kegs", TIME_LIMIT_MILLISECONDS))
+            Rig.daemonThread(() -> attempt(relay, new Tally(), "others.example", FATAL_PATH, TIME_LIMIT_MILLISECONDS))
                 .start();
             Rig.sleep(pauseMilliseconds);
         }
--- a/review/rig/MovedRoute.java
+++ b/review/rig/MovedRoute.java
@@ -1,6 +1,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -19,6 +21,8 @@
     private static final List<String> SERVICES = List.of("stock-a", "stock-b", "stock-c");
 
     private static final List<Double> CRASHES = new CopyOnWriteArrayList<>();
+    /** The first moment at which each client attempt with the fatal request reached a server. */
+    private static final Map<String, Double> ATTEMPTS = new ConcurrentHashMap<>();
     private static final AtomicInteger NUMBERS = new AtomicInteger();
     private static final AtomicInteger SOUND_REQUESTS = new AtomicInteger();
     private static final AtomicInteger SOUND_SERVED = new AtomicInteger();
@@ -58,8 +62,9 @@
         if (SOUND_REQUESTS.get() < 20) return Rig.COULD_NOT_RUN;
         if (CRASHES.size() < 3) return Rig.HELD;
         double from = CRASHES.get(2) + CONTACT_MILLISECONDS / 1_000.0;
-        long late = CRASHES.stream().filter(at -> at > from).count();
-        Rig.note("the third crash was at " + CRASHES.get(2) + "; " + late + " requests reached servers later than " + from);
+        long late = ATTEMPTS.values().stream().filter(at -> at > from).count();
+        Rig.note("the third crash was at " + CRASHES.get(2) + "; " + late
+            + " client attempts first reached servers later than " + from);
         return late > ALLOWED_REQUESTS ? Rig.BROKEN : Rig.HELD;
     }
 
@@ -79,6 +84,7 @@
     private static void serve(Upstream server, Http connection, Http.Message request) throws IOException {
         if (request.path().equals("/stock/fatal")) {
             CRASHES.add(Rig.seconds());
+            ATTEMPTS.putIfAbsent(request.header("Attempt-Id"), Rig.seconds());
             Rig.note(server.name + " crashes on " + request.header("Attempt-Id") + ", crash " + CRASHES.size());
             server.crash(RESTART_MILLISECONDS);
             return;
--- a/review/rig/SharedPath.java
+++ b/review/rig/SharedPath.java
@@ -8,7 +8,7 @@
             lookups.start();
             Rig.sleep(5_000);
             if (Rig.TROUBLE) lookups.sendFatal(20, 1_500);
-            else Rig.sleep(10_000);
+            else Rig.sleep(30_000);
             return lookups.judgeFatal();
         });
     }
