--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")"
 rm -rf target
 mkdir -p target/classes target/lab
-javac --release 17 -Xlint:all -d target/classes rig/*.java
+javac --release 17 -Xlint:all -d target/classes rig/*.java faults/*.java
 javac --release 17 -Xlint:all -d target/lab lab/*.java
