--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -145,6 +145,11 @@
             return process != null && process.isAlive();
         }
 
+        /** Returns the exit status of the process, which has ended. */
+        int exitStatus() {
+            return process.exitValue();
+        }
+
         long pid() {
             return process.pid();
         }
