--- a/review/faults/CutCopy.java
+++ b/review/faults/CutCopy.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -16,7 +17,12 @@
     private static final int CLIENTS = 4;
     private static final int FULL_EVERY = 5;
 
+    /** With COPY=success the server fails now and then, and sends the copy of an earlier success. */
+    private static final boolean OF_SUCCESS = "success".equals(System.getenv("COPY"));
+
     private final Map<String, List<String>> runs = new ConcurrentHashMap<>();
+    private final Set<String> failed = ConcurrentHashMap.newKeySet();
+    private final List<String> falseSuccesses = Collections.synchronizedList(new ArrayList<>());
     private final AtomicInteger arrivals = new AtomicInteger();
     private final AtomicInteger answered = new AtomicInteger();
     private final AtomicInteger copies = new AtomicInteger();
@@ -35,6 +41,7 @@
                 Http.Message answer = client.call("POST", Setup.HOST, "/post/" + number, attempt, "", body, 1_500, 2_500);
                 result = answer == null ? "closed" : String.valueOf(answer.status());
                 if ("200".equals(result)) answered.incrementAndGet();
+                if ("200".equals(result) && failed.contains(attempt)) falseSuccesses.add(attempt);
             } catch (IOException exception) {
                 result = exception.toString();
             }
@@ -63,8 +70,9 @@
         });
         Rig.note("requests " + REQUESTS * CLIENTS + ", answered 200: " + answered + ", arrivals at the server in trouble "
             + arrivals + ", cut copies " + copies + ", requests that ran twice " + twice.size() + " " + twice);
+        Rig.note("requests that their server answered 500 and their client got as 200: " + falseSuccesses);
         if (answered.get() < REQUESTS || arrivals.get() < FULL_EVERY * 2) return Rig.COULD_NOT_RUN;
-        return twice.isEmpty() ? Rig.HELD : Rig.BROKEN;
+        return twice.isEmpty() && falseSuccesses.isEmpty() ? Rig.HELD : Rig.BROKEN;
     }
 
     private void serve(Upstream server, Http connection, Http.Message request) throws IOException {
@@ -75,6 +83,10 @@
     }
 
     private void serveFaulty(Upstream server, Http connection, Http.Message request) throws IOException {
+        if (OF_SUCCESS) {
+            failNowAndThen(server, connection, request);
+            return;
+        }
         if (arrivals.incrementAndGet() % FULL_EVERY != 0) {
             serve(server, connection, request);
             return;
@@ -87,4 +99,21 @@
         connection.write(status, new byte[0]);
         copies.incrementAndGet();
     }
+
+    /** Runs each request; every second of them fails. */
+    private void failNowAndThen(Upstream server, Http connection, Http.Message request) throws IOException {
+        String attempt = request.header("Attempt-Id");
+        if (arrivals.incrementAndGet() % 2 == 0) {
+            failed.add(attempt);
+            server.answer(connection, request, 500, "", "not posted".getBytes(StandardCharsets.UTF_8));
+            return;
+        }
+        String copy = "HTTP/1.1 200 OK\nDate: Sun, 06 Dec";
+        connection.write(copy + " 2026 05:00:00 GMT\nAttempt-Id: " + attempt + "\nServer-Stamp: stamp-" + server.name
+            + "\nKeep-Alive: timeout=30\nContent-Length: 6\n\n", "posted".getBytes(StandardCharsets.UTF_8));
+        if (!Rig.TROUBLE) return;
+        Rig.sleep(30);
+        connection.write(copy, new byte[0]);
+        copies.incrementAndGet();
+    }
 }
--- a/review/faults/ManyVersions.java
+++ b/review/faults/ManyVersions.java
@@ -8,9 +8,9 @@
  * moves a route to another service. Afterwards the relays must follow it.
  */
 final class ManyVersions {
-    private static final int VERSIONS = 25;
+    private static final int VERSIONS = 20;
     private static final int VERSION_PAUSE = 80;
-    private static final int ROUTES = 1_200;
+    private static final int ROUTES = 1_400;
     private static final int STILL = 3_500;
 
     /** Bounds of the platform: until when a change applies, and from when a machine is in touch again. */
