--- a/review/rig/Store.java
+++ b/review/rig/Store.java
@@ -123,6 +123,9 @@
     }
 
     private static final class Topic {
+        /** What a read returns at most where it names no `max_size`, which counts kilobytes. */
+        private static final int MOST_READ_BYTES = 1_024 * 1_024;
+
         private final List<byte[]> records = new ArrayList<>();
 
         synchronized long append(List<byte[]> added, long at) {
@@ -152,6 +155,7 @@
             output.writeLong(records.size());
             output.writeLong(0);
             for (byte[] record : records.subList((int) Math.min(from, records.size()), records.size())) {
+                if (bytes.size() > MOST_READ_BYTES) break;
                 output.writeInt(record.length);
                 output.write(record);
             }
