--- a/review/faults/CutCopy.java
+++ b/review/faults/CutCopy.java
@@ -13,9 +13,12 @@
  * copy breaks off in its head. The next request on the channel must not run twice.
  */
 final class CutCopy {
-    private static final int REQUESTS = 40;
-    private static final int CLIENTS = 4;
-    private static final int FULL_EVERY = 5;
+    private static final int REQUESTS = 100;
+    private static final int CLIENTS = 6;
+    private static final int FULL_EVERY = 40;
+
+    /** How long the server sends copies, of one in forty of its answers. */
+    private static final int TROUBLE_SECONDS = 5;
 
     /** With COPY=success the server fails now and then, and sends the copy of an earlier success. */
     private static final boolean OF_SUCCESS = "success".equals(System.getenv("COPY"));
@@ -25,6 +28,7 @@
     private final List<String> falseSuccesses = Collections.synchronizedList(new ArrayList<>());
     private final AtomicInteger arrivals = new AtomicInteger();
     private final AtomicInteger answered = new AtomicInteger();
+    private volatile double troubleUntil;
     private final AtomicInteger copies = new AtomicInteger();
 
     public static void main(String[] arguments) {
@@ -46,7 +50,7 @@
                 result = exception.toString();
             }
             Rig.note("request " + attempt + " answered " + result + " runs " + runs.getOrDefault(attempt, List.of()));
-            Rig.sleep(100);
+            Rig.sleep(10);
         }
     }
 
@@ -62,6 +66,7 @@
             int from = client * REQUESTS;
             clients.add(Rig.daemonThread(() -> post(relay, from)));
         }
+        troubleUntil = Rig.seconds() + TROUBLE_SECONDS;
         for (Thread client : clients) client.start();
         for (Thread client : clients) client.join();
         List<String> twice = new ArrayList<>();
@@ -94,16 +99,14 @@
         String status = "HTTP/1.1 503 Service Unavailable\nNot-Executed: 1";
         connection.write(status + "\nAttempt-Id: " + request.header("Attempt-Id") + "\nServer-Load: 64,10,64\n"
             + "Keep-Alive: timeout=30\nContent-Length: 0\n\n", new byte[0]);
-        if (!Rig.TROUBLE) return;
-        Rig.sleep(30);
-        connection.write(status, new byte[0]);
-        copies.incrementAndGet();
+        sendCopy(connection, status);
     }
 
-    /** Runs each request; every second of them fails. */
+    /** Runs each request; two of five fail. */
     private void failNowAndThen(Upstream server, Http connection, Http.Message request) throws IOException {
         String attempt = request.header("Attempt-Id");
-        if (arrivals.incrementAndGet() % 2 == 0) {
+        int number = arrivals.incrementAndGet();
+        if (number % 5 == 2 || number % 5 == 4) {
             failed.add(attempt);
             server.answer(connection, request, 500, "", "not posted".getBytes(StandardCharsets.UTF_8));
             return;
@@ -111,9 +114,13 @@
         String copy = "HTTP/1.1 200 OK\nDate: Sun, 06 Dec";
         connection.write(copy + " 2026 05:00:00 GMT\nAttempt-Id: " + attempt + "\nServer-Stamp: stamp-" + server.name
             + "\nKeep-Alive: timeout=30\nContent-Length: 6\n\n", "posted".getBytes(StandardCharsets.UTF_8));
-        if (!Rig.TROUBLE) return;
-        Rig.sleep(30);
-        connection.write(copy, new byte[0]);
+        if (number % FULL_EVERY == 1) sendCopy(connection, copy);
+    }
+
+    private void sendCopy(Http connection, String cutHead) throws IOException {
+        if (!Rig.TROUBLE || Rig.seconds() > troubleUntil) return;
+        Rig.sleep(10);
+        connection.write(cutHead, new byte[0]);
         copies.incrementAndGet();
     }
 }
