Do not read an answer as the rest of a cut one

Callers saw postings that ran at two servers, and failures of a server as successes. A server had sent a second copy of an earlier answer that broke off in its head. The decoder kept that part, read the next answer as its rest, and so gave it the status and the headers of the earlier one: a run was taken for a refusal with Not-Executed, and the posting was sent elsewhere.

A connection was looked over for surplus bytes only once, when its answer had ended, and by the bytes that were not decoded yet, so that a copy that was cut at the end of a line went unseen; an idle connection that got a part of a head stayed in the pool. And a copy that arrives after the next request was sent can't be noticed before: the two heads are decoded as one whose status line or header values hold a second status line, which no check refused.

Now any byte that arrives while no answer is awaited ends the connection, and a head that holds the status line of another answer is undecodable, so that the outcome is unknown.

--- a/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
@@ -63,6 +63,7 @@
         requestCount += 1
         sentAt = pool.timer.now()
         decoder.method = request.method()
+        decoder.isAwaited = true
         decoder.surplus.onRequest()
         sendFuture = context.writeAndFlush(request)
     }
@@ -124,6 +125,10 @@
             fail("undecodable head: ${head.decoderResult().cause()?.message}")
             return
         }
+        if (decoder.isJoined(head)) {
+            fail("head contains the status line of another answer")
+            return
+        }
         val informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
         val ownership =
             if (current == null || answering || informational) null else current.ownershipOf(head, requestCount - 1)
@@ -190,6 +195,8 @@
         }
         receiver = null
         answering = false
+        decoder.isAwaited = false
+        if (decoder.hasTrailingBytes()) reusable = false
         current.onEnd()
         pool.timer.schedule(Duration.ZERO) { returnToPool() }
     }
@@ -197,12 +204,12 @@
     /**
      * Returns the connection to the pool if it can be reused, and closes it otherwise.
      *
-     * This runs as a separate task, after everything that has arrived was decoded, so that a surplus answer is noticed
+     * This runs as a separate task, after everything that has arrived was decoded, so that surplus bytes are noticed
      * before the next request is sent.
      */
     private fun returnToPool() {
         if (receiver != null) return
-        if (reusable && isOpen && !decoder.hasTrailingBytes()) pool.onIdle(this) else context.close()
+        if (reusable && isOpen) pool.onIdle(this) else context.close()
     }
 
     private fun fail(reason: String) {
