Recognize a request that crashes servers by method and host, and not by its service

The key of the evidence was service, path and body: too wide, as requests of other hosts and methods shared it, and too narrow, as the service is the configuration's choice and no part of the request. It is method, host, path and body now. The key of a part of a prompt leaves out the service too.

--- a/library/src/main/kotlin/plantainturn/request/quarantine/RequestFingerprint.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/RequestFingerprint.kt
@@ -33,11 +33,20 @@
             body: ByteArray,
         ): RequestFingerprint = digest("$service $path", body)
 
-        /** Returns the fingerprint of the prompt part named [part] in requests to [service]. */
-        public fun ofPart(
-            service: ServiceName,
-            part: String,
-        ): RequestFingerprint = digest("part $service", part.toByteArray())
+        /**
+         * Returns the fingerprint of a request with [method] for [target] at [host] with [body].
+         *
+         * It is the same whichever service the request is routed to.
+         */
+        public fun of(
+            method: String,
+            host: String,
+            target: String,
+            body: ByteArray,
+        ): RequestFingerprint = digest("$method ${host.lowercase()} $target", body)
+
+        /** Returns the fingerprint of the prompt part named [part], whichever service gets it. */
+        public fun ofPart(part: String): RequestFingerprint = digest("part", part.toByteArray())
 
         private fun digest(
             name: String,
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -42,7 +42,7 @@
     private val deadline = arrivedAt + minOf(request.callerTimeout ?: route.timeout, route.timeout)
     private val answer = CallerAnswer(reply, route.repetition.streams)
     private val stream = request.resumedStream ?: request.identifier
-    private val traits = traitsOf(request, service)
+    private val traits = traitsOf(request)
     private val placement = RelayPlacement(context, request, route, service, traits.request)
     private val avoided = LinkedHashSet<UpstreamName>()
     private val sentTo = HashSet<UpstreamName>()
@@ -705,20 +705,18 @@
 
     private companion object {
         /** The last part of a prompt belongs to the request or its session alone. */
-        fun traitsOf(
-            request: RelayRequest,
-            service: ServiceDefinition,
-        ): RequestTraits {
+        fun traitsOf(request: RelayRequest): RequestTraits {
+            val head = request.source.head
             val body = request.source.body
             val bytes = ByteArray(body.readableBytes()).also { body.getBytes(body.readerIndex(), it) }
-            val fingerprint = RequestFingerprint.of(service.name, request.source.head.uri(), bytes)
+            val fingerprint = RequestFingerprint.of(head.method().name(), request.host, head.uri(), bytes)
             val shared =
                 request.demand
                     ?.parts
                     .orEmpty()
                     .dropLast(1)
             val bounded = shared.take(RequestLimits.MAXIMUM_TRAIT_PARTS)
-            val parts = bounded.map { RequestFingerprint.ofPart(service.name, it.identifier) }
+            val parts = bounded.map { RequestFingerprint.ofPart(it.identifier) }
             return RequestTraits(fingerprint, parts.toPersistentList())
         }
     }
