Take back breaks of requests by answers that other nodes saw, and try blocked requests again

Breaks of a request are written to the store, and an answer only removed them in the memory of the node that passed it on. A node that starts reads three breaks and no answer. A blocked request had no trial, and neither an answer nor a run that turned out to live ended its block. A request that broke off before was sent again on an idle connection, and a dead one looked like a further crash.

An answer to a request of which a break was written is written now, and a break that an answer contradicts within its second is not. A blocked request is tried again by one node, claimed in the store as for parts: up to three times if it was answered before, which the records of its breaks tell, and once after a minute otherwise. A request that broke off goes to a new connection. The same gaps are closed for parts: answers are told by the breaks that other nodes know, and records that a restore lost are written again in their order.

--- a/library/src/main/kotlin/plantainturn/request/quarantine/CrashAttribution.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/CrashAttribution.kt
@@ -9,16 +9,16 @@
  * Attributes crashes of upstream runs to traits of the requests that ran there, and blocks requests with such traits.
  *
  * A trait is the request as a whole, or a part of its prompt that other requests may share. A break is evidence against
- * all traits of its request; a whole answer speaks for all parts of its prompt, since one that crashes upstreams is not
- * answered.
+ * all traits of its request; a whole answer speaks for all of them, since what crashes upstreams is not answered.
  * - The request as a whole is blocked after breaks at [MAXIMUM_BREAKS] runs. A part that was never answered is too, if
  *   they are breaks of several requests.
  * - A part that was answered before is blocked after more breaks, at different times and with no answer in between.
  *   Such parts mostly break off beside the one to blame, or in an outage.
  * - Breaks at runs where a blocked trait broke off too count against no other trait.
  *
- * A trait that was never answered may put only [MAXIMUM_BREAKS] runs at risk at a time once it broke off. A blocked
- * part is tried again after a while, by one request of one node, so that a wrong attribution ends.
+ * A part that was never answered, and any request as a whole, may put only [MAXIMUM_BREAKS] runs at risk at a time once
+ * it broke off. A blocked trait is tried again after a while, by one request of one node, so that a wrong attribution
+ * ends: a part ever again, a request up to [MAXIMUM_REQUEST_TRIALS] times if it was answered before, otherwise once.
  *
  * Confined to one thread. Does no input or output: the caller shares breaks, answers and trials with the other nodes.
  */
@@ -29,7 +29,8 @@
     private val logger = LogManager.getLogger("quarantine")
     private val cases = LinkedHashMap<RequestFingerprint, TraitCase>()
     private val blockedCases = LinkedHashSet<RequestFingerprint>()
-    private val answered = LinkedHashSet<RequestFingerprint>()
+    private val answeredParts = LinkedHashSet<RequestFingerprint>()
+    private val answeredRequests = LinkedHashSet<RequestFingerprint>()
     private val inFlight = HashMap<RequestFingerprint, HashMap<CrashEvidence, Int>>()
 
     /** The traits that are blocked, each with the time until which it is if it isn't cleared before. */
@@ -41,7 +42,7 @@
                 .filterValues { it.isPositive() }
         }
 
-    /** Returns those of [traits] that are blocked, leaving out parts for which this node has claimed a trial. */
+    /** Returns those of [traits] that are blocked, leaving out those for which this node has claimed a trial. */
     public fun blockedTraitsOf(traits: RequestTraits): List<RequestFingerprint> =
         traits.all.filter { isBlocked(it) && !mayTry(it) }
 
@@ -54,7 +55,19 @@
         cases[request]?.breaks(timer.now()).orEmpty().map { it.evidence }
 
     /** Returns whether [part] is known to have been answered. */
-    public fun isAnswered(part: RequestFingerprint): Boolean = part in answered
+    public fun isAnswered(part: RequestFingerprint): Boolean = part in answeredParts
+
+    /** Returns those of [traits] that are known to have been answered. */
+    public fun answeredOf(traits: RequestTraits): Set<RequestFingerprint> =
+        traits.parts.filterTo(LinkedHashSet(), ::isAnswered).apply {
+            if (traits.request in answeredRequests) add(traits.request)
+        }
+
+    /** Returns whether [noticed] counts against any of its traits. */
+    public fun counts(noticed: RequestBreak): Boolean =
+        noticed.traits.all.any { trait ->
+            cases[trait]?.breaks(timer.now()).orEmpty().any { it.isSame(noticed) }
+        }
 
     /**
      * Records that a request with [traits] is sent to [run] and returns true, or returns false if it must not be.
@@ -89,20 +102,24 @@
      * Adds a break that this node or another one noticed, [age] ago.
      *
      * Returns whether it still counts and was not known before, or not as evidence against all of its traits.
+     *
+     * @param shared whether the other nodes are told of it
      */
     public fun onBreak(
         added: RequestBreak,
         age: Duration = Duration.ZERO,
+        shared: Boolean = true,
     ): Boolean {
         val now = timer.now()
         val until = now + settings.suspicionDuration - age
-        val news = added.traits.all.filterNot { isKnown(added, it) }
+        if (shared) onShared(added)
+        val news = added.traits.all.filterNot { cases[it]?.knows(added, now) ?: false }
         if (until <= now || news.isEmpty()) return false
-        added.answered.forEach(::rememberAnswered)
+        added.answered.forEach { rememberAnswered(it, isRequest = it == added.traits.request) }
         for (trait in news) {
-            val case = cases.remove(trait) ?: TraitCase()
+            val case = cases.remove(trait) ?: TraitCase(isRequest = trait == added.traits.request)
             cases[trait] = case
-            case.add(added, until)
+            case.add(added, until, shared)
             if (isBlocked(trait)) case.blockedUntil = now + settings.quarantineDuration
         }
         attribute(added.traits)
@@ -110,102 +127,129 @@
         return true
     }
 
+    /** Records that the other nodes are told of [noticed]. */
+    public fun onShared(noticed: RequestBreak): Unit = noticed.traits.all.forEach { cases[it]?.share(noticed) }
+
     /** Blocks those of [traits] that have too many breaks now. */
     private fun attribute(traits: RequestTraits) {
         val excessive = traits.all.filter { !isBlocked(it) && isExcessive(it, traits.request) }
         excessive.filter { !isAnswered(it) }.ifEmpty { excessive }.forEach(::block)
     }
 
-    /** Withdraws the break of [request] at the run of [evidence], which lived on. */
+    /** Withdraws the break of the request with [traits] at the run of [evidence], which lived on. */
     public fun onSurvived(
-        request: RequestFingerprint,
+        traits: RequestTraits,
         evidence: CrashEvidence,
     ) {
-        val withdrawn =
-            cases[request]
-                ?.breaks(timer.now())
-                .orEmpty()
-                .filter { it.evidence == evidence }
-                .flatMap { it.traits.all }
-        for (trait in withdrawn) {
-            val case = cases[trait] ?: continue
-            case.withdraw(request, evidence)
-            if (case.breaks(timer.now()).isEmpty()) drop(trait)
+        val now = timer.now()
+        for (trait in traits.all) {
+            val case = cases[trait]?.takeIf { it.withdraw(traits.request, evidence) } ?: continue
+            val left = case.breaks(now)
+            when {
+                case.isEmpty(now) -> drop(trait)
+                left.isEmpty() || case.isRequest && distinctRuns(left).size < MAXIMUM_BREAKS -> unblock(trait, case)
+            }
         }
     }
 
     /**
      * Records a whole answer to a request with [traits].
      *
-     * Returns the parts whose answer the other nodes should hear of, because they may block them otherwise.
+     * Returns the traits whose answer the other nodes, and those that start later, should hear of, because they may
+     * block them otherwise. The breaks of all other traits no longer count on this node.
      */
-    public fun onAnswer(traits: RequestTraits): List<RequestFingerprint> {
-        if (!isBlocked(traits.request)) drop(traits.request)
-        return traits.parts.filter { part ->
-            val breaks = cases[part]?.breaks(timer.now()).orEmpty()
-            onPartAnswered(part)
-            distinctRuns(breaks).size >= BREAKS_WORTH_TELLING
+    public fun onAnswer(traits: RequestTraits): List<RequestFingerprint> =
+        traits.all.filter { trait ->
+            val isRequest = trait == traits.request
+            val runs = distinctRuns(cases[trait]?.shared(timer.now()).orEmpty()).size
+            val worthTelling = isBlocked(trait) || runs >= if (isRequest) 1 else BREAKS_WORTH_TELLING
+            if (worthTelling) {
+                onAnswered(trait, isRequest)
+            } else {
+                rememberAnswered(trait, isRequest)
+                cases[trait]?.contradict()
+            }
+            worthTelling
         }
-    }
 
     /**
-     * Records that a request with [part] got a whole answer here or at another node.
+     * Records that all nodes are told that a request with [part] got a whole answer.
      *
      * If the part was blocked, its breaks are attributed to other traits of their requests.
      */
-    public fun onPartAnswered(part: RequestFingerprint) {
-        rememberAnswered(part)
-        val case = drop(part) ?: return
+    public fun onPartAnswered(part: RequestFingerprint): Unit = onAnswered(part, isRequest = false)
+
+    /** Records that all nodes are told that [request] got a whole answer, as for a part of a prompt. */
+    public fun onRequestAnswered(request: RequestFingerprint): Unit = onAnswered(request, isRequest = true)
+
+    private fun onAnswered(
+        trait: RequestFingerprint,
+        isRequest: Boolean,
+    ) {
+        rememberAnswered(trait, isRequest)
+        val case = cases[trait] ?: return
+        val wasBlocked = case.blockedUntil != null
+        unblock(trait, case)
+        drop(trait)
+        if (wasBlocked) case.breaks(timer.now()).forEach { attribute(it.traits) }
+    }
+
+    private fun unblock(
+        trait: RequestFingerprint,
+        case: TraitCase,
+    ) {
         if (case.blockedUntil == null) return
-        logger.info("fingerprint={} event=unblocked trials={}", part, case.trials)
-        case.breaks(timer.now()).forEach { attribute(it.traits) }
+        logger.info("fingerprint={} event=unblocked trials={}", trait, case.trials)
+        case.blockedUntil = null
+        blockedCases -= trait
     }
 
-    /** Returns the blocked parts of [traits] if a trial of a request with them is due, otherwise an empty list. */
+    /** Returns the blocked ones of [traits] if a trial of a request with them is due, otherwise an empty list. */
     public fun trialsDue(traits: RequestTraits): List<RequestFingerprint> {
         val blocked = blockedTraitsOf(traits)
         val suspects = traits.parts.count { isBlocked(it) || !isAnswered(it) && hasBreaks(it) }
         val delay = if (suspects > 1) settings.mixedTrialDelay else Duration.ZERO
-        val due = blocked.all { it != traits.request && cases.getValue(it).trialAt + delay <= timer.now() }
+        val due = blocked.all { mayBeTried(it) && cases.getValue(it).trialAt + delay <= timer.now() }
         return if (due) blocked else emptyList()
     }
 
-    /** Returns the number that the next trial of [part] has. */
-    public fun nextTrialOf(part: RequestFingerprint): Int = (cases[part]?.trials ?: 0) + 1
+    /** Returns whether a trial of [trait] is left; each one of a request that crashes upstreams ends another run. */
+    private fun mayBeTried(trait: RequestFingerprint): Boolean {
+        val case = cases.getValue(trait)
+        return !case.isRequest || case.trials < if (trait in answeredRequests) MAXIMUM_REQUEST_TRIALS else 1
+    }
+
+    /** Returns the number that the next trial of [trait] has. */
+    public fun nextTrialOf(trait: RequestFingerprint): Int = (cases[trait]?.trials ?: 0) + 1
 
     /**
-     * Records that a node claimed the trial [number] of [part].
+     * Records that a node claimed the trial [number] of [trait].
      *
-     * @param own whether it is this node, which may send one request with the part now
+     * @param own whether it is this node, which may send one request with the trait now
      */
     public fun onTrialClaimed(
-        part: RequestFingerprint,
+        trait: RequestFingerprint,
         number: Int,
         own: Boolean,
     ) {
-        val case = cases[part]?.takeIf { isBlocked(part) } ?: return
+        val case = cases[trait]?.takeIf { isBlocked(trait) } ?: return
         val now = timer.now()
         if (own) case.grantedUntil = now + TRIAL_DURATION
         if (number <= case.trials) return
         case.trials = number
-        case.trialAt = now + trialDelay(number)
-        case.blockedUntil = now + maxOf(settings.quarantineDuration, trialDelay(number) * 2)
-        logger.info("fingerprint={} event=trial number={} own={} next={}", part, number, own, trialDelay(number))
+        case.trialAt = now + laterTrialDelay(number)
+        case.blockedUntil = now + maxOf(settings.quarantineDuration, laterTrialDelay(number) * 2)
+        logger.info("fingerprint={} event=trial number={} own={} next={}", trait, number, own, laterTrialDelay(number))
     }
 
-    private fun isKnown(
-        added: RequestBreak,
-        trait: RequestFingerprint,
-    ): Boolean =
-        cases[trait]
-            ?.breaks(timer.now())
-            .orEmpty()
-            .any { it.evidence == added.evidence && it.traits.request == added.traits.request }
-
     private fun hasBreaks(trait: RequestFingerprint): Boolean = cases[trait]?.breaks(timer.now())?.isNotEmpty() ?: false
 
-    private fun trialDelay(trials: Int): Duration {
-        if (trials == 0) return settings.firstTrialDelay
+    private fun firstTrialDelay(trait: RequestFingerprint): Duration {
+        val neverAnswered = cases.getValue(trait).isRequest && trait !in answeredRequests
+        return if (neverAnswered) settings.laterTrialDelay else settings.firstTrialDelay
+    }
+
+    private fun laterTrialDelay(trials: Int): Duration {
         var delay = settings.laterTrialDelay
         repeat(minOf(trials - 1, MOST_EXTENSIONS)) { delay *= settings.trialBackoff }
         return delay
@@ -214,7 +258,8 @@
     private fun isBlocked(trait: RequestFingerprint): Boolean =
         cases[trait]?.blockedUntil?.let { it > timer.now() } ?: false
 
-    private fun mayTry(part: RequestFingerprint): Boolean = cases[part]?.grantedUntil?.let { it > timer.now() } ?: false
+    private fun mayTry(trait: RequestFingerprint): Boolean =
+        cases[trait]?.grantedUntil?.let { it > timer.now() } ?: false
 
     private fun block(trait: RequestFingerprint) {
         val now = timer.now()
@@ -222,9 +267,10 @@
         blockedCases += trait
         case.blockedUntil = now + settings.quarantineDuration
         case.trials = 0
-        case.trialAt = now + trialDelay(0)
+        case.trialAt = now + firstTrialDelay(trait)
         val runs = distinctRuns(case.breaks(now))
-        logger.info("fingerprint={} event=blocked answered={} breaks={}", trait, isAnswered(trait), runs)
+        val wasAnswered = trait in if (case.isRequest) answeredRequests else answeredParts
+        logger.info("fingerprint={} event=blocked answered={} breaks={}", trait, wasAnswered, runs)
     }
 
     /** Returns whether [trait] has too many breaks that nothing else explains, the latest one of [request]. */
@@ -283,9 +329,13 @@
         return count
     }
 
-    private fun rememberAnswered(part: RequestFingerprint) {
-        answered.remove(part)
-        answered.add(part)
+    private fun rememberAnswered(
+        trait: RequestFingerprint,
+        isRequest: Boolean,
+    ) {
+        val answered = if (isRequest) answeredRequests else answeredParts
+        answered.remove(trait)
+        answered.add(trait)
         if (answered.size > settings.answeredCapacity) answered.remove(answered.first())
     }
 
@@ -296,7 +346,7 @@
 
     private fun evict() {
         if (cases.size <= settings.capacity) return
-        cases.keys.filter { !isBlocked(it) && cases.getValue(it).breaks(timer.now()).isEmpty() }.forEach(::drop)
+        cases.keys.filter { !isBlocked(it) && cases.getValue(it).isEmpty(timer.now()) }.forEach(::drop)
         while (cases.size > settings.capacity) drop(cases.keys.firstOrNull { !isBlocked(it) } ?: cases.keys.first())
     }
 
@@ -307,6 +357,9 @@
         /** Breaks of one request alone are attributed to that request and not to its parts. */
         private const val LEAST_REQUESTS = 2
 
+        /** The platform allows a request three sends after it has crashed its third upstream. */
+        private const val MAXIMUM_REQUEST_TRIALS = 3
+
         /** With one break fewer, no node is close to blocking the part. */
         private const val BREAKS_WORTH_TELLING = 2
 
--- a/library/src/main/kotlin/plantainturn/request/quarantine/TraitCase.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/TraitCase.kt
@@ -2,11 +2,19 @@
 
 import plantainturn.process.time.Moment
 
-/** The evidence against one trait since it was last known to be answered. */
-internal class TraitCase {
+/**
+ * The evidence against one trait since all nodes were last told that it was answered.
+ *
+ * @property isRequest whether the trait is a request as a whole
+ */
+internal class TraitCase(
+    val isRequest: Boolean,
+) {
     private class Counted(
         val value: RequestBreak,
         val until: Moment,
+        var shared: Boolean,
+        var contradicted: Boolean = false,
     )
 
     private val counted = ArrayDeque<Counted>()
@@ -23,24 +31,43 @@
     /** Until when this node may make the trial that it has claimed; null if it has claimed none. */
     var grantedUntil: Moment? = null
 
+    /** Adds a break that counts until [until] and of which the other nodes are told if it is [shared]. */
     fun add(
         value: RequestBreak,
         until: Moment,
+        shared: Boolean,
     ) {
-        counted += Counted(value, until)
+        counted += Counted(value, until, shared)
         if (counted.size > MAXIMUM_BREAKS_KEPT) counted.removeFirst()
     }
 
-    /** Removes the break of [request] at the run of [evidence]. */
+    /** Removes the break of [request] at the run of [evidence], and returns whether there was one. */
     fun withdraw(
         request: RequestFingerprint,
         evidence: CrashEvidence,
-    ) {
-        counted.removeAll { it.value.traits.request == request && it.value.evidence == evidence }
-    }
+    ): Boolean = counted.removeAll { it.value.traits.request == request && it.value.evidence == evidence }
+
+    /** Notes that an answer contradicts all breaks so far, of which the other nodes are not told. */
+    fun contradict(): Unit = counted.forEach { it.contradicted = true }
+
+    /** Returns the breaks that count on this node at [now]. */
+    fun breaks(now: Moment): List<RequestBreak> =
+        counted.filter { it.until > now && !it.contradicted }.map { it.value }
+
+    /** Returns the breaks that count at [now] on a node that knows only what all nodes are told. */
+    fun shared(now: Moment): List<RequestBreak> = counted.filter { it.until > now && it.shared }.map { it.value }
+
+    /** Returns whether no break counts at [now], here or elsewhere. */
+    fun isEmpty(now: Moment): Boolean = breaks(now).isEmpty() && shared(now).isEmpty()
+
+    /** Notes that the other nodes are told of [added] if it is known. */
+    fun share(added: RequestBreak): Unit = counted.filter { it.value.isSame(added) }.forEach { it.shared = true }
 
-    /** Returns the breaks that still count at [now]. */
-    fun breaks(now: Moment): List<RequestBreak> = counted.filter { it.until > now }.map { it.value }
+    /** Returns whether [added] is known at [now], whether it counts or not. */
+    fun knows(
+        added: RequestBreak,
+        now: Moment,
+    ): Boolean = counted.any { it.until > now && it.value.isSame(added) }
 
     private companion object {
         /** Far more than are needed to block a trait; the rest would only be repetitions. */
--- a/library/src/test/kotlin/plantainturn/request/quarantine/CrashAttributionTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/quarantine/CrashAttributionTest.kt
@@ -107,7 +107,7 @@
     fun `a break that is withdrawn no longer counts`() {
         val survived = request(BAD)
         breakAt(0, survived)
-        attribution.onSurvived(survived.request, run(0))
+        attribution.onSurvived(survived, run(0))
         repeat(2) { breakAt(1 + it, request(BAD)) }
         assertFalse(attribution.isBlocked(request(BAD)))
     }
@@ -130,8 +130,97 @@
         assertFalse(attribution.isBlocked(request(BAD)))
     }
 
+    /** Guards against breaks of a sound request adding up at a node that hears of breaks and never of answers. */
+    @Test
+    fun `an answer to a request of which other nodes know a break is worth telling them`() {
+        val traits = request()
+        breakAt(0, traits)
+        assertEquals(listOf(traits.request), attribution.onAnswer(traits))
+        assertEquals(emptyList(), attribution.onAnswer(traits))
+        attribution.onBreak(RequestBreak(traits, run(1), emptySet(), 0), shared = false)
+        assertEquals(emptyList(), attribution.onAnswer(traits), "no other node knows of the break")
+    }
+
+    /** Guards against parts: two breaks that other nodes know count there, though each was answered here. */
+    @Test
+    fun `an answer to a part is worth telling after shared breaks with untold answers in between`() {
+        breakAt(0, request(SHARED))
+        assertEquals(emptyList(), attribution.onAnswer(request(SHARED)))
+        breakAt(1, request(SHARED))
+        assertEquals(listOf(SHARED), attribution.onAnswer(request(SHARED)))
+        breakAt(2, request(SHARED))
+        assertEquals(emptyList(), attribution.onAnswer(request(SHARED)))
+    }
+
+    /** Guards against a break counting anew when the node hears its own record after an answer. */
+    @Test
+    fun `a break that an answer contradicts does not count when it is heard again`() {
+        val traits = request(SHARED)
+        breakAt(0, traits)
+        attribution.onAnswer(request(SHARED))
+        assertFalse(attribution.onBreak(RequestBreak(traits, run(0), emptySet(), 0)), "it is known")
+    }
+
+    /** Guards against a sound request being refused for an hour. */
+    @Test
+    fun `a blocked request that was answered before is tried soon, and three times at most`() {
+        val traits = request()
+        attribution.onAnswer(traits)
+        repeat(3) { breakAt(it, traits) }
+        assertEquals(emptyList(), attribution.trialsDue(traits))
+        var tried = 0
+        repeat(3_500) {
+            timer.advance(1.seconds)
+            if (it == 1) assertEquals(listOf(traits.request), attribution.trialsDue(traits))
+            if (attribution.trialsDue(traits).isEmpty()) return@repeat
+            attribution.onTrialClaimed(traits.request, attribution.nextTrialOf(traits.request), own = true)
+            assertTrue(attribution.tryBegin(traits, run(10 + tried)))
+            attribution.ended(traits, run(10 + tried))
+            breakAt(10 + tried++, traits)
+            assertTrue(attribution.isBlocked(traits))
+        }
+        assertEquals(3, tried)
+    }
+
+    /** Guards against trials of a request that crashes upstreams. */
+    @Test
+    fun `a blocked request that was never answered is tried once, after a minute`() {
+        val traits = request()
+        repeat(3) { breakAt(it, traits) }
+        timer.advance(59.seconds)
+        assertEquals(emptyList(), attribution.trialsDue(traits))
+        timer.advance(2.seconds)
+        assertEquals(listOf(traits.request), attribution.trialsDue(traits))
+        attribution.onTrialClaimed(traits.request, 1, own = false)
+        timer.advance(50.minutes)
+        assertEquals(emptyList(), attribution.trialsDue(traits))
+    }
+
+    /** Guards against a block that outlives its evidence. */
+    @Test
+    fun `a request is no longer blocked when one of three runs turns out to have lived on`() {
+        val traits = request()
+        repeat(3) { breakAt(it, traits) }
+        assertTrue(attribution.isBlocked(traits))
+        attribution.onSurvived(traits, run(1))
+        assertFalse(attribution.isBlocked(traits))
+        breakAt(4, traits)
+        assertTrue(attribution.isBlocked(traits))
+    }
+
+    @Test
+    fun `a blocked request that is answered is no longer blocked`() {
+        val traits = request()
+        repeat(3) { breakAt(it, traits) }
+        assertEquals(listOf(traits.request), attribution.onAnswer(traits))
+        assertFalse(attribution.isBlocked(traits))
+        repeat(3) { breakAt(it + 5, traits) }
+        attribution.onRequestAnswered(traits.request)
+        assertFalse(attribution.isBlocked(traits))
+    }
+
     private fun request(
-        first: RequestFingerprint,
+        first: RequestFingerprint? = null,
         second: RequestFingerprint? = null,
     ) = RequestTraits(RequestFingerprint(--requests), listOfNotNull(first, second).toPersistentList())
 
--- a/relay/src/main/kotlin/plantainturn/relay/node/CrashEvidenceTopic.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/CrashEvidenceTopic.kt
@@ -1,6 +1,5 @@
 package plantainturn.relay.node
 
-import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
@@ -25,7 +24,7 @@
 
 /**
  * Shares evidence about crashes through a topic of the store that every node writes and reads: requests that broke off,
- * parts of prompts that were answered nevertheless, and trials of blocked parts.
+ * requests and parts of prompts that were answered nevertheless, and trials of blocked ones.
  *
  * Each break has a key of its own, so that writers do not conflict, and writing or reading a record twice has no
  * effect. A restarted node recovers the evidence from the topic, so what the store loses when it comes back from a copy
@@ -47,8 +46,8 @@
     private val logger = LogManager.getLogger("quarantine")
     private val pending = LinkedHashMap<String, CrashEvidenceRecord?>()
     private val pendingAnswers = HashSet<RequestFingerprint>()
-    private val written = HashMap<String, CrashEvidenceRecord>()
-    private val lost = HashMap<String, CrashEvidenceRecord>()
+    private val written = LinkedHashMap<String, CrashEvidenceRecord>()
+    private val lost = LinkedHashMap<String, CrashEvidenceRecord>()
     private val withdrawn = LinkedHashSet<String>()
     private var writing = false
     private var claiming = false
@@ -70,29 +69,32 @@
         enqueue(key, null)
     }
 
-    /** Waits for a random time, in which another node may write that the same parts were answered. */
-    override fun publishAnswered(parts: List<RequestFingerprint>) {
-        val added = parts.filter(pendingAnswers::add)
+    /** Waits for a random time, in which another node may write that the same traits were answered. */
+    override fun publishAnswered(
+        answered: List<RequestFingerprint>,
+        traits: RequestTraits,
+    ) {
+        val added = answered.filter(pendingAnswers::add)
         if (added.isEmpty()) return
         val delay = MAXIMUM_ANSWER_DELAY * random.nextDouble()
         timer.schedule(delay) {
-            for (part in added.filter(pendingAnswers::remove)) {
-                val record = CrashEvidenceRecord(part, wallClock())
+            for (trait in added.filter(pendingAnswers::remove)) {
+                val record = CrashEvidenceRecord(trait, wallClock(), ofRequest = trait == traits.request)
                 enqueue(record.key, record)
             }
         }
     }
 
     override fun claimTrial(
-        parts: List<RequestFingerprint>,
+        blocked: List<RequestFingerprint>,
         done: () -> Unit,
     ): Boolean {
         if (claiming) return false
         claiming = true
         val claims =
-            parts.map { CrashEvidenceRecord(it, wallClock(), trial = attribution.nextTrialOf(it)) }
+            blocked.map { CrashEvidenceRecord(it, wallClock(), trial = attribution.nextTrialOf(it)) }
         store.appendAll(NAME, claims.map { KeyedValue(it.key, encode(it)) }, end()) { result ->
-            logger.info("event=trial-claimed parts={} result={}", parts, result)
+            logger.info("event=trial-claimed traits={} result={}", blocked, result)
             if (result is StoreAppendResult.Appended) {
                 claims.forEach { attribution.onTrialClaimed(it.fingerprint, it.trial, own = true) }
             }
@@ -143,13 +145,13 @@
         if (value == null) {
             noteWithdrawn(record.key)
             val removed = written.remove(record.key) ?: return
-            removed.evidence?.let { attribution.onSurvived(removed.fingerprint, it) }
+            removed.evidence?.let { attribution.onSurvived(removed.traits, it) }
             return
         }
         lost.remove(record.key)
         if (!isNews(record)) return
         val decoded = decode(value) ?: return
-        written[record.key] = decoded
+        keep(record.key, decoded)
         withdrawn.remove(record.key)
         if (isBreak(record.key)) pending.remove(record.key)
         val age = (wallClock() - decoded.at).coerceAtLeast(0).milliseconds
@@ -164,13 +166,16 @@
         val evidence = record.evidence
         when {
             evidence != null -> {
-                val traits = RequestTraits(record.fingerprint, record.parts.toPersistentList())
-                attribution.onBreak(RequestBreak(traits, evidence, record.answered.toSet(), record.at), age)
+                attribution.onBreak(RequestBreak(record.traits, evidence, record.answered.toSet(), record.at), age)
             }
             record.trial > 0 -> attribution.onTrialClaimed(record.fingerprint, record.trial, own = false)
             else -> {
                 pendingAnswers -= record.fingerprint
-                attribution.onPartAnswered(record.fingerprint)
+                if (record.ofRequest) {
+                    attribution.onRequestAnswered(record.fingerprint)
+                } else {
+                    attribution.onPartAnswered(record.fingerprint)
+                }
             }
         }
     }
@@ -219,10 +224,19 @@
             written.remove(key)
         } else {
             withdrawn.remove(key)
-            written[key] = record
+            keep(key, record)
         }
     }
 
+    /** Keeps the order of the records: after a restore, an answer has to be written after the breaks it contradicts. */
+    private fun keep(
+        key: String,
+        record: CrashEvidenceRecord,
+    ) {
+        written.remove(key)
+        written[key] = record
+    }
+
     private fun noteWithdrawn(key: String) {
         lost.remove(key)
         withdrawn += key
--- a/relay/src/main/kotlin/plantainturn/relay/request/CrashTracker.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CrashTracker.kt
@@ -17,8 +17,8 @@
  * A request that crashes instances may come at any node, and so may others that share the part of its prompt that is to
  * blame. Every unexplained break counts on this node at once, and is withdrawn if the instance answers a request that
  * was sent afterwards. It is published at once if it adds to earlier evidence or the request has a part that is not
- * known to have been answered, and otherwise only if it is not withdrawn. An instance's entry shows a crash late or not
- * at all, so this class does not wait for it.
+ * known to have been answered, and otherwise only if it is neither withdrawn nor contradicted by an answer. An
+ * instance's entry shows a crash late or not at all, so this class does not wait for it.
  *
  * Confined to the event loop.
  *
@@ -37,7 +37,7 @@
     fun isBlocked(traits: RequestTraits): Boolean = attribution.isBlocked(traits)
 
     /**
-     * Claims the trial of the blocked parts of a request with [traits], if one is due and this node claims no other.
+     * Claims the trial of the blocked ones of [traits], if one is due and this node claims no other.
      *
      * Returns whether it does. Then calls [done] once the outcome is known; the request is no longer blocked if it may
      * be sent.
@@ -61,6 +61,10 @@
         instance: UpstreamInstance,
     ): Boolean = evidenceOf(instance) in attribution.breaksOf(request)
 
+    /** Returns whether a break of a request with [traits] would add to evidence, or decide a trial. */
+    fun isSuspect(traits: RequestTraits): Boolean =
+        attribution.breaksOf(traits.request).isNotEmpty() || attribution.blockedTraitsOf(traits).isNotEmpty()
+
     /** Counts a send to [instance], or returns false if it would put too many instances at risk. */
     fun tryBegin(
         traits: RequestTraits,
@@ -125,9 +129,8 @@
         instance: UpstreamInstance,
     ) {
         val isSuspect = attribution.breaksOf(traits.request).isNotEmpty() || !traits.parts.all(attribution::isAnswered)
-        val answered = traits.parts.filter(attribution::isAnswered).toSet()
-        val noticed = RequestBreak(traits, evidenceOf(instance), answered, wallClock())
-        if (!attribution.onBreak(noticed)) return
+        val noticed = RequestBreak(traits, evidenceOf(instance), attribution.answeredOf(traits), wallClock())
+        if (!attribution.onBreak(noticed, shared = isSuspect)) return
         logger.info("fingerprint={} event=broke {} parts={}", traits.request, noticed.evidence, traits.parts)
         if (isSuspect) publisher.publish(noticed)
         awaitAnswer(noticed, instance, published = isSuspect)
@@ -142,9 +145,10 @@
         timer.schedule(ANSWER_TIMEOUT) {
             if (signs.answeredSince(instance, brokenAt)) {
                 logger.info("fingerprint={} event=survived {}", noticed.traits.request, noticed.evidence)
-                attribution.onSurvived(noticed.traits.request, noticed.evidence)
+                attribution.onSurvived(noticed.traits, noticed.evidence)
                 if (published) publisher.withdraw(noticed)
-            } else if (!published) {
+            } else if (!published && attribution.counts(noticed)) {
+                attribution.onShared(noticed)
                 publisher.publish(noticed)
             }
         }
@@ -152,7 +156,7 @@
 
     private fun clear(traits: RequestTraits) {
         val worthTelling = attribution.onAnswer(traits)
-        if (worthTelling.isNotEmpty()) publisher.publishAnswered(worthTelling)
+        if (worthTelling.isNotEmpty()) publisher.publishAnswered(worthTelling, traits)
     }
 
     private fun evidenceOf(instance: UpstreamInstance) = CrashEvidence(instance.name, instance.startedAt?.toString())
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -115,7 +115,7 @@
     }
 
     private fun dispatch() {
-        if (ended) return
+        if (ended || attempt != null) return
         val left = timeLeftToBegin()
         if (left < RequestLimits.MINIMUM_USEFUL_TIME) {
             giveUp(ResultCode.DEADLINE_PASSED_IN_QUEUE, ResultCode.DEADLINE_PASSED, "no time is left")
@@ -258,11 +258,12 @@
      * Returns the maximal idle time of the connection to use, or null for a new connection.
      *
      * A repeated send to the same instance needs a new connection: on a reused one, a late second answer to the
-     * earlier send could be taken for the answer to this one.
+     * earlier send could be taken for the answer to this one. So does a request that broke off before: an idle
+     * connection may be dead, which would be taken for another crash.
      */
     private fun maximumIdle(instance: UpstreamName): Duration? =
         when {
-            !sentTo.add(instance) -> null
+            !sentTo.add(instance) || context.crashes.isSuspect(traits) -> null
             route.repetition.repeatable -> RequestLimits.MAXIMUM_IDLE_IF_REPEATABLE
             else -> RequestLimits.MAXIMUM_IDLE_IF_NOT_REPEATABLE
         }
--- a/relay/src/test/kotlin/plantainturn/relay/node/FatalRequestSimulation.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/FatalRequestSimulation.kt
@@ -17,6 +17,7 @@
  * @param silentCrashes whether a crash leaves the server's connections open, so that it is noticed only by a timeout
  * @param restarts whether nodes occasionally restart
  * @param outages whether servers also crash independently of requests
+ * @param answeredBefore whether servers answered the fatal requests until the simulation began
  */
 internal class FatalRequestSimulation(
     private val random: Random,
@@ -24,6 +25,7 @@
     private val silentCrashes: Boolean = false,
     private val restarts: Boolean = false,
     private val outages: Boolean = false,
+    private val answeredBefore: Boolean = false,
 ) {
     private inner class Node {
         private val evidence = CrashEvidenceSample(store, timer) { 0 }
@@ -32,6 +34,9 @@
 
         init {
             evidence.follower.start()
+            if (answeredBefore && startedAt == Moment.ORIGIN) {
+                repeat(requests) { evidence.attribution.onAnswer(RequestTraits(RequestFingerprint(-1L - it))) }
+            }
         }
     }
 
@@ -76,6 +81,18 @@
 
     private fun sendFatal(fingerprint: RequestFingerprint) {
         val node = nodes.random(random)
+        val traits = RequestTraits(fingerprint)
+        if (!node.crashes.isBlocked(traits)) {
+            sendFatal(fingerprint, node)
+        } else {
+            node.crashes.claimTrial(traits) { sendFatal(fingerprint, node) }
+        }
+    }
+
+    private fun sendFatal(
+        fingerprint: RequestFingerprint,
+        node: Node,
+    ) {
         val server = pick(node, fingerprint) ?: return
         val third = crashTimes[fingerprint]?.getOrNull(CrashAttribution.MAXIMUM_BREAKS - 1)
         val now = timer.now()
--- a/relay/src/test/kotlin/plantainturn/relay/node/FatalRequestSimulationTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/FatalRequestSimulationTest.kt
@@ -32,6 +32,16 @@
         assertBounded { FatalRequestSimulation(it, requests = 5, restarts = true, outages = true) }
     }
 
+    /** Guards against trials that end more servers than the platform allows. */
+    @Test
+    fun `a fatal request is bounded over its trials and restarts of nodes`() {
+        for (answeredBefore in listOf(false, true)) {
+            assertBounded(LONG_SECONDS) {
+                FatalRequestSimulation(it, 2, silentCrashes = true, restarts = true, answeredBefore = answeredBefore)
+            }
+        }
+    }
+
     @Test
     fun `harmless requests that broke off in an outage of two servers are still sent`() {
         val simulations = List(SEEDS) { FatalRequestSimulation(Random(it), requests = 2, outages = true) }
@@ -40,14 +50,18 @@
         assertEquals(List(SEEDS) { 0 }, simulations.map { it.refusedHarmless })
     }
 
-    private fun assertBounded(simulation: (Random) -> FatalRequestSimulation) {
-        val late = List(SEEDS) { simulation(Random(it)).apply { run(SECONDS) }.maximumLateSends }
+    private fun assertBounded(
+        seconds: Int = SECONDS,
+        simulation: (Random) -> FatalRequestSimulation,
+    ) {
+        val late = List(SEEDS) { simulation(Random(it)).apply { run(seconds) }.maximumLateSends }
         assertTrue(late.all { it <= MAXIMUM_LATE_SENDS }, "late sends by seed: $late")
     }
 
     private companion object {
         const val SEEDS = 30
         const val SECONDS = 40
+        const val LONG_SECONDS = 500
 
         /** The sends of one request that the platform allows after the crash of its third server. */
         const val MAXIMUM_LATE_SENDS = 3
--- a/relay/src/test/kotlin/plantainturn/relay/node/InMemoryRecordStore.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/InMemoryRecordStore.kt
@@ -36,6 +36,10 @@
             return
         }
         val first = StorePosition(StoreEra.FIRST, LogOffset(this.records.size.toLong()))
+        if (at != null && at != first) {
+            timer.schedule(LATENCY) { done(StoreAppendResult.Conflict(first)) }
+            return
+        }
         records.forEach { this.records += KeyedRecord(it.key, it.value, LogOffset(this.records.size.toLong())) }
         timer.schedule(LATENCY) { done(StoreAppendResult.Appended(first)) }
     }
--- a/relay/src/test/kotlin/plantainturn/relay/request/CrashTrackerTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/request/CrashTrackerTest.kt
@@ -111,10 +111,13 @@
             withdrawn += noticed.evidence.upstream.value
         }
 
-        override fun publishAnswered(parts: List<RequestFingerprint>) = Unit
+        override fun publishAnswered(
+            answered: List<RequestFingerprint>,
+            traits: RequestTraits,
+        ) = Unit
 
         override fun claimTrial(
-            parts: List<RequestFingerprint>,
+            blocked: List<RequestFingerprint>,
             done: () -> Unit,
         ): Boolean = false
     }
