Bound the memory of all incomplete answers together

A relay with the heap of the deploy file ran out of memory when servers wrote heads or bodies without end, slowly, on 400 connections at once: requests of other clients to sound servers were lost, and the node left rotation. Each answer had a limit of its own, and nothing bounded their sum; the headers of a head take many times its bytes. Reports of engines were read up to 4 MB each, so that 100 engines in trouble choked the node.

--- a/library/src/main/kotlin/plantainturn/connection/http/SurplusBytes.kt
+++ b/library/src/main/kotlin/plantainturn/connection/http/SurplusBytes.kt
@@ -20,7 +20,11 @@
 
     /** Whether the connection is to be closed. */
     public val isExceeded: Boolean
-        get() = received - body > base + framingFactor * body
+        get() = count > base + framingFactor * body
+
+    /** The bytes since the latest request was sent that are no part of the body of the awaited answer. */
+    public val count: Long
+        get() = received - body
 
     /** Begins anew: a request is sent. */
     public fun onRequest() {
--- a/relay/src/main/kotlin/plantainturn/relay/http/AnswerReceiver.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/AnswerReceiver.kt
@@ -9,6 +9,9 @@
  * Exactly one of [onEnd] and [onBroken] is called, as the last call, unless the request is abandoned.
  */
 internal interface AnswerReceiver {
+    /** The memory in bytes that the receiver uses for the answer as long as it is not complete. */
+    val heldBytes: Long
+
     /**
      * Returns whether [head] begins the answer to this request or to another one.
      *
--- a/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
+import plantainturn.connection.http.HeldBytes
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
@@ -19,6 +20,7 @@
 /**
  * Pools the connections of this node to one location. The most recently used connection is used first.
  *
+ * @param held bounds the memory of incomplete answers
  * @param onHead called with the head of every answer, and with the moment when the answered request was sent; null for
  *   an answer that belongs to no request in progress
  */
@@ -26,6 +28,7 @@
     private val loop: EventLoop,
     private val location: SocketLocation,
     val timer: TimerService,
+    val held: HeldBytes,
     val onHead: (HttpResponse, Moment?) -> Unit = { _, _ -> },
 ) {
     private val idle = ArrayDeque<UpstreamConnection>()
--- a/relay/src/main/kotlin/plantainturn/relay/http/HttpClient.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/HttpClient.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
+import plantainturn.connection.http.HeldBytes
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.process.time.TimerService
 import plantainturn.process.time.TimerSubscription
@@ -20,10 +21,13 @@
  * Sends requests to the store, to the control interfaces of engines and to peers.
  *
  * Calls do not block. The callback of each call runs exactly once, on the event loop.
+ *
+ * @param held bounds the memory of incomplete answers
  */
 public class HttpClient(
     private val loop: EventLoop,
     private val timer: TimerService,
+    private val held: HeldBytes = HeldBytes(),
 ) {
     private val pools = HashMap<SocketLocation, ConnectionPool>()
 
@@ -47,11 +51,12 @@
                 }
                 call.headers.forEach { (name, value) -> headers().set(name, value) }
             }
-        Call(request, done).begin(location, timeout)
+        Call(request, call.maximumAnswerBytes, done).begin(location, timeout)
     }
 
     private inner class Call(
         private val request: DefaultFullHttpRequest,
+        private val maximumBytes: Int,
         private val done: (HttpCallResult) -> Unit,
     ) : AnswerReceiver {
         private var connection: UpstreamConnection? = null
@@ -60,13 +65,16 @@
         private var head: HttpResponse? = null
         private val body = ByteArrayOutputStream()
 
+        override val heldBytes: Long
+            get() = body.size() * COPIES
+
         fun begin(
             location: SocketLocation,
             timeout: Duration,
         ) {
             timeoutTimer = timer.schedule(timeout) { timeoutTimer = timer.schedule(NEXT_ITERATION) { timeOut() } }
             pools
-                .getOrPut(location) { ConnectionPool(loop, location, timer) }
+                .getOrPut(location) { ConnectionPool(loop, location, timer, held) }
                 .acquire(MAXIMUM_IDLE) { result ->
                     when (result) {
                         is ConnectionResult.Failed -> {
@@ -113,9 +121,9 @@
         }
 
         override fun onContent(content: ByteBuf) {
-            if (body.size() + content.readableBytes() > MAXIMUM_BODY_BYTES) {
+            if (body.size() + content.readableBytes() > maximumBytes) {
                 connection?.abandon()
-                end(HttpCallResult.NoAnswer("answer exceeds $MAXIMUM_BODY_BYTES bytes"))
+                end(HttpCallResult.NoAnswer("answer exceeds $maximumBytes bytes"))
             } else {
                 content.readBytes(body, content.readableBytes())
             }
@@ -145,8 +153,8 @@
          */
         val NEXT_ITERATION = 1.milliseconds
 
-        /** Several times the size of the store's largest page and of the issuer's largest report. */
-        const val MAXIMUM_BODY_BYTES = 4_194_304
+        /** The buffer doubles when it grows. */
+        const val COPIES = 2L
 
         /**
          * Calls can be repeated, or their outcome is determined by a later read, so that any idle connection may be
--- a/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import plantainturn.connection.http.HeldBytes
 import plantainturn.process.time.Moment
 import java.io.IOException
 import kotlin.time.Duration
@@ -21,14 +22,16 @@
 /**
  * Sends requests on one connection to a server, one at a time, and decodes their answers.
  *
- * Answers to other requests are skipped, and the number of bytes beyond the awaited answer is limited. The connection
+ * Answers to other requests are skipped, and the number of bytes beyond the awaited answer is limited, as is the memory
+ * of all answers that are not complete. The connection
  * is reused only if the answer was complete and delimited by its length or by chunks, the request was sent completely,
  * and no byte followed the answer.
  */
 internal class UpstreamConnection(
     private val decoder: StrictResponseDecoder,
     private val pool: ConnectionPool,
-) : ChannelInboundHandlerAdapter() {
+) : ChannelInboundHandlerAdapter(),
+    HeldBytes.Holder {
     private lateinit var context: ChannelHandlerContext
     private var receiver: AnswerReceiver? = null
     private var sendFuture: ChannelFuture? = null
@@ -37,6 +40,7 @@
     private var reusable = true
     private var failure: String? = null
     private var requestCount = 0
+    private var held = 0L
     private var sentAt = Moment.ORIGIN
 
     /** When the connection last became idle. */
@@ -78,6 +82,7 @@
         val channel = context.channel()
         val awaitsAnswer = receiver != null && !answering && sendFuture?.isDone == true
         receiver = null
+        hold(0)
         if (awaitsAnswer && channel is SocketChannel && channel.isActive) {
             channel.shutdownOutput()
             pool.timer.schedule(HALF_CLOSE_TIMEOUT) { context.close() }
@@ -105,6 +110,24 @@
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
         receiver?.onReadComplete()
+        val current = receiver
+        when {
+            current == null -> hold(0)
+            answering -> hold(current.heldBytes)
+            else -> hold(decoder.surplus.count * MEMORY_OF_HEAD_BYTE)
+        }
+    }
+
+    override fun giveUp(reason: String) {
+        held = 0
+        fail(reason)
+    }
+
+    private fun hold(bytes: Long) {
+        val counted = if (bytes < LEAST_HELD_BYTES) 0 else bytes
+        if (counted == held) return
+        held = counted
+        pool.held.update(this, counted)
     }
 
     override fun exceptionCaught(
@@ -195,6 +218,7 @@
         }
         receiver = null
         answering = false
+        hold(0)
         decoder.isAwaited = false
         if (decoder.hasTrailingBytes()) reusable = false
         current.onEnd()
@@ -217,6 +241,7 @@
         reusable = false
         val current = receiver
         receiver = null
+        hold(0)
         current?.onBroken(failure.orEmpty())
         context.close()
     }
@@ -236,6 +261,12 @@
         /** The server's timeout starts when it sends the answer, and its close reaches this node with a delay. */
         val KEEP_ALIVE_MARGIN = 400.milliseconds
 
+        /** A header of a few bytes takes two strings and an entry. */
+        const val MEMORY_OF_HEAD_BYTE = 32L
+
+        /** Short answers and events are not counted, which are most. */
+        const val LEAST_HELD_BYTES = 4_096L
+
         /** Many round trips. Limits how long a server works on that does not notice the shutdown. */
         val HALF_CLOSE_TIMEOUT = 200.milliseconds
     }
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -6,6 +6,7 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.apache.logging.log4j.LogManager
+import plantainturn.connection.http.HeldBytes
 import plantainturn.connection.roster.InstanceRoster
 import plantainturn.connection.roster.InstanceRun
 import plantainturn.connection.roster.RequestLimitTracker
@@ -87,7 +88,8 @@
     private val eventLoop = eventLoopGroup.next() as EventLoop
     private val timer = ExecutorTimerService(eventLoop)
     private val incarnation = "${settings.node}/${UUID.randomUUID()}"
-    private val caller = HttpClient(eventLoop, timer)
+    private val heldBytes = HeldBytes()
+    private val caller = HttpClient(eventLoop, timer, heldBytes)
     private val platform = connect(eventLoop, caller, location(settings.store))
     private val registry = PrometheusRegistry()
     private val rosterTimes = RosterTimes(settings.drainMilliseconds.milliseconds)
@@ -103,6 +105,7 @@
             FailureDomain(settings.failureDomain),
             notices,
             permits,
+            heldBytes,
             platform.dialect::notice,
         )
     private val configuration = ConfigurationWatch(platform.records, ::onConfiguration)
--- a/relay/src/main/kotlin/plantainturn/relay/request/CallerAnswer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CallerAnswer.kt
@@ -43,6 +43,10 @@
     val exceedsMaximum: Boolean
         get() = splitter.exceedsMaximum
 
+    /** The memory in bytes of an incomplete event. */
+    val heldBytes: Long
+        get() = splitter.heldBytes
+
     /** Whether the connection's write buffer has room. */
     val isWritable: Boolean
         get() = reply.isWritable
--- a/relay/src/main/kotlin/plantainturn/relay/request/EventSplitter.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/EventSplitter.kt
@@ -23,6 +23,10 @@
     val isWithinEvent: Boolean
         get() = partial.forEachByte { it == LINE_FEED || it == CARRIAGE_RETURN } >= 0
 
+    /** The memory in bytes of the incomplete event. */
+    val heldBytes: Long
+        get() = partial.capacity().toLong()
+
     /** Whether the incomplete event is larger than the maximum size of an event. */
     val exceedsMaximum: Boolean
         get() = partial.readableBytes() > MAXIMUM_EVENT_BYTES
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpResponse
+import plantainturn.connection.http.HeldBytes
 import plantainturn.connection.roster.InstanceNotice
 import plantainturn.connection.roster.InstanceRun
 import plantainturn.connection.roster.UpstreamInstance
@@ -24,6 +25,7 @@
  *
  * @param permits permits for sends to instances that limit their requests
  * @param notices receives the notices that instances attach to answers
+ * @param held bounds the memory of incomplete answers
  * @param noticeOf decodes a notice from the head of an answer
  */
 public class InstanceLinks(
@@ -32,6 +34,7 @@
     private val ownDomain: FailureDomain,
     private val notices: InstanceNotices,
     internal val permits: SendPermits,
+    private val held: HeldBytes,
     private val noticeOf: (HttpResponse) -> InstanceNotice,
 ) : SignsOfLife {
     private val links = HashMap<UpstreamName, Link>()
@@ -158,7 +161,7 @@
         known?.pool?.close()
         val others = known?.stats?.others ?: WorkTotals.NONE
         val pool =
-            ConnectionPool(loop, instance.location, timer) { head, askedAt ->
+            ConnectionPool(loop, instance.location, timer, held) { head, askedAt ->
                 notices.onNotice(instance, noticeOf(head), askedAt)
             }
         val created = Link(instance, InstanceStats(instance.startedAt), pool)
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -59,6 +59,9 @@
     var isDelimited: Boolean = false
         private set
 
+    override val heldBytes: Long
+        get() = if (isStreaming) exchange.heldBytes else buffered.capacity().toLong()
+
     /** Sends the request on a connection that was idle for [reuse] at most, or on a new one if [reuse] is null. */
     fun begin(reuse: Duration?) {
         stats.begin(work, begunAt)
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -67,6 +67,10 @@
     val awaitedModel: ModelName?
         get() = request.demand?.model.takeIf { waitingSince != null && !awaitingIssuer }
 
+    /** The memory in bytes of the incomplete event that the answer has so far. */
+    val heldBytes: Long
+        get() = answer.heldBytes
+
     /** Starts the deadline timer and dispatches the request for the first time. */
     fun start() {
         timer = context.timer.schedule(timeLeft()) { onDeadline() }
