Read a connection again after an answer to a caller that paused it

A connection whose answer ended while its caller was slow went back to the pool with reading paused, and nothing resumed it: the answer to the next request on it, and bytes between two answers, were never read. Reading is resumed at the end of each answer. The review had read this in the code; no caller was seen to suffer from it.

--- a/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
@@ -222,6 +222,8 @@
         decoder.isAwaited = false
         if (decoder.hasTrailingBytes()) reusable = false
         current.onEnd()
+        // The caller of this answer may have paused reading, and the next answer has another caller.
+        setReading(true)
         pool.timer.schedule(Duration.ZERO) { returnToPool() }
     }
 
