--- a/library/src/main/kotlin/plantainturn/request/quarantine/TraitCase.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/TraitCase.kt
@@ -51,8 +51,7 @@
     fun contradict(): Unit = counted.forEach { it.contradicted = true }
 
     /** Returns the breaks that count on this node at [now]. */
-    fun breaks(now: Moment): List<RequestBreak> =
-        counted.filter { it.until > now && !it.contradicted }.map { it.value }
+    fun breaks(now: Moment): List<RequestBreak> = counted.filter { it.until > now && !it.contradicted }.map { it.value }
 
     /** Returns the breaks that count at [now] on a node that knows only what all nodes are told. */
     fun shared(now: Moment): List<RequestBreak> = counted.filter { it.until > now && it.shared }.map { it.value }
--- a/relay/src/main/kotlin/plantainturn/relay/http/StrictResponseDecoder.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/StrictResponseDecoder.kt
@@ -57,8 +57,7 @@
             containsStatusLine(head.status().reasonPhrase()) ||
             head.headers().any { (name, value) -> containsStatusLine(name) || containsStatusLine(value) }
 
-    private fun containsStatusLine(text: String): Boolean =
-        text.contains(PROTOCOL) && STATUS_LINE.containsMatchIn(text)
+    private fun containsStatusLine(text: String): Boolean = text.contains(PROTOCOL) && STATUS_LINE.containsMatchIn(text)
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         method == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
