--- a/relay/src/test/kotlin/plantainturn/relay/node/AnsweredRequestCrashTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/AnsweredRequestCrashTest.kt
@@ -32,12 +32,7 @@
     @Test
     fun `a node that starts does not block a request that was answered after each break`() {
         val nodes = List(2) { Node() }
-        for (crash in 1..3) {
-            nodes[0].crashes.broke(traits, instance(crash))
-            timer.advance(1.5.seconds)
-            nodes[1].answer()
-            timer.advance(2.seconds)
-        }
+        for (crash in 1..3) crashAndAnswer(crash, nodes)
         assertFalse(Node().crashes.isBlocked(traits))
     }
 
@@ -48,10 +43,7 @@
             val nodes = List(2) { Node() }
             assertFalse(nodes[0].crashes.isBlocked(traits), "before crash $crash")
             nodes[0].answer()
-            nodes[0].crashes.broke(traits, instance(crash))
-            timer.advance(1.5.seconds)
-            nodes[1].answer()
-            timer.advance(1.5.seconds)
+            crashAndAnswer(crash, nodes)
         }
         assertFalse(Node().crashes.isBlocked(traits))
     }
@@ -90,5 +82,16 @@
         assertFalse(Node().crashes.isBlocked(traits))
     }
 
+    /** Lets the request break off at the first of [nodes], and be answered at the second one later. */
+    private fun crashAndAnswer(
+        crash: Int,
+        nodes: List<Node>,
+    ) {
+        nodes[0].crashes.broke(traits, instance(crash))
+        timer.advance(1.5.seconds)
+        nodes[1].answer()
+        timer.advance(1.5.seconds)
+    }
+
     private fun instance(number: Int) = InstanceSamples.instance("server-$number")
 }
