--- a/review/rig-2/Blocked.java
+++ b/review/rig-2/Blocked.java
@@ -8,82 +8,73 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * The three servers of a small deployment's only zone crash and are back after 5 s. 3 s after the crash all relays are
- * killed and started again, as at the end of a day. All callers ask for the same item.
+ * The three servers of a service, all in one zone, crash at once and are back after 5 s. Callers of the route that was
+ * added later ask for the same item, callers of the first route each for another one.
  */
 final class Blocked {
     static final int SERVERS = 3;
     static final int RELAYS = 2;
-    static final double PER_SECOND = 50;
+    static final double FIRST_PER_SECOND = 15;
+    static final double LATER_PER_SECOND = 70;
     static final long WORK = 250;
-    static final double CRASH_AT = 6.0;
+    static final double ROUTE_ADDED_AT = 1.0;
+    static final double LATER_FROM = 4.0;
+    static final double CRASH_AT = 9.0;
     static final double CRASH_FOR = 5.0;
-    static final double KILL_AT = 9.0;
-    static final double KILL_FOR = 1.6;
-    static final double RECOVER = 12.0;
-    static final double LENGTH = 40.0;
+    /** contact_ms after the servers are back, and as long again. */
+    static final double STEADY_AFTER = 6.0;
+    static final double LENGTH = 35.0;
 
     public static void main(String[] args) throws Exception {
         Rig.main(args, Blocked::run);
     }
 
-    /** A request: when it was sent, and the status of its answer; 0 for none. */
-    record Outcome(double sent, int status) { }
+    /** A request: its route, when it was sent, and the status of its answer; 0 for none. */
+    record Outcome(boolean later, double sent, int status) { }
 
     static boolean run(Rig rig) throws Exception {
         List<PlainServer> servers = new ArrayList<>();
         for (int number = 0; number < SERVERS; number++) servers.add(new PlainServer(rig, "i-" + number));
-        rig.store.put("keyed.op", "config", "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"a.example\",\"path_prefix\":\"/stock/\","
-            + "\"route_kind\":\"idempotent\",\"timeout_ms\":1000,\"goal_ms\":193,\"priority\":2,\"service\":\"ledger\",\"max_attempts\":2}],"
-            + "\"services\":[{\"name\":\"ledger\",\"health_path\":\"/healthz\",\"max_conns\":110}],"
-            + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
+        rig.store.put("keyed.op", "config", configuration(7, route("r-1", "/orders/")));
         List<Rig.Relay> relays = new ArrayList<>();
         for (int number = 1; number <= RELAYS; number++) relays.add(rig.new Relay("relay-" + number));
         for (Rig.Relay relay : relays) relay.awaitReady();
         Thread.sleep(1_000);
 
         double start = rig.seconds();
-        // VARIANT names one of the two disruptions, to see what the other one alone does.
-        String variant = System.getenv().getOrDefault("VARIANT", "both");
-        boolean crashes = rig.trouble && !variant.equals("kill");
-        boolean kills = rig.trouble && !variant.equals("crash");
         List<Outcome> outcomes = new CopyOnWriteArrayList<>();
         List<Thread> threads = new ArrayList<>();
-        double next = 0;
+        double nextFirst = 0;
+        double nextLater = LATER_FROM;
         int number = 0;
         int step = 0;
-        double back = Double.MAX_VALUE;
         for (double now = 0; now < LENGTH; now = rig.seconds() - start) {
-            if (step == 0 && now >= CRASH_AT) {
+            if (step == 0 && now >= ROUTE_ADDED_AT) {
                 step = 1;
-                if (crashes) for (PlainServer server : servers) server.crash();
+                rig.store.put("keyed.op", "config", configuration(9, route("r-1", "/orders/") + "," + route("r-2", "/stock/")));
+                rig.note("the operator adds the route /stock/");
             }
-            if (step == 1 && now >= KILL_AT) {
+            if (step == 1 && now >= CRASH_AT) {
                 step = 2;
-                if (kills) for (Rig.Relay relay : relays) relay.signal("KILL");
+                if (rig.trouble) for (PlainServer server : servers) server.crash();
             }
-            if (step == 2 && now >= KILL_AT + KILL_FOR) {
+            if (step == 2 && now >= CRASH_AT + CRASH_FOR) {
                 step = 3;
-                if (kills) for (Rig.Relay relay : relays) relay.start();
-            }
-            if (step == 3 && now >= CRASH_AT + CRASH_FOR) {
-                step = 4;
-                if (crashes) for (PlainServer server : servers) server.restart();
-            }
-            if (step >= 3 && back == Double.MAX_VALUE && relays.stream().allMatch(Rig.Relay::isReady)) {
-                back = rig.seconds() - start;
-                rig.note(String.format(Locale.ROOT, "the relays are back %.1f s after the first request", back));
+                if (rig.trouble) for (PlainServer server : servers) server.restart();
             }
-            if (now >= next) {
-                next += 1 / PER_SECOND;
+            boolean later = now >= nextLater;
+            if (later || now >= nextFirst) {
+                if (later) nextLater += 1 / LATER_PER_SECOND;
+                else nextFirst += 1 / FIRST_PER_SECOND;
                 String id = "q" + number;
+                String path = later ? "/stock/kegs" : "/orders/" + number;
                 Rig.Relay relay = relays.get(number % RELAYS);
                 number++;
                 double sent = now;
                 Thread thread = new Thread(() -> {
-                    int status = ask(relay, id);
-                    outcomes.add(new Outcome(sent, status));
-                    rig.note("client " + id + " " + relay.name + " status=" + status);
+                    int status = ask(relay, id, path);
+                    outcomes.add(new Outcome(later, sent, status));
+                    rig.note("client " + id + " " + path + " " + relay.name + " status=" + status);
                 });
                 thread.start();
                 threads.add(thread);
@@ -91,23 +82,46 @@
             Thread.sleep(2);
         }
         for (Thread thread : threads) thread.join();
-        double from = back + RECOVER;
-        double before = share(outcomes, 0, KILL_AT);
-        double after = share(outcomes, from, LENGTH);
-        rig.note(String.format(Locale.ROOT, "served before the final fault %.3f, later than %.0f s after it %.3f", before, RECOVER, after));
-        return before < 0.25 || after >= 0.25;
+        double steady = CRASH_AT + CRASH_FOR + STEADY_AFTER;
+        tell(rig, outcomes, "before the crash", 0, CRASH_AT - 1);
+        tell(rig, outcomes, "in steady state", steady, LENGTH);
+        long asked = of(outcomes, true, steady, LENGTH).size();
+        double first = share(of(outcomes, false, steady, LENGTH));
+        double added = share(of(outcomes, true, steady, LENGTH));
+        return asked < 20 || added >= first / 4;
+    }
+
+    private static void tell(Rig rig, List<Outcome> outcomes, String when, double from, double to) {
+        List<Outcome> first = of(outcomes, false, from, to);
+        List<Outcome> later = of(outcomes, true, from, to);
+        rig.note(String.format(Locale.ROOT, "%s: first route %.3f of %d served, route added later %.3f of %d", when, share(first), first.size(),
+            share(later), later.size()));
+    }
+
+    private static List<Outcome> of(List<Outcome> outcomes, boolean later, double from, double to) {
+        return outcomes.stream().filter(outcome -> outcome.later == later && outcome.sent >= from && outcome.sent < to).toList();
+    }
+
+    private static double share(List<Outcome> outcomes) {
+        return outcomes.stream().filter(outcome -> outcome.status == 200).count() / (double) Math.max(1, outcomes.size());
     }
 
-    private static double share(List<Outcome> outcomes, double from, double to) {
-        List<Outcome> within = outcomes.stream().filter(outcome -> outcome.sent >= from && outcome.sent < to).toList();
-        return within.stream().filter(outcome -> outcome.status == 200).count() / (double) Math.max(1, within.size());
+    private static String route(String name, String prefix) {
+        return "{\"name\":\"" + name + "\",\"host\":\"a.example\",\"path_prefix\":\"" + prefix + "\",\"route_kind\":\"idempotent\","
+            + "\"timeout_ms\":1000,\"goal_ms\":193,\"priority\":2,\"service\":\"ledger\",\"max_attempts\":2}";
+    }
+
+    private static String configuration(int version, String routes) {
+        return "{\"version\":" + version + ",\"routes\":[" + routes + "],"
+            + "\"services\":[{\"name\":\"ledger\",\"health_path\":\"/healthz\",\"max_conns\":110}],"
+            + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
     }
 
-    private static int ask(Rig.Relay relay, String id) {
+    private static int ask(Rig.Relay relay, String id, String path) {
         try (Socket socket = Rig.connect(relay.callers, 1_000)) {
             socket.setSoTimeout(2_000);
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            socket.getOutputStream().write(("GET /stock/kegs HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + id
+            socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + id
                 + "\r\nDeadline-Ms: 1000\r\n\r\n").getBytes());
             Rig.Message answer = Rig.Http.read(in);
             return answer.whole ? answer.status : 0;
--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -135,11 +135,15 @@
         throw new IOException("not reached in time: " + what);
     }
 
+    /** Returns a free port below those that the system gives to outgoing connections. */
     static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, LOOPBACK)) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
+        while (true) {
+            int port = 20_000 + (int) (Math.random() * 12_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, LOOPBACK)) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // The port is in use.
+            }
         }
     }
 
