--- a/review/rig-2/Blocked.java
+++ b/review/rig-2/Blocked.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * The three servers of a service, all in one zone, crash at once and are back after 5 s. Callers of the route that was
+ * The three servers of a service, all in one zone, crash at once and are back after 4.5 s. Callers of the route that was
  * added later ask for the same item, callers of the first route each for another one.
  */
 final class Blocked {
@@ -20,7 +20,7 @@
     static final double ROUTE_ADDED_AT = 1.0;
     static final double LATER_FROM = 4.0;
     static final double CRASH_AT = 9.0;
-    static final double CRASH_FOR = 5.0;
+    static final double CRASH_FOR = 4.5;
     /** contact_ms after the servers are back, and as long again. */
     static final double STEADY_AFTER = 6.0;
     static final double LENGTH = 35.0;
