--- a/review/rig-2/FatalTogether.java
+++ b/review/rig-2/FatalTogether.java
@@ -139,7 +139,7 @@
         }
 
         private synchronized void begin() throws IOException {
-            if (boot > 0) rig.store.put("keyed.servers", id(), "");
+            if (boot > 0) removeLater(id(), 3_600 - (System.nanoTime() - lastBeat) / 1_000_000);
             boot++;
             born = System.currentTimeMillis();
             crashing = false;
@@ -201,6 +201,20 @@
             server = null;
         }
 
+        /** The store removes the entry of a boot that ended after three ping intervals of silence. */
+        private void removeLater(String ended, long milliseconds) {
+            Thread removal = new Thread(() -> {
+                try {
+                    Thread.sleep(Math.max(0, milliseconds));
+                    rig.store.put("keyed.servers", ended, "");
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            removal.setDaemon(true);
+            removal.start();
+        }
+
         private void beat() {
             while (true) {
                 try {
