--- a/review/rig-2/Blocked.java
+++ b/review/rig-2/Blocked.java
@@ -211,7 +211,7 @@
         private void write() {
             lastBeat = System.nanoTime();
             rig.store.put("keyed.servers", id(), "{\"service\":\"ledger\",\"address\":\"127.0.0.1:" + server.port
-                + "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":" + born + "}");
+                + "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":" + born + "}");
         }
     }
 }
