Break off an answer whose connection is reset while its request is sent

An answer cut after its head arrived as a whole one of 0 bytes, and a stream cut between two events ended as if it were complete.

Cause: a reset is told once, to the read or write that comes first. While the relay still writes the request, that is the write. Netty then closes the connection without an exception and fails the future of the write, which was not looked at, so that the end looked like the regular end of the answer. Ruled out: a reset met by a read, which was noticed before (BrokenAnswerTest), and the decoder, which only passes the end of the connection on.

A failed write now marks the answer as broken. A write that was cut short by the regular end of the connection says nothing, so that honest early answers still arrive whole.

--- a/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
@@ -15,6 +15,7 @@
 import plantainturn.connection.http.HeldBytes
 import plantainturn.process.time.Moment
 import java.io.IOException
+import java.nio.channels.ClosedChannelException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -69,7 +70,19 @@
         decoder.method = request.method()
         decoder.isAwaited = true
         decoder.surplus.onRequest()
-        sendFuture = context.writeAndFlush(request)
+        sendFuture = context.writeAndFlush(request).addListener { future -> onSent(future.cause()) }
+    }
+
+    /**
+     * Records that sending failed, so that the end of the connection is not taken for the end of an answer.
+     *
+     * The system reports a reset once only, to whichever of a write and a read comes first. After a failed write, the
+     * connection is closed without an exception, as at its regular end. If it was closed before the write could end,
+     * nothing is known of a reset.
+     */
+    private fun onSent(cause: Throwable?) {
+        if (cause == null || cause is ClosedChannelException) return
+        if (failure == null) failure = "connection reset while the request was being sent: ${cause.message}"
     }
 
     /**
