Reject a part of an answer after OkHttp failed to write its request

plantainturn node took a part of an answer without a length for the whole one if its connection was reset while the request was being written, as the relay did: OkHttp reads an answer after a failed write, and the read then meets a regular end.

Such an answer is now rejected unless it has a length or chunks, so that the outcome of the call is unknown.

--- a/library/src/main/kotlin/plantainturn/connection/http/AtMostOnceClient.kt
+++ b/library/src/main/kotlin/plantainturn/connection/http/AtMostOnceClient.kt
@@ -1,9 +1,12 @@
 package plantainturn.connection.http
 
+import okhttp3.Call
+import okhttp3.EventListener
 import okhttp3.Interceptor
 import okhttp3.OkHttpClient
 import okhttp3.Protocol
 import okhttp3.Response
+import java.io.IOException
 import java.util.concurrent.TimeUnit
 
 /**
@@ -19,7 +22,9 @@
         .retryOnConnectionFailure(false)
         .followRedirects(false)
         .followSslRedirects(false)
+        .eventListener(SendFailureListener)
         .addInterceptor(ReadTimeoutInterceptor)
+        .addNetworkInterceptor(CutAnswerInterceptor)
         .addNetworkInterceptor(AtMostOnceInterceptor)
         .build()
 }
@@ -34,6 +39,41 @@
     }
 }
 
+/** Whether the request of a call could not be written as a whole, a tag of the call. */
+private class SendFailure {
+    @Volatile
+    var cause: IOException? = null
+}
+
+private object SendFailureListener : EventListener() {
+    override fun requestFailed(
+        call: Call,
+        ioe: IOException,
+    ) {
+        call.tag(SendFailure::class) { SendFailure() }.cause = ioe
+    }
+}
+
+/**
+ * Rejects an answer that ends with its connection if the connection was reset while the request was being written.
+ *
+ * OkHttp reads an answer after a failed write, too. The system reports a reset once only, so the read meets a regular
+ * end, and a part of the answer would look whole.
+ */
+private object CutAnswerInterceptor : Interceptor {
+    override fun intercept(chain: Interceptor.Chain): Response {
+        val response = chain.proceed(chain.request())
+        val cause = chain.call().tag(SendFailure::class)?.cause
+        if (cause == null || isDelimited(response)) return response
+        response.close()
+        throw IOException("the connection was reset while the request was being sent: ${cause.message}", cause)
+    }
+
+    private fun isDelimited(response: Response): Boolean =
+        response.header("Content-Length") != null ||
+            response.header("Transfer-Encoding").equals("chunked", ignoreCase = true)
+}
+
 /**
  * Records that a connection was made and sending begins, and keeps OkHttp from sending the request again.
  *
