Remember unanswered orders until they can no longer be executed

Cause: a restart begins the count of orders anew, so that an old order matches again. The order was forgotten with the ledger when the entry lapsed; by a reading once the count had gone on, although a restart may follow; and with the lease. Adapters were not kept room for at all.

UnansweredOrders remembers orders from their sending to their answer, or for 13 s, apart from ledgers and leases. A ledger keeps memory and places of adapters for those that expect a later count than the engine has. They are kept for 13 s from the sending, not from the restart as before. The issuer reports them to the nodes, and nodes report to the next issuer what others told them.

EngineLedgerTest: onRestart takes no time any more; the checks of the test that calls it are the same, with one more on the end of the bound.

--- a/library/src/main/kotlin/plantainturn/process/control/residence/EngineLedger.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/EngineLedger.kt
@@ -2,35 +2,37 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
-import kotlinx.collections.immutable.minus
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.plus
 import plantainturn.connection.engine.FenceNumber
+import plantainturn.process.control.residence.internal.EngineContent
+import plantainturn.process.control.residence.internal.EngineUse
+import plantainturn.process.control.residence.internal.addedUse
+import plantainturn.process.control.residence.internal.after
+import plantainturn.process.control.residence.internal.useOf
 import plantainturn.process.time.Moment
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.UpstreamName
 import plantainturn.version.route.EngineFleet
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Tracks what one engine holds, as the lease holder must assume it, and decides which orders may be sent to it.
  *
  * Every order names the sequence that the engine must have, so an unanswered order can take effect only instead of the
  * next one, never in addition to it. A restart is the exception: the sequence starts again, and an old order may match
- * it a second time. What such orders would load stays reserved for [delayBound] after the restart.
+ * it a second time. What the orders would load that expect a later sequence than the engine has is therefore reserved;
+ * at most one order for each sequence can take effect.
  *
  * Not thread-safe: confined to one thread.
  *
- * @param delayBound the longest time after which an unanswered order may still be executed
+ * @param unanswered the orders to all engines that may still be executed
  */
 public class EngineLedger(
     public val engine: UpstreamName,
-    private val delayBound: Duration = DEFAULT_DELAY_BOUND,
+    private val unanswered: UnansweredOrders = UnansweredOrders(),
 ) {
     private var startedAt: Long? = null
-    private val unanswered = ArrayList<UnansweredOrder>()
 
     /** The number of orders that the engine has accepted since its start, null until the engine has reported it. */
     public var sequence: Long? = null
@@ -85,13 +87,12 @@
         reading: EngineReading,
         askedAt: Moment,
     ) {
-        if (startedAt != null && reading.startedAt != startedAt) resetAfterRestart(askedAt)
+        if (startedAt != null && reading.startedAt != startedAt) resetAfterRestart()
         startedAt = reading.startedAt
         val known = sequence
         if (known != null && reading.sequence < known) return
         sequence = reading.sequence
         readAt = askedAt
-        unanswered.removeAll { it.expected < reading.sequence && it.restartedAt == null }
         hostCopies = reading.hostCopies
         diskCopies = reading.diskCopies
         residents =
@@ -118,7 +119,7 @@
         val known = !orderInFlight && !needsReading
         if (!known || expected == null || !isAdmissible(action, fleet, now)) return null
         orderInFlight = true
-        return SequencedOrder(engine, action, expected, fence)
+        return SequencedOrder(engine, action, expected, fence).also { unanswered.onSent(it, now) }
     }
 
     /** Records [result] as the answer to [order], which was sent at [sentAt]. */
@@ -128,21 +129,19 @@
         sentAt: Moment,
     ) {
         orderInFlight = false
+        if (result !is SequencedOrderResult.Unknown) unanswered.onAnswered(order)
         when (result) {
             SequencedOrderResult.Accepted -> onAccepted(order, sentAt)
-            SequencedOrderResult.AlreadyHolds -> applyToResidents(order.action)
+            SequencedOrderResult.AlreadyHolds -> residents = residents.after(order.action)
             is SequencedOrderResult.Invalid -> Unit
-            SequencedOrderResult.OutOfStep, is SequencedOrderResult.StaleFence -> needsReading = true
-            is SequencedOrderResult.Unknown -> {
-                unanswered += UnansweredOrder(order.action, order.expectedSequence, restartedAt = null)
+            SequencedOrderResult.OutOfStep, is SequencedOrderResult.StaleFence, is SequencedOrderResult.Unknown ->
                 needsReading = true
-            }
         }
     }
 
     /** Clears what the engine is assumed to hold, such as after its restart. */
-    public fun onRestart(now: Moment) {
-        resetAfterRestart(now)
+    public fun onRestart() {
+        resetAfterRestart()
         startedAt = null
     }
 
@@ -150,42 +149,53 @@
     public fun committedMegabytes(
         fleet: EngineFleet,
         now: Moment,
-    ): Double {
-        dropExpiredOrders(now)
-        val held = residents.keys + listOfNotNull(loading) + unansweredLoads()
-        val adapters = residents.entries.sumOf { (model, names) -> names.size * adapterSize(fleet, model) }
-        return held.sumOf { fleet.models[it]?.memoryMegabytes ?: 0.0 } + adapters
-    }
+    ): Double = useWithLateOrders(expectedContent, fleet, now).megabytes
+
+    /** Returns whether a place for one more adapter is left beside those that late orders may take. */
+    public fun hasAdapterPlace(
+        fleet: EngineFleet,
+        now: Moment,
+    ): Boolean = useWithLateOrders(expectedContent, fleet, now).adapters < fleet.adapterSlots
 
-    /** Returns the number of adapters that the engine holds. */
-    public fun adapterCount(): Int = residents.values.sumOf { it.size }
+    /** What the engine holds once the current load is complete. */
+    private val expectedContent: EngineContent
+        get() = loading?.let { residents.put(it, residents[it] ?: persistentSetOf()) } ?: residents
 
     private fun isAdmissible(
         action: ResidenceAction,
         fleet: EngineFleet,
         now: Moment,
     ): Boolean {
-        val specification = fleet.models[action.model] ?: return false
+        if (action.model !in fleet.models) return false
+        val content = expectedContent.after(action)
+        val use = useWithLateOrders(content, fleet, now)
         return when (action.kind) {
-            ResidenceAction.Kind.UNLOAD -> !isChanging || action.adapter != null
+            ResidenceAction.Kind.UNLOAD ->
+                (!isChanging || action.adapter != null) && (use.fits(fleet) || use == useOf(content, fleet))
             ResidenceAction.Kind.LOAD ->
                 if (action.adapter != null) {
-                    action.model in residents &&
-                        unloading != action.model &&
-                        adapterCount() < fleet.adapterSlots &&
-                        committedMegabytes(fleet, now) + specification.adapterMegabytes <= fleet.weightMegabytes
+                    action.model in residents && unloading != action.model && use.fits(fleet)
                 } else {
-                    !isChanging && action.model !in residents && fits(specification.memoryMegabytes, fleet, now)
+                    !isChanging && action.model !in residents && use.fits(fleet)
                 }
         }
     }
 
-    /** Returns whether a base model fits in. [ResidencePlanner] also keeps room for adapters in all places free. */
-    private fun fits(
-        megabytes: Double,
+    /** Returns what [content] takes, with the unanswered orders that can follow the next order. */
+    private fun useWithLateOrders(
+        content: EngineContent,
         fleet: EngineFleet,
         now: Moment,
-    ): Boolean = committedMegabytes(fleet, now) + megabytes <= fleet.weightMegabytes
+    ): EngineUse {
+        val known = sequence ?: return useOf(content, fleet)
+        return unanswered
+            .at(engine, now)
+            .filter { it.expectedSequence > known }
+            .groupBy({ it.expectedSequence }, { addedUse(it.action, content, fleet) })
+            .values
+            .map { alternatives -> alternatives.reduce(EngineUse::largest) }
+            .fold(useOf(content, fleet), EngineUse::plus)
+    }
 
     private fun onAccepted(
         order: SequencedOrder,
@@ -194,7 +204,7 @@
         sequence = order.expectedSequence + 1
         val action = order.action
         when {
-            action.adapter != null -> applyToResidents(action)
+            action.adapter != null -> residents = residents.after(action)
             action.kind == ResidenceAction.Kind.LOAD -> {
                 loading = action.model
                 orderedAt = sentAt
@@ -206,22 +216,7 @@
         }
     }
 
-    private fun applyToResidents(action: ResidenceAction) {
-        val adapter = action.adapter
-        val present = residents[action.model]
-        residents =
-            when {
-                adapter == null && action.kind == ResidenceAction.Kind.LOAD ->
-                    residents.put(action.model, present ?: persistentSetOf())
-                adapter == null -> residents.remove(action.model)
-                present == null -> residents
-                action.kind == ResidenceAction.Kind.LOAD -> residents.put(action.model, present + adapter)
-                else -> residents.put(action.model, present - adapter)
-            }
-    }
-
-    private fun resetAfterRestart(now: Moment) {
-        unanswered.replaceAll { if (it.restartedAt == null) it.copy(restartedAt = now) else it }
+    private fun resetAfterRestart() {
         sequence = null
         residents = persistentMapOf()
         loading = null
@@ -232,31 +227,7 @@
         needsReading = true
     }
 
-    private fun dropExpiredOrders(now: Moment) {
-        unanswered.removeAll { order -> order.restartedAt?.let { now > it + delayBound } ?: false }
-    }
-
-    private fun unansweredLoads(): List<ModelName> =
-        unanswered
-            .filter {
-                it.restartedAt != null && it.action.kind == ResidenceAction.Kind.LOAD && it.action.adapter == null
-            }.map { it.action.model }
-
-    private fun adapterSize(
-        fleet: EngineFleet,
-        model: ModelName,
-    ): Double = fleet.models[model]?.adapterMegabytes ?: 0.0
-
-    private data class UnansweredOrder(
-        val action: ResidenceAction,
-        val expected: Long,
-        val restartedAt: Moment?,
-    )
-
     private companion object {
-        /** One second more than an order can be delayed, because the restart itself is noticed late. */
-        val DEFAULT_DELAY_BOUND = SequencedOrder.MAXIMUM_EXECUTION_DELAY + 1.seconds
-
         fun <K, V> PersistentMap<K, V>.mapValuesPersistent(transform: (K, V) -> V): PersistentMap<K, V> {
             val builder = builder()
             for ((key, value) in this) builder[key] = transform(key, value)
--- a/library/src/test/kotlin/plantainturn/process/control/residence/EngineLedgerTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/control/residence/EngineLedgerTest.kt
@@ -19,7 +19,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 class EngineLedgerTest {
-    private val ledger = EngineLedger(UpstreamName("engine"))
+    private val unanswered = UnansweredOrders()
+    private val ledger = ledger()
     private val fleet = fleet("a", "b", "c")
     private val fence = FenceNumber(7)
 
@@ -83,11 +84,106 @@
     fun `an unanswered load stays reserved after a restart until it can no longer take effect`() {
         ledger.onReading(reading(sequence = 4), at(0))
         answer(load("a"), SequencedOrderResult.Unknown("time-out"), at(10))
-        ledger.onRestart(at(1_000))
+        ledger.onRestart()
         ledger.onReading(reading(sequence = 0, "b", startedAt = 2), at(1_100))
 
         assertNull(ledger.prepare(load("c"), fleet, fence, at(1_200)), "a, b and c don't fit together")
-        assertNotNull(ledger.prepare(load("c"), fleet, fence, at(1_000) + 14.seconds))
+        assertNull(ledger.prepare(load("c"), fleet, fence, at(10) + DELAY_BOUND))
+        assertNotNull(ledger.prepare(load("c"), fleet, fence, at(10) + DELAY_BOUND + 1.seconds))
+    }
+
+    /** Guards against a ledger that forgets with the entry of its engine what the engine may still execute. */
+    @Test
+    fun `an unanswered load stays reserved for the next ledger of its engine`() {
+        ledger.onReading(reading(sequence = 1), at(0))
+        answer(load("a"), SequencedOrderResult.Unknown("time-out"), at(10))
+        val next = ledger()
+        next.onReading(reading(sequence = 0, "b", startedAt = 2), at(5_000))
+
+        assertNull(next.prepare(load("c"), fleet, fence, at(5_010)))
+        assertNotNull(next.prepare(load("c"), fleet, fence, at(10) + DELAY_BOUND + 1.seconds))
+    }
+
+    /** Guards against an order that is forgotten once another one was accepted in its place. */
+    @Test
+    fun `an unanswered load stays reserved after a restart if the engine accepted another order before`() {
+        ledger.onReading(reading(sequence = 1), at(0))
+        answer(load("a"), SequencedOrderResult.Unknown("time-out"), at(10))
+        ledger.onReading(reading(sequence = 1), at(20))
+        accept(load("b"), at(30))
+        ledger.onReading(reading(sequence = 2, "b"), at(500))
+        ledger.onRestart()
+        ledger.onReading(reading(sequence = 0, "b", startedAt = 2), at(1_100))
+
+        assertNull(ledger.prepare(load("c"), fleet, fence, at(1_200)))
+    }
+
+    @Test
+    fun `a late order of a session that has ended is not in doubt once it is answered`() {
+        ledger.onReading(reading(sequence = 1), at(0))
+        val order = assertNotNull(ledger.prepare(load("a"), fleet, fence, at(10)))
+        val next = ledger()
+        next.onReading(reading(sequence = 0, "b", startedAt = 2), at(20))
+        assertNull(next.prepare(load("c"), fleet, fence, at(30)))
+        ledger.onResult(order, SequencedOrderResult.OutOfStep, at(10))
+
+        assertNotNull(next.prepare(load("c"), fleet, fence, at(40)))
+    }
+
+    @Test
+    fun `an order in place of an unanswered one needs no room beside it`() {
+        ledger.onReading(reading(sequence = 1), at(0))
+        answer(load("a"), SequencedOrderResult.Unknown("time-out"), at(10))
+        ledger.onRestart()
+        ledger.onReading(reading(sequence = 1, "b", startedAt = 2), at(1_100))
+
+        assertNotNull(ledger.prepare(load("c"), fleet, fence, at(1_200)))
+    }
+
+    /** Guards against more adapters than places after the load of an adapter was executed late. */
+    @Test
+    fun `an unanswered load of an adapter keeps its place after a restart`() {
+        ledger.onReading(reading(sequence = 2, "a"), at(0))
+        answer(load("a", "x"), SequencedOrderResult.Unknown("time-out"), at(10))
+        ledger.onRestart()
+        ledger.onReading(reading(sequence = 0, "a", startedAt = 2), at(1_000))
+        accept(load("a", "y"), at(1_100))
+
+        assertFalse(ledger.hasAdapterPlace(fleet, at(1_200)))
+        assertNull(ledger.prepare(load("a", "z"), fleet, fence, at(1_200)), "x and z don't fit beside y")
+        assertNotNull(ledger.prepare(load("a", "z"), fleet, fence, at(10) + DELAY_BOUND + 1.seconds))
+    }
+
+    @Test
+    fun `unanswered orders for several sequences all keep their room`() {
+        ledger.onReading(reading(sequence = 1, "c"), at(0))
+        answer(load("c", "x"), SequencedOrderResult.Unknown("time-out"), at(10))
+        ledger.onReading(reading(sequence = 2, "c"), at(20))
+        answer(load("c", "y"), SequencedOrderResult.Unknown("time-out"), at(30))
+        ledger.onRestart()
+        ledger.onReading(reading(sequence = 0, "c", startedAt = 2), at(1_000))
+
+        assertNull(ledger.prepare(load("c", "z"), fleet, fence, at(1_100)), "x, y and z have two places")
+        assertNotNull(ledger.prepare(load("a"), fleet, fence, at(1_100)))
+    }
+
+    @Test
+    fun `of several unanswered orders for the same sequence only the largest keeps its room`() {
+        ledger.onReading(reading(sequence = 4, "c"), at(0))
+        answer(load("c", "x"), SequencedOrderResult.Unknown("time-out"), at(10))
+        ledger.onReading(reading(sequence = 4, "c"), at(20))
+        answer(load("c", "y"), SequencedOrderResult.Unknown("time-out"), at(30))
+        ledger.onRestart()
+        ledger.onReading(reading(sequence = 0, "c", startedAt = 2), at(1_000))
+
+        assertNotNull(ledger.prepare(load("c", "z"), fleet, fence, at(1_100)))
+    }
+
+    @Test
+    fun `an unload is sent to an engine that holds too much`() {
+        ledger.onReading(reading(sequence = 4, "a", "b", "c"), at(0))
+
+        assertNotNull(ledger.prepare(unload("a"), fleet, fence, at(1)))
     }
 
     @Test
@@ -102,6 +198,8 @@
         assertNotNull(ledger.prepare(load("a", "z"), fleet, fence, at(6)))
     }
 
+    private fun ledger() = EngineLedger(UpstreamName("engine"), unanswered)
+
     private fun accept(
         action: ResidenceAction,
         now: Moment,
@@ -117,6 +215,8 @@
     }
 
     private companion object {
+        val DELAY_BOUND = SequencedOrder.MAXIMUM_EXECUTION_DELAY
+
         fun at(milliseconds: Int): Moment = Moment.ORIGIN + milliseconds.milliseconds
 
         fun load(
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
@@ -5,6 +5,7 @@
 import plantainturn.connection.roster.InstanceRoster
 import plantainturn.connection.store.StoreEra
 import plantainturn.process.control.lease.StoreLease
+import plantainturn.relay.peer.RelayedOrder
 import plantainturn.relay.request.FleetView
 import plantainturn.relay.request.InstanceLinks
 import plantainturn.relay.request.InstanceNotices
@@ -16,6 +17,7 @@
 /**
  * The state of a relay node, for operators.
  *
+ * @property unansweredOrders orders to engines that were not answered and may still be executed
  * @property blockedSeconds how much longer requests with a trait are refused, by its fingerprint
  */
 @Serializable
@@ -32,6 +34,7 @@
     val inProgress: Int,
     val waiting: Int,
     val blockedSeconds: Map<String, Long>,
+    val unansweredOrders: List<RelayedOrder>,
     val instances: Map<String, InstanceDump>,
 ) {
     /** The state of an instance of a service. */
@@ -68,6 +71,7 @@
             repetitionShare: Double,
             attribution: CrashAttribution,
             storeEra: StoreEra,
+            unansweredOrders: List<RelayedOrder>,
         ): RelayDump {
             val work = links.ownTotals()
             return RelayDump(
@@ -84,6 +88,7 @@
                 waiting = waiting,
                 blockedSeconds =
                     attribution.blocked.entries.associate { (trait, left) -> "$trait" to left.inWholeSeconds },
+                unansweredOrders = unansweredOrders,
                 instances =
                     roster.instances
                         .map { (name, instance) ->
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -36,6 +36,7 @@
 import plantainturn.relay.peer.PermitDesk
 import plantainturn.relay.peer.RelayedDeparture
 import plantainturn.relay.peer.RelayedLimit
+import plantainturn.relay.peer.RelayedOrder
 import plantainturn.relay.peer.RelayedRecords
 import plantainturn.relay.peer.StreamOriginLink
 import plantainturn.relay.peer.TopicEnds
@@ -401,7 +402,7 @@
             demand = demand,
             waiting = waiting,
             eventLog = RequestEventLog(),
-            metrics = RelayMetrics(registry),
+            metrics = RelayMetrics(registry).apply { gaugeUnansweredOrders { issuer.unansweredOrders().size } },
             random = Random.Default,
         )
 
@@ -457,8 +458,12 @@
                     ?.let(RelayedRecords.RelayedRecord::of),
             ends =
                 TopicEnds(configurationFollower.end, instanceFollower.end, crashEvidenceFollower.end),
+            unansweredOrders = unansweredOrders(except = known.session),
         )
 
+    private fun unansweredOrders(except: String? = null): List<RelayedOrder> =
+        issuer.unansweredOrders(except).map { RelayedOrder.of(it, timer.now()) }
+
     /** Rounds, since traffic between failure domains is billed and further digits do not affect any decision. */
     private fun round(value: Double): Double = Math.round(value * ROUNDING_FACTOR) / ROUNDING_FACTOR
 
@@ -494,6 +499,7 @@
                 repetitionShare = repetitionShare.fractionAt(timer.now()),
                 attribution = attribution,
                 storeEra = maxOf(configurationFollower.end, instanceFollower.end).era,
+                unansweredOrders = unansweredOrders(),
             ).toJson()
 
     private companion object {
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -160,9 +160,18 @@
         knowledgeIssuer = from
         links.prompts.merge(report.prompts)
         issuer.onReportedLoads(report.loadAges.map { now - it.milliseconds })
+        if (report.issuing && from != SELF) learnOrders(report, from, now)
         if (report.issuing) fleet.onResidence(decodeResidence(report.residence), report.residenceWhole)
     }
 
+    private fun learnOrders(
+        report: IssuerReport,
+        from: String,
+        now: Moment,
+    ) {
+        issuer.onReportedOrders(report.known.session ?: from, report.unansweredOrders.map { it.toOrder(now) })
+    }
+
     private fun confirmRepetitionShare(
         fraction: Double,
         from: String,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -24,6 +24,7 @@
  * @property configuration its record, if the node lacks it and can't read it as the store has lost it
  * @property storeAge milliseconds since the store last answered the issuer about instances
  * @property loadAges milliseconds since the start of recent loads from the weight store, for the next issuer
+ * @property unansweredOrders orders that were not answered and may still be executed, for the next issuer
  * @property prompts cached parts of prompts that the node has not received
  * @property streams origins of streams that the node has not received, as many as the exchanges can carry
  * @property arrivals expected milliseconds until each model that is being loaded is resident
@@ -50,4 +51,5 @@
     val configurationVersion: Long,
     val configuration: RelayedRecords.RelayedRecord?,
     val ends: TopicEnds,
+    val unansweredOrders: List<RelayedOrder> = emptyList(),
 )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -20,6 +20,7 @@
  * @property departures runs of instances that have an entry and announced in an answer that they are leaving
  * @property limits what instances that have an entry said about their limits on requests
  * @property streams origins of its callers' streams, while several software versions serve
+ * @property unansweredOrders orders that may still be executed, other than those that this issuer has reported
  * @property configurationVersion the number of the configuration in force at the node, -1 if there is none
  * @property configuration its record, if the issuer lacks it and can't read it as the store has lost it
  * @property prompts shareable parts of prompts that engines have processed for its callers since its last report
@@ -42,6 +43,7 @@
     val configurationVersion: Long,
     val configuration: RelayedRecords.RelayedRecord?,
     val ends: TopicEnds,
+    val unansweredOrders: List<RelayedOrder> = emptyList(),
 ) {
     /** The demand of the callers of one node for one base model. */
     @Serializable
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -55,6 +55,9 @@
         streamAnnouncements.add(report.streams)
         streamOrigins.learn(report.streams)
         report.configuration?.let { configuration.onPeerRecord(it.decode()) }
+        if (report.node != identity) {
+            issuer.onReportedOrders(report.node, report.unansweredOrders.map { it.toOrder(now) })
+        }
         notices.onPeerLimits(report.limits.associate { it.run to it.toStatement(now) })
         if (aggregatedAt?.let { now - it >= AGGREGATION_PERIOD } != false) updateAggregate(now)
         val known = report.known.takeIf { it.session == session } ?: IssuerKnowledge.NONE
@@ -85,6 +88,7 @@
             configurationVersion = configuration.versionNumber,
             configuration = configuration.lostRecordAfter(report.configurationVersion)?.let(RelayedRecord::of),
             ends = aggregate.ends?.latest(report.ends) ?: report.ends,
+            unansweredOrders = issuer.unansweredOrders().map { RelayedOrder.of(it, now) },
         )
     }
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
@@ -1,6 +1,7 @@
 package plantainturn.relay.request
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import plantainturn.process.ResultCode
@@ -9,7 +10,7 @@
 
 /** Metrics of requests: counters by result, and histograms of their times. */
 public class RelayMetrics(
-    registry: PrometheusRegistry,
+    private val registry: PrometheusRegistry,
 ) {
     private val requests =
         Counter
@@ -60,6 +61,16 @@
             .classicOnly()
             .register(registry)
 
+    /** Registers a gauge of the unanswered orders, of which there are [count] at present. */
+    internal fun gaugeUnansweredOrders(count: () -> Int) {
+        GaugeWithCallback
+            .builder()
+            .name("plantainturn_relay_unanswered_orders")
+            .help("Orders to engines that were not answered and may still be executed.")
+            .callback { it.call(count().toDouble()) }
+            .register(registry)
+    }
+
     internal fun onEnd(
         urgency: Int?,
         code: ResultCode,
--- a/relay/src/main/kotlin/plantainturn/relay/residence/AdapterLoader.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/AdapterLoader.kt
@@ -97,10 +97,8 @@
         adapter: ModelName,
     ): ResidenceAction? {
         val ledger = session.ledgers.getValue(engine)
-        if (ledger.adapterCount() < fleet.adapterSlots) {
-            return ResidenceAction(ResidenceAction.Kind.LOAD, model, adapter)
-        }
         val now = context.timer.now()
+        if (ledger.hasAdapterPlace(fleet, now)) return ResidenceAction(ResidenceAction.Kind.LOAD, model, adapter)
         protectedSince.values.removeIf { now - it > PROTECTION_TIME }
         val evictable =
             ledger.residents
--- a/relay/src/main/kotlin/plantainturn/relay/residence/IssuerContext.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerContext.kt
@@ -4,6 +4,7 @@
 import plantainturn.process.control.lease.StoreLease
 import plantainturn.process.control.residence.ModelPressure
 import plantainturn.process.control.residence.ResidencePlanner
+import plantainturn.process.control.residence.UnansweredOrders
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.relay.request.AdapterDemand
@@ -36,6 +37,9 @@
     /** Running requests of all nodes for models that are about to be unloaded, by engine and model. */
     var departingRuns: Map<Pair<UpstreamName, ModelName>, Int> = emptyMap()
 
+    /** The orders of this node and of earlier issuers that may still be executed. */
+    val unansweredOrders = UnansweredOrders()
+
     /** When loads from the weight store started, as another issuer reported them; null if none reported. */
     var reportedLoads: List<Moment>? = null
 
--- a/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
@@ -102,10 +102,17 @@
     }
 
     private fun update(engine: UpstreamInstance) {
-        val ledger = ledgers.getOrPut(engine.name) { EngineLedger(engine.name) }
-        if (engine.name in engineStartTimes && engineStartTimes[engine.name] != engine.startedAt) {
-            logger.info("engine={} event=restarted startedAt={}", engine.name, engine.startedAt)
-            ledger.onRestart(context.timer.now())
+        val now = context.timer.now()
+        val ledger = ledgers.getOrPut(engine.name) { EngineLedger(engine.name, context.unansweredOrders) }
+        if (engine.name !in engineStartTimes) {
+            val late = context.unansweredOrders.at(engine.name, now)
+            if (late.isNotEmpty()) {
+                logger.info("engine={} event=appeared startedAt={} unanswered={}", engine.name, engine.startedAt, late)
+            }
+        } else if (engineStartTimes[engine.name] != engine.startedAt) {
+            val late = context.unansweredOrders.at(engine.name, now)
+            logger.info("engine={} event=restarted startedAt={} unanswered={}", engine.name, engine.startedAt, late)
+            ledger.onRestart()
             tasks.remove(engine.name)
             context.onResidenceChanged()
         }
--- a/relay/src/main/kotlin/plantainturn/relay/residence/ResidenceIssuer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/ResidenceIssuer.kt
@@ -9,6 +9,7 @@
 import plantainturn.process.control.lease.StoreLease
 import plantainturn.process.control.residence.ModelPressure
 import plantainturn.process.control.residence.ResidencePlanner
+import plantainturn.process.control.residence.UnansweredOrder
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.relay.request.AdapterDemand
@@ -22,7 +23,8 @@
 /**
  * Issues the orders that change what engines hold, while this node holds the lease.
  *
- * Each lease starts with empty ledgers, and each engine is read before its first order. Confined to the event loop.
+ * Each lease starts with empty ledgers, and each engine is read before its first order. Orders without an answer are
+ * remembered across leases. Confined to the event loop.
  */
 public class ResidenceIssuer(
     private val lease: StoreLease,
@@ -76,6 +78,19 @@
      */
     public fun recentLoads(): List<Moment> = session?.recentLoads() ?: context.reportedLoads.orEmpty()
 
+    /** Replaces the orders that may still be executed by what [source], the session of an issuer or a node, knows. */
+    public fun onReportedOrders(
+        source: String,
+        orders: List<UnansweredOrder>,
+    ): Unit = context.unansweredOrders.onReport(source, orders)
+
+    /**
+     * Returns the orders of this node and of other issuers that may still be executed, without those that only
+     * [except] has reported.
+     */
+    public fun unansweredOrders(except: String? = null): List<UnansweredOrder> =
+        context.unansweredOrders.all(context.timer.now(), except)
+
     /** Updates the state of every engine and starts the reads and orders that are due. */
     public fun step() {
         val fence = lease.fence
