Let a trial be made again whose server could not be reached

Cause: three breaks at three runs block the request. The first trial comes 2 s later, while the entries of the crashed servers still stand, and its claim was used up by a refused connection. The next claim is due a minute later.

A send that never reached its server gives the claim back, to the same node and until the same time, so still one request at a time tries the request. No more sends reach servers than before.

--- a/library/src/main/kotlin/plantainturn/request/quarantine/CrashAttribution.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/CrashAttribution.kt
@@ -72,7 +72,7 @@
     /**
      * Records that a request with [traits] is sent to [run] and returns true, or returns false if it must not be.
      *
-     * Each permitted send must be followed by one call of [ended].
+     * Each permitted send must be followed by one call of [ended] or [notSent].
      */
     public fun tryBegin(
         traits: RequestTraits,
@@ -81,7 +81,7 @@
         if (blockedTraitsOf(traits).isNotEmpty()) return false
         val (tried, others) = traits.all.partition { isBlocked(it) }
         if (others.any { atRisk(it, run) > MAXIMUM_BREAKS }) return false
-        tried.forEach { cases.getValue(it).grantedUntil = null }
+        tried.forEach { cases.getValue(it).useGrant(run) }
         traits.all.forEach { inFlight.getOrPut(it) { HashMap() }.merge(run, 1, Int::plus) }
         return true
     }
@@ -98,6 +98,15 @@
         }
     }
 
+    /** Records the end of a send to [run] that never reached it. A trial that it was to make may still be made. */
+    public fun notSent(
+        traits: RequestTraits,
+        run: CrashEvidence,
+    ) {
+        ended(traits, run)
+        traits.all.forEach { cases[it]?.returnGrant(run) }
+    }
+
     /**
      * Adds a break that this node or another one noticed, [age] ago.
      *
--- a/library/src/main/kotlin/plantainturn/request/quarantine/TraitCase.kt
+++ b/library/src/main/kotlin/plantainturn/request/quarantine/TraitCase.kt
@@ -10,6 +10,11 @@
 internal class TraitCase(
     val isRequest: Boolean,
 ) {
+    private class UsedGrant(
+        val run: CrashEvidence,
+        val until: Moment,
+    )
+
     private class Counted(
         val value: RequestBreak,
         val until: Moment,
@@ -28,9 +33,24 @@
     /** The number of trials since the trait was blocked. */
     var trials: Int = 0
 
-    /** Until when this node may make the trial that it has claimed; null if it has claimed none. */
+    /** Until when this node may make the trial that it has claimed; null if it has claimed none or is making it. */
     var grantedUntil: Moment? = null
 
+    private var usedGrant: UsedGrant? = null
+
+    /** Notes that this node makes the trial that it has claimed, at [run]. */
+    fun useGrant(run: CrashEvidence) {
+        usedGrant = grantedUntil?.let { UsedGrant(run, it) }
+        grantedUntil = null
+    }
+
+    /** Notes that the trial at [run] did not take place, so that this node may make it until the same time. */
+    fun returnGrant(run: CrashEvidence) {
+        val used = usedGrant?.takeIf { it.run == run } ?: return
+        usedGrant = null
+        if (grantedUntil == null) grantedUntil = used.until
+    }
+
     /** Adds a break that counts until [until] and of which the other nodes are told if it is [shared]. */
     fun add(
         value: RequestBreak,
--- a/library/src/test/kotlin/plantainturn/request/quarantine/CrashAttributionTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/quarantine/CrashAttributionTest.kt
@@ -182,6 +182,25 @@
         assertEquals(3, tried)
     }
 
+    /** Guards against a sound request being refused for a minute after all its servers crashed at once. */
+    @Test
+    fun `a trial that no upstream could be reached for may still be made`() {
+        val traits = request()
+        attribution.onAnswer(traits)
+        repeat(3) { breakAt(it, traits) }
+        timer.advance(3.seconds)
+        attribution.onTrialClaimed(traits.request, 1, own = true)
+        repeat(2) {
+            assertTrue(attribution.tryBegin(traits, run(10 + it)))
+            assertFalse(attribution.tryBegin(traits, run(20)), "another one is being tried")
+            attribution.notSent(traits, run(20))
+            assertTrue(attribution.isBlocked(traits), "a send elsewhere says nothing of the trial")
+            attribution.notSent(traits, run(10 + it))
+        }
+        timer.advance(11.seconds)
+        assertFalse(attribution.tryBegin(traits, run(12)), "the claim has ended")
+    }
+
     /** Guards against trials of a request that crashes upstreams. */
     @Test
     fun `a blocked request that was never answered is tried once, after a minute`() {
--- a/relay/src/main/kotlin/plantainturn/relay/request/CrashTracker.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CrashTracker.kt
@@ -77,6 +77,12 @@
         instance: UpstreamInstance,
     ): Unit = attribution.ended(traits, evidenceOf(instance))
 
+    /** Ends a send that never reached [instance]. */
+    fun notSent(
+        traits: RequestTraits,
+        instance: UpstreamInstance,
+    ): Unit = attribution.notSent(traits, evidenceOf(instance))
+
     /**
      * Ends a send that got an answer whose end is certain.
      *
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -417,7 +417,7 @@
         failed: RelayAttempt,
         reason: String,
     ) {
-        context.crashes.ended(traits, failed.instance)
+        context.crashes.notSent(traits, failed.instance)
         context.eventLog.record(request.identifier, "not-sent", "$failed reason=\"$reason\"")
         attempt = null
         arrivals -= 1
