Send orders of a session only while its fence is that of the lease

After a restore of the store, the holder ordered adapters under its former fence until its next step began a session for the new one.

IssuerSession.sendOrder asked whether the lease permits orders, not whether it is still the session's lease; it asks both now.

--- a/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
@@ -291,7 +291,7 @@
         val instance = context.roster.instances[engine]
         val now = context.timer.now()
         val order =
-            if (instance == null || !context.lease.permitsOrders() || context.notices.restOf(instance) != null) {
+            if (instance == null || !mayOrder() || context.notices.restOf(instance) != null) {
                 null
             } else {
                 ledger?.prepare(action, fleet, fence, now)
@@ -325,6 +325,9 @@
         return true
     }
 
+    /** Returns whether the lease permits orders, and not already those of the next session, under a later fence. */
+    private fun mayOrder(): Boolean = context.lease.permitsOrders() && context.lease.fence == fence
+
     private fun plan(
         fleet: EngineFleet,
         engines: List<UpstreamInstance>,
