Keep a caller's event listener, and read messages of newer peers

The client that sends at most once replaced the event listener of the client that it was made from; both are called now. Nodes from this build on ignore unknown members; older ones still don't.

--- a/library/src/main/kotlin/plantainturn/connection/http/AtMostOnceClient.kt
+++ b/library/src/main/kotlin/plantainturn/connection/http/AtMostOnceClient.kt
@@ -17,12 +17,13 @@
  */
 internal fun OkHttpClient.sendingAtMostOnce(): OkHttpClient {
     if (AtMostOnceInterceptor in networkInterceptors) return this
+    val listeners = eventListenerFactory
     return newBuilder()
         .protocols(listOf(Protocol.HTTP_1_1))
         .retryOnConnectionFailure(false)
         .followRedirects(false)
         .followSslRedirects(false)
-        .eventListener(SendFailureListener)
+        .eventListenerFactory { call -> listeners.create(call) + SendFailureListener }
         .addInterceptor(ReadTimeoutInterceptor)
         .addNetworkInterceptor(CutAnswerInterceptor)
         .addNetworkInterceptor(AtMostOnceInterceptor)
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerMessage.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerMessage.kt
@@ -11,6 +11,9 @@
 /** Decodes the messages that nodes send to each other. */
 internal object PeerMessage {
     private const val OK = 200
+
+    /** Unknown members are ignored, so that nodes of a newer build may join. */
+    private val FORMAT = Json { ignoreUnknownKeys = true }
     private val logger = LogManager.getLogger("peer")
 
     /** Returns the message in [body], or null if it is unreadable, which is logged as [event]. */
@@ -20,7 +23,7 @@
         event: String = "peer-message-unreadable",
     ): T? =
         try {
-            Json.decodeFromString(serializer, body.decodeToString())
+            FORMAT.decodeFromString(serializer, body.decodeToString())
         } catch (exception: SerializationException) {
             logger.warn("event={}", event, exception)
             null
