--- a/daemon/src/main/kotlin/plantainturn/daemon/command/OperatorClient.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/OperatorClient.kt
@@ -1,11 +1,12 @@
 package plantainturn.daemon.command
 
 import okhttp3.MediaType.Companion.toMediaType
-import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
+import plantainturn.connection.http.HttpClients
 import java.io.IOException
-import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
 
 /** Calls a node's operator interface. */
 internal class OperatorClient(
@@ -13,11 +14,10 @@
     private val token: String,
 ) {
     private val client =
-        OkHttpClient
-            .Builder()
-            .connectTimeout(CONNECT_SECONDS, TimeUnit.SECONDS)
-            .readTimeout(READ_SECONDS, TimeUnit.SECONDS)
-            .retryOnConnectionFailure(false)
+        HttpClients
+            .create(CONNECT_TIMEOUT)
+            .newBuilder()
+            .readTimeout(READ_TIMEOUT.toJavaDuration())
             .build()
 
     /** Reads [path]. */
@@ -55,7 +55,7 @@
         }
 
     private companion object {
-        const val CONNECT_SECONDS = 5L
-        const val READ_SECONDS = 60L
+        val CONNECT_TIMEOUT = 5.seconds
+        val READ_TIMEOUT = 60.seconds
     }
 }
