Say in one place whether an engine is new or has restarted

Reading the change as a newcomer: one look at the remembered orders in IssuerSession.update instead of two, and comments on what records a failed write. Nothing else changes.

--- a/library/src/main/kotlin/plantainturn/connection/http/AtMostOnceClient.kt
+++ b/library/src/main/kotlin/plantainturn/connection/http/AtMostOnceClient.kt
@@ -40,12 +40,13 @@
     }
 }
 
-/** Whether the request of a call could not be written as a whole, a tag of the call. */
+/** Tells why the request of a call could not be written as a whole. A tag of the call. */
 private class SendFailure {
     @Volatile
     var cause: IOException? = null
 }
 
+/** Records a [SendFailure] for [CutAnswerInterceptor], which is not told of it by OkHttp. */
 private object SendFailureListener : EventListener() {
     override fun requestFailed(
         call: Call,
--- a/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
@@ -104,13 +104,13 @@
     private fun update(engine: UpstreamInstance) {
         val now = context.timer.now()
         val ledger = ledgers.getOrPut(engine.name) { EngineLedger(engine.name, context.unansweredOrders) }
-        if (engine.name !in engineStartTimes) {
-            val late = context.unansweredOrders.at(engine.name, now)
-            if (late.isNotEmpty()) {
-                logger.info("engine={} event=appeared startedAt={} unanswered={}", engine.name, engine.startedAt, late)
-            }
-        } else if (engineStartTimes[engine.name] != engine.startedAt) {
-            val late = context.unansweredOrders.at(engine.name, now)
+        val isNew = engine.name !in engineStartTimes
+        val hasRestarted = !isNew && engineStartTimes[engine.name] != engine.startedAt
+        val late = if (isNew || hasRestarted) context.unansweredOrders.at(engine.name, now) else emptyList()
+        if (isNew && late.isNotEmpty()) {
+            logger.info("engine={} event=appeared startedAt={} unanswered={}", engine.name, engine.startedAt, late)
+        }
+        if (hasRestarted) {
             logger.info("engine={} event=restarted startedAt={} unanswered={}", engine.name, engine.startedAt, late)
             ledger.onRestart()
             tasks.remove(engine.name)
