--- a/library/src/main/kotlin/plantainturn/version/route/Route.kt
+++ b/library/src/main/kotlin/plantainturn/version/route/Route.kt
@@ -15,6 +15,7 @@
  * @property eventGapObjective the maximum time between two events of a stream that meets the objective
  * @property eventTimeout how long callers wait for the first or the next event of a stream
  * @property urgency the rank of its requests; 0 is the most urgent
+ * @property isPublic whether its requests need no access key although the configuration has client accounts
  */
 public data class Route(
     val name: String,
@@ -28,6 +29,7 @@
     val eventGapObjective: Duration?,
     val eventTimeout: Duration,
     val urgency: Int,
+    val isPublic: Boolean = false,
 ) {
     /**
      * Returns the service that receives a request, selected by weight.
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayRequest.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayRequest.kt
@@ -3,6 +3,7 @@
 import plantainturn.relay.http.CallerRequest
 import plantainturn.request.RequestIdentifier
 import plantainturn.request.relay.GenerationDemand
+import plantainturn.version.route.AccessKeyDigest
 import kotlin.time.Duration
 
 /**
@@ -16,6 +17,8 @@
  * @property resumeAfter identifier of the last event that the caller received, null unless it resumes a stream
  * @property resumedStream the attempt of the caller that brought the first event of the stream that is resumed; null if
  *   the caller names none
+ * @property accessKey the digest of the caller's access key, null if the request carries none or several
+ * @property declaredTokens prompt tokens and maximum output tokens together as declared, null if not declared or malformed
  */
 public class RelayRequest(
     public val identifier: RequestIdentifier,
@@ -26,4 +29,6 @@
     public val resumeAfter: String?,
     public val resumedStream: RequestIdentifier?,
     public val source: CallerRequest,
+    public val accessKey: AccessKeyDigest? = null,
+    public val declaredTokens: Long? = null,
 )
--- a/relay/src/main/kotlin/plantainturn/relay/request/SendParameters.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/SendParameters.kt
@@ -1,6 +1,7 @@
 package plantainturn.relay.request
 
 import plantainturn.version.configuration.UpstreamName
+import plantainturn.version.route.ClientAccountName
 import kotlin.time.Duration
 
 /**
@@ -10,10 +11,12 @@
  * @property timeLeft time until the request's deadline
  * @property rank rank among the engine's requests, 0 first; null for a plain service
  * @property resumeAfter identifier of the event after which a stream is resumed, null for a complete stream
+ * @property account the client account of the caller, null if the request belongs to none
  */
 public data class SendParameters(
     val instance: UpstreamName,
     val timeLeft: Duration,
     val rank: Int?,
     val resumeAfter: String?,
+    val account: ClientAccountName? = null,
 )
