--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayRequest.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayRequest.kt
@@ -18,7 +18,7 @@
  * @property resumedStream the attempt of the caller that brought the first event of the stream that is resumed; null if
  *   the caller names none
  * @property accessKey the digest of the caller's access key, null if the request carries none or several
- * @property declaredTokens prompt tokens and maximum output tokens together as declared, null if not declared or malformed
+ * @property declaredTokens prompt tokens and maximum output tokens together, null if not declared or malformed
  */
 public class RelayRequest(
     public val identifier: RequestIdentifier,
