Evict only models whose place is large enough for the wanted one

Earlier deployments have models of nearly one size, where any victim makes room.

The planner now takes one victim that makes room, or several smaller ones for a model that no engine holds. A task whose model no longer fits is abandoned at once.

--- a/library/src/main/kotlin/plantainturn/process/control/residence/EngineLedger.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/EngineLedger.kt
@@ -151,6 +151,16 @@
         now: Moment,
     ): Double = useWithLateOrders(expectedContent, fleet, now).megabytes
 
+    /** Returns whether [model] fits beside what is in use or may come to be used. */
+    public fun hasRoomFor(
+        model: ModelName,
+        fleet: EngineFleet,
+        now: Moment,
+    ): Boolean {
+        val content = expectedContent.after(ResidenceAction(ResidenceAction.Kind.LOAD, model))
+        return useWithLateOrders(content, fleet, now).fits(fleet)
+    }
+
     /** Returns whether a place for one more adapter is left beside those that late orders may take. */
     public fun hasAdapterPlace(
         fleet: EngineFleet,
--- a/library/src/main/kotlin/plantainturn/process/control/residence/EngineSnapshot.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/EngineSnapshot.kt
@@ -10,7 +10,7 @@
  *
  * @property residents base models that can run requests
  * @property loading the base model that is being loaded, if any
- * @property unloading the base model that is being unloaded, if any
+ * @property unloading the base models that are being unloaded or are about to be
  * @property committedMegabytes memory that is in use or may come to be used
  * @property acceptsOrders whether it can be sent an order for a base model now
  * @property residentSince when models became resident, for those that this node saw become resident
@@ -19,7 +19,7 @@
     val name: UpstreamName,
     val residents: PersistentSet<ModelName>,
     val loading: ModelName?,
-    val unloading: ModelName?,
+    val unloading: PersistentSet<ModelName>,
     val committedMegabytes: Double,
     val acceptsOrders: Boolean,
     val hostCopies: PersistentSet<ModelName>,
@@ -28,5 +28,5 @@
 ) {
     /** Base models that are resident once the current load and unload are complete. */
     public val expectedResidents: Set<ModelName>
-        get() = (residents + listOfNotNull(loading)) - listOfNotNull(unloading).toSet()
+        get() = (residents + listOfNotNull(loading)) - unloading
 }
--- a/library/src/main/kotlin/plantainturn/process/control/residence/ResidencePlanner.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/residence/ResidencePlanner.kt
@@ -1,5 +1,6 @@
 package plantainturn.process.control.residence
 
+import kotlinx.collections.immutable.toPersistentList
 import plantainturn.process.control.residence.internal.ResidenceNeed
 import plantainturn.process.control.residence.internal.ResidenceWorth
 import plantainturn.version.configuration.ModelName
@@ -15,6 +16,7 @@
  * - Demand shifts to other models while all engines are full: models without demand are evicted, on the engine that
  *   can load the wanted model soonest.
  * - Rare models are requested at the same time: each gets one copy before any gets two.
+ * - Models differ in size: several small ones make way for a large one, and a small one alone does not.
  * - A crash removes three models: they are loaded again where a copy is on disk or in host memory, the one with the
  *   most demand first.
  * - Models together overload one engine: one of them gets another copy on an idle engine, in place of a model without
@@ -74,20 +76,21 @@
             if (choice.load > settings.slowLoadThreshold && !isUrgent(model, need) && !mostEnginesAreAvailable()) return
             availableEngines.remove(choice.engine)
             if (choice.fromStore) storeLoadsLeft--
-            val victim = choice.victim
-            if (victim == null) {
+            val victims = choice.victims
+            if (victims.isEmpty()) {
                 val action = ResidenceAction(ResidenceAction.Kind.LOAD, model.name)
                 moves += ResidenceMove(choice.engine.name, action, need.reason(model.name), choice.fromStore)
             } else {
-                val action = ResidenceAction(ResidenceAction.Kind.UNLOAD, victim)
+                val action = ResidenceAction(ResidenceAction.Kind.UNLOAD, victims.first())
                 moves +=
                     ResidenceMove(
                         choice.engine.name,
                         action,
-                        "${need.reason(model.name)}, in place of $victim",
+                        "${need.reason(model.name)}, in place of ${victims.joinToString(" and ")}",
                         wanted = model.name,
+                        furtherVictims = victims.drop(1).toPersistentList(),
                     )
-                worth.removeCopy(victim)
+                victims.forEach(worth::removeCopy)
             }
             worth.addCopy(model.name)
         }
@@ -113,55 +116,86 @@
             if (fromStore && storeLoadsLeft <= 0) return null
             val load = loadTime(engine, model)
             val room = hasRoom(engine, model)
-            val victim = if (room) null else victimAt(engine, model, need, load)
+            val victims = if (room) emptyList() else victimsAt(engine, model, need, load)
             val isWorthLoad =
                 need != ResidenceNeed.OVERLOADED || worth.gainOf(model.name, need, engine, null) > worth.costOf(load)
-            if (victim == null && !(room && isWorthLoad)) return null
+            if (victims.isEmpty() && !(room && isWorthLoad)) return null
             val cost =
                 load.toDouble(DurationUnit.SECONDS) * (settings.loadSecondCost + worth.blockedAdapterWorth(engine)) +
                     worth.utilisation(engine) * settings.utilisationCost +
-                    (victim?.let { worth.pressure(it).worthPerSecond } ?: 0.0)
-            return Candidate(engine, victim, fromStore, load, cost)
+                    victims.sumOf { worth.pressure(it).worthPerSecond }
+            return Candidate(engine, victims, fromStore, load, cost)
         }
 
-        /** Returns the resident model with the smallest loss that may be evicted for [model], null if there is none. */
-        private fun victimAt(
+        /**
+         * Returns the resident models to evict for [model], empty if none may be evicted or that makes no room.
+         *
+         * One model that is large enough goes before several smaller ones; several make way only for a model that no
+         * engine holds.
+         */
+        private fun victimsAt(
             engine: EngineSnapshot,
             model: ServedModel,
             need: ResidenceNeed,
             load: Duration,
-        ): ModelName? =
-            engine.residents
-                .filter { it != engine.unloading && mayEvict(engine, it, model, need, load) }
-                .minWithOrNull(compareBy({ worth.lossOf(it) }, { it }))
+        ): List<ModelName> {
+            val evictable =
+                engine.residents
+                    .filter { it !in engine.unloading && mayEvict(engine, listOf(it), model, need, load) }
+                    .sortedWith(compareBy({ worth.lossOf(it) }, { it }))
+            val single = evictable.firstOrNull { hasRoom(engine, model, listOf(it)) }
+            if (single != null) return listOf(single)
+            if (need != ResidenceNeed.MISSING || !hasRoom(engine, model, evictable)) return emptyList()
+            val several = evictable.toMutableList()
+            for (mostValuable in evictable.reversed()) {
+                if (hasRoom(engine, model, several - mostValuable)) several -= mostValuable
+            }
+            return several.takeIf { mayEvict(engine, it, model, need, load) }.orEmpty()
+        }
 
         private fun mayEvict(
             engine: EngineSnapshot,
-            resident: ModelName,
+            victims: List<ModelName>,
             wanted: ServedModel,
             need: ResidenceNeed,
             load: Duration,
         ): Boolean {
-            val since = engine.residentSince[resident]
+            if (victims.any { isYoung(engine, it) }) return false
+            val isWaitedFor = need == ResidenceNeed.MISSING && worth.pressure(wanted.name).waiting > 0
+            val loss =
+                victims.sumOf {
+                    val isIdle = worth.pressure(it).worthPerSecond < worth.idleModelWorth
+                    val skipsHysteresis =
+                        worth.copiesOf(it) > 1 || isWaitedFor && (isIdle || load <= settings.slowLoadThreshold)
+                    worth.lossOf(it) * if (skipsHysteresis) 1.0 else settings.hysteresisFactor
+                }
+            val cost = if (need == ResidenceNeed.OVERLOADED) worth.costOf(load) else 0.0
+            return loss + cost < worth.gainOf(wanted.name, need, engine, victims.first())
+        }
+
+        private fun isYoung(
+            engine: EngineSnapshot,
+            resident: ModelName,
+        ): Boolean {
+            val since = engine.residentSince[resident] ?: return false
             val minimumStay =
                 maxOf(
                     settings.minimumResidence,
                     (fleet.models[resident]?.coldLoad ?: Duration.ZERO) * settings.residencePerLoad,
                 )
-            if (since != null && input.now - since < minimumStay) return false
-            val isWaitedFor = need == ResidenceNeed.MISSING && worth.pressure(wanted.name).waiting > 0
-            val isIdle = worth.pressure(resident).worthPerSecond < worth.idleModelWorth
-            val skipsHysteresis =
-                worth.copiesOf(resident) > 1 || isWaitedFor && (isIdle || load <= settings.slowLoadThreshold)
-            val factor = if (skipsHysteresis) 1.0 else settings.hysteresisFactor
-            val cost = if (need == ResidenceNeed.OVERLOADED) worth.costOf(load) else 0.0
-            return worth.lossOf(resident) * factor + cost < worth.gainOf(wanted.name, need, engine, resident)
+            return input.now - since < minimumStay
         }
 
+        /** Models differ in size, so that a smaller one in place of a larger one does not always make room. */
         private fun hasRoom(
             engine: EngineSnapshot,
             model: ServedModel,
-        ): Boolean = engine.committedMegabytes + model.memoryMegabytes <= fleet.weightMegabytes - adapterReserve()
+            victims: List<ModelName> = emptyList(),
+        ): Boolean {
+            val freed = victims.sumOf { fleet.models[it]?.memoryMegabytes ?: 0.0 }
+            return engine.committedMegabytes - freed + model.memoryMegabytes <=
+                fleet.weightMegabytes - adapterReserve()
+        }
 
         /** Room for adapters in all places is kept free, so that a full engine can still load them. */
         private fun adapterReserve(): Double =
@@ -180,7 +214,7 @@
 
     private class Candidate(
         val engine: EngineSnapshot,
-        val victim: ModelName?,
+        val victims: List<ModelName>,
         val fromStore: Boolean,
         val load: Duration,
         val cost: Double,
--- a/library/src/test/kotlin/plantainturn/process/control/residence/ResidencePlannerTest.kt
+++ b/library/src/test/kotlin/plantainturn/process/control/residence/ResidencePlannerTest.kt
@@ -193,6 +193,51 @@
         assertTrue(planner.plan(input).isEmpty())
     }
 
+    @Test
+    fun `a small model is not evicted for a large one that would not fit in its place`() {
+        val input =
+            input(
+                engine("one", "a", "b", "c").copy(committedMegabytes = 145.0),
+                pressure = mapOf("a" to busy(3.0, 0.2), "b" to busy(3.0, 0.2), "e" to waiting(12)),
+                sizes = mapOf("a" to 65.0, "b" to 65.0, "c" to 15.0),
+            )
+
+        val move = planner.plan(input).singleOrNull()
+
+        assertTrue(move == null || move.action.model != ModelName("c") || move.furtherVictims.isNotEmpty(), "$move")
+    }
+
+    @Test
+    fun `the victim that makes room goes before one with a smaller loss that does not`() {
+        val input =
+            input(
+                engine("one", "a", "b", "c").copy(committedMegabytes = 145.0),
+                pressure = mapOf("a" to busy(3.0, 0.2), "e" to waiting(12)),
+                sizes = mapOf("a" to 65.0, "b" to 65.0, "c" to 15.0, "e" to 60.0),
+            )
+
+        val move = planner.plan(input).single()
+
+        assertEquals(ResidenceAction(ResidenceAction.Kind.UNLOAD, ModelName("b")), move.action)
+        assertTrue(move.furtherVictims.isEmpty())
+    }
+
+    @Test
+    fun `several small models make way for a large one that no engine holds`() {
+        val small = mapOf("a" to 36.0, "b" to 36.0, "c" to 36.0, "d" to 36.0)
+        val input =
+            input(
+                engine("one", "a", "b", "c", "d").copy(committedMegabytes = 144.0),
+                pressure = mapOf("a" to busy(3.0, 0.2), "b" to busy(2.0, 0.2), "e" to waiting(12)),
+                sizes = small,
+            )
+
+        val move = planner.plan(input).single()
+
+        assertEquals(ModelName("e"), move.wanted)
+        assertEquals(setOf(ModelName("c"), ModelName("d")), setOf(move.action.model) + move.furtherVictims)
+    }
+
     private companion object {
         val NOW = Moment.ORIGIN + 100.seconds
 
@@ -216,7 +261,7 @@
             name = UpstreamName(name),
             residents = models.map(::ModelName).toPersistentSet(),
             loading = null,
-            unloading = null,
+            unloading = persistentSetOf(),
             committedMegabytes = models.size * 70.0,
             acceptsOrders = true,
             hostCopies = persistentSetOf(),
@@ -230,6 +275,7 @@
             pressure: Map<String, ModelPressure>,
             models: String = "abcde",
             storeLoads: Int = 5,
+            sizes: Map<String, Double> = emptyMap(),
         ): ResidenceInput {
             val held = engines.flatMap { it.residents }.toSet()
             val named = models.map { ModelName(it.toString()) }.filter { it in held || it.value in pressure }
@@ -243,8 +289,9 @@
                         storeLoadsPerSecond = 1.0,
                         models =
                             named.fold(persistentMapOf()) { all, model ->
+                                val size = sizes[model.value] ?: 70.0
                                 val served =
-                                    ServedModel(model, 70.0, 8.seconds, 600.milliseconds, 1_500.milliseconds, 0, 1.0)
+                                    ServedModel(model, size, 8.seconds, 600.milliseconds, 1_500.milliseconds, 0, 1.0)
                                 all.put(model, served)
                             },
                     ),
--- a/relay/src/main/kotlin/plantainturn/relay/residence/AdapterLoader.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/AdapterLoader.kt
@@ -73,7 +73,7 @@
         val ledger = session.ledgers[engine] ?: return false
         val instance = context.roster.instances[engine] ?: return false
         return model in ledger.residents &&
-            session.departingModel(engine, ledger) != model &&
+            model !in session.departingModels(engine, ledger) &&
             session.readSchedule.isResponsive(engine) &&
             !instance.leaving &&
             context.notices.restOf(instance) == null
--- a/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/residence/IssuerSession.kt
@@ -67,7 +67,7 @@
         ledgers
             .filterValues { it.readAt != null }
             .mapValues { (engine, ledger) ->
-                departingModel(engine, ledger)?.let { ledger.residents.remove(it) } ?: ledger.residents
+                departingModels(engine, ledger).fold(ledger.residents) { present, model -> present.remove(model) }
             }.toPersistentMap()
 
     fun arrivals(): Map<ModelName, Duration> {
@@ -211,10 +211,7 @@
                 if (!ledger.isChanging && !ledger.needsReading) {
                     val gone = task.victim !in ledger.residents
                     tasks[engine.name] =
-                        task.copy(
-                            phase = if (gone) EngineTask.Phase.LOADING else EngineTask.Phase.DEPARTING,
-                            since = now,
-                        )
+                        if (gone) task.afterUnload(now) else task.copy(phase = EngineTask.Phase.DEPARTING, since = now)
                     if (gone && task.wanted == null) tasks.remove(engine.name)
                 }
             EngineTask.Phase.LOADING -> load(fleet, engine.name, ledger, task)
@@ -243,7 +240,7 @@
     ) {
         val victim = task.victim
         if (victim == null || victim !in ledger.residents) {
-            tasks[engine] = task.copy(phase = EngineTask.Phase.LOADING, since = context.timer.now())
+            tasks[engine] = task.afterUnload(context.timer.now())
             return
         }
         sendOrder(fleet, engine, ResidenceAction(ResidenceAction.Kind.UNLOAD, victim), task.reason) { accepted ->
@@ -262,6 +259,11 @@
             wanted == null || wanted in ledger.residents -> tasks.remove(engine)
             ledger.loading == wanted || ledger.needsReading || ledger.orderInFlight -> Unit
             context.timer.now() - task.since > TASK_TIMEOUT -> tasks.remove(engine)
+            !ledger.hasRoomFor(wanted, fleet, context.timer.now()) -> {
+                logger.info("engine={} event=task-abandoned task={} reason=\"no room\"", engine, task)
+                tasks.remove(engine)
+                context.onResidenceChanged()
+            }
             else -> {
                 val now = context.timer.now()
                 val fromStore = isFromStore(engine, wanted)
@@ -367,7 +369,8 @@
             if (action.kind == ResidenceAction.Kind.LOAD) {
                 EngineTask(action.model, null, EngineTask.Phase.LOADING, now, move.reason)
             } else {
-                EngineTask(move.wanted, action.model, EngineTask.Phase.DEPARTING, now, move.reason)
+                val phase = EngineTask.Phase.DEPARTING
+                EngineTask(move.wanted, action.model, phase, now, move.reason, move.furtherVictims)
             }
         logger.info("engine={} event=task task={} pressure={}", move.engine, task, context.pressure[task.wanted])
         tasks[move.engine] = task
@@ -386,7 +389,7 @@
             name = engine.name,
             residents = (if (read) ledger.residents.keys else engine.residents.keys).toPersistentSet(),
             loading = ledger.loading ?: task?.wanted,
-            unloading = departingModel(engine.name, ledger),
+            unloading = departingModels(engine.name, ledger),
             committedMegabytes = ledger.committedMegabytes(fleet, now),
             acceptsOrders = read && task == null && !ledger.isChanging && !ledger.needsReading && !engine.leaving,
             hostCopies = ledger.hostCopies,
@@ -395,11 +398,14 @@
         )
     }
 
-    /** Returns the base model that is being or about to be unloaded from [engine], if any. */
-    fun departingModel(
+    /** Returns the base models that are being or about to be unloaded from [engine]. */
+    fun departingModels(
         engine: UpstreamName,
         ledger: EngineLedger,
-    ): ModelName? = ledger.unloading ?: tasks[engine]?.victim
+    ): PersistentSet<ModelName> {
+        val task = tasks[engine]
+        return (listOfNotNull(ledger.unloading ?: task?.victim) + task?.furtherVictims.orEmpty()).toPersistentSet()
+    }
 
     private fun isFromStore(
         engine: UpstreamName,
