--- a/relay/src/main/kotlin/plantainturn/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/CallerConnection.kt
@@ -70,7 +70,7 @@
         context: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        logger.debug("event=caller-connection-failed cause={}", cause.toString())
+        logger.debug("event=caller-connection-failed cause={}", cause.javaClass.simpleName)
         context.close()
     }
 
@@ -133,7 +133,7 @@
         when {
             failure is TooLongHttpHeaderException || failure is TooLongHttpLineException ->
                 reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "request line or headers too large")
-            failure != null -> reject(HttpResponseStatus.BAD_REQUEST, failure.message.orEmpty())
+            failure != null -> reject(HttpResponseStatus.BAD_REQUEST, StrictRequestDecoder.describe(failure))
             fault != null -> reject(HttpResponseStatus.BAD_REQUEST, fault)
             request.protocolVersion() != HttpVersion.HTTP_1_1 ->
                 reject(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "HTTP version other than 1.1")
@@ -157,15 +157,9 @@
 
     private fun appendBody(content: HttpContent) {
         val received = body ?: return
-        if (content.decoderResult().isFailure) {
-            reject(
-                HttpResponseStatus.BAD_REQUEST,
-                content
-                    .decoderResult()
-                    .cause()
-                    ?.message
-                    .orEmpty(),
-            )
+        val failure = content.decoderResult().cause()
+        if (failure != null) {
+            reject(HttpResponseStatus.BAD_REQUEST, "undecodable body: ${StrictRequestDecoder.describe(failure)}")
             return
         }
         if (received.readableBytes() + content.content().readableBytes() > server.limits.bodyBytes) {
--- a/relay/src/main/kotlin/plantainturn/relay/http/StrictRequestDecoder.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/StrictRequestDecoder.kt
@@ -23,11 +23,20 @@
             .setAllowDuplicateContentLengths(false),
     ) {
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
-        throw IllegalArgumentException("both Content-Length and chunked coding")
+        throw AmbiguousFramingException("both Content-Length and chunked coding")
+
+    /** [message] is this decoder's own text, which quotes nothing of the request. */
+    private class AmbiguousFramingException(
+        override val message: String,
+    ) : IllegalArgumentException(message)
 
     internal companion object {
         private const val MAXIMUM_CHUNK_BYTES = 65_536
 
+        /** Returns why a request was not decoded. Netty's messages quote the head, which may contain an access key. */
+        fun describe(failure: Throwable): String =
+            if (failure is AmbiguousFramingException) failure.message else failure.javaClass.simpleName
+
         /** Returns a description of the fault in the framing of [message], or null if there is none. */
         fun framingFault(message: HttpMessage): String? {
             val codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
--- a/relay/src/main/kotlin/plantainturn/relay/node/ConfigurationWatch.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/ConfigurationWatch.kt
@@ -23,6 +23,7 @@
     override var current: RoutingConfiguration? = null
         private set
 
+    /** With digests in place of access keys, as peers receive it. */
     private var currentRecord: KeyedRecord? = null
     private var versionInStore: ConfigurationVersion? = null
 
@@ -45,7 +46,10 @@
     fun lostRecordAfter(version: Long): KeyedRecord? =
         currentRecord?.takeIf { version < versionNumber && (versionInStore?.number ?: NO_VERSION) < versionNumber }
 
-    /** Takes over the configuration in [record], which the store has lost and a peer still holds. */
+    /** Returns the record of the configuration if it is later than [version]. */
+    fun recordAfter(version: Long): KeyedRecord? = currentRecord?.takeIf { version < versionNumber }
+
+    /** Takes over the configuration in [record] of a peer, which the store has lost or does not tell this node. */
     fun onPeerRecord(record: KeyedRecord) {
         decoder.configuration(record)?.let { offer(it, record) }
     }
@@ -60,7 +64,7 @@
             return
         }
         current = decoded
-        currentRecord = record
+        currentRecord = decoder.redacted(record)
         logger.info(
             "event=configuration-in-force version={} previous={} offset={} routes={}",
             decoded.version,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerMessage.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerMessage.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
+import plantainturn.connection.json.JsonFault
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.process.control.lease.StoreLease
 import plantainturn.relay.http.HttpCallResult
@@ -25,7 +26,7 @@
         try {
             FORMAT.decodeFromString(serializer, body.decodeToString())
         } catch (exception: SerializationException) {
-            logger.warn("event={}", event, exception)
+            logger.warn("event={} reason=\"{}\"", event, JsonFault.describe(exception))
             null
         }
 
