Check access keys before a request runs, and tell upstreams the account instead of the key

Nodes that the store turns away ask the issuer for a later configuration. Requests pass QuotaAdmission, which admits everything for now.

--- a/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
@@ -15,6 +15,7 @@
  * hint, the topic is read anew as a whole. Confined to the thread of the node's event loop.
  *
  * @param hintPatience how long a hint of a later end may be known before the topic is read anew for it
+ * @param retained how many records are kept for [since]
  * @param pace how long reads wait and rest, looked at again while a read rests
  */
 public class TopicFollower(
@@ -23,6 +24,7 @@
     private val listener: TopicListener,
     private val timer: TimerService,
     private val hintPatience: Duration = HINT_PATIENCE,
+    private val retained: Int = RECENT,
     private val pace: () -> ReadPace,
 ) {
     private val logger = LogManager.getLogger(TopicFollower::class.java)
@@ -140,7 +142,7 @@
                 listener.onRecord(record)
             }
         }
-        while (recent.size > RECENT) recentFrom = next.copy(offset = recent.removeFirst().offset.next())
+        while (recent.size > retained) recentFrom = next.copy(offset = recent.removeFirst().offset.next())
     }
 
     /** Takes over [result] unless it is older than what is known, as a reading of a lagging copy may be. */
--- /dev/null
+++ b/relay/src/main/kotlin/plantainturn/relay/node/ConfigurationFreshness.kt
@@ -0,0 +1,77 @@
+package plantainturn.relay.node
+
+import plantainturn.process.time.Moment
+import plantainturn.process.time.TimerService
+import plantainturn.relay.request.ConfigurationCurrency
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Knows when this node's configuration was last confirmed, and whether a peer has a later one that must be asked for.
+ *
+ * A node reads the store itself or relies on the issuer, which reports its own version and when the store last
+ * answered it. A node that the store turns away hears by the same reports that a later version exists.
+ *
+ * @param heardAt returns when the store last answered this node about the configuration, null if it never did
+ * @param version returns the number of the configuration in force
+ */
+internal class ConfigurationFreshness(
+    private val timer: TimerService,
+    private val heardAt: () -> Moment?,
+    private val version: () -> Long,
+) : ConfigurationCurrency {
+    private var latestHeard = ConfigurationWatch.NO_VERSION
+    private var confirmedByPeerAt: Moment? = null
+    private var laterSince: Moment? = null
+    private var askedAt: Moment? = null
+
+    /** The number of the latest configuration that this node has or has heard of. */
+    val latestVersion: Long
+        get() = maxOf(latestHeard, version())
+
+    /** How long ago the store last answered this node itself about the configuration. */
+    val storeAge: Duration?
+        get() = heardAt()?.let { timer.now() - it }
+
+    override val confirmationAge: Duration?
+        get() = listOfNotNull(heardAt(), confirmedByPeerAt).maxOrNull()?.let { timer.now() - it }
+
+    override val isLaterKnown: Boolean
+        get() = latestHeard > version()
+
+    /** A peer has, or has heard of, configuration [number]. */
+    fun onVersion(number: Long) {
+        if (number <= latestHeard) return
+        if (!isLaterKnown) laterSince = timer.now()
+        latestHeard = number
+    }
+
+    /** The store's configuration was [number] at [at], as a peer read it. */
+    fun onConfirmed(
+        number: Long,
+        at: Moment,
+    ) {
+        if (number <= version()) confirmedByPeerAt = maxOf(confirmedByPeerAt ?: at, at)
+    }
+
+    /**
+     * Returns whether to ask a peer for the later configuration now, as the store has not given it to this node in
+     * time. Once that is so, the next request follows after a pause.
+     */
+    fun takeRequest(): Boolean {
+        val now = timer.now()
+        val since = laterSince
+        if (!isLaterKnown || since == null || now - since < STORE_PATIENCE) return false
+        if (askedAt?.let { now - it < REQUEST_PAUSE } == true) return false
+        askedAt = now
+        return true
+    }
+
+    private companion object {
+        /** A node that hears of a later version usually reads it at the same time. */
+        val STORE_PATIENCE = 400.milliseconds
+
+        /** A record of many accounts is large, so that one peer is asked at a time. */
+        val REQUEST_PAUSE = 400.milliseconds
+    }
+}
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -14,6 +14,7 @@
 import plantainturn.connection.roster.RosterTimes
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.connection.roster.VersionHistory
+import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.ReadPace
 import plantainturn.connection.store.TopicFollower
 import plantainturn.process.control.lease.HolderIdentifier
@@ -40,22 +41,22 @@
 import plantainturn.relay.peer.RelayedRecords
 import plantainturn.relay.peer.StreamOriginLink
 import plantainturn.relay.peer.TopicEnds
+import plantainturn.relay.request.AccountCheck
 import plantainturn.relay.request.CrashTracker
 import plantainturn.relay.request.DemandMeter
 import plantainturn.relay.request.FleetView
 import plantainturn.relay.request.InstanceLinks
 import plantainturn.relay.request.InstanceNotices
+import plantainturn.relay.request.QuotaAdmission
 import plantainturn.relay.request.RelayContext
 import plantainturn.relay.request.RelayHandler
 import plantainturn.relay.request.RelayMetrics
-import plantainturn.relay.request.RequestEventLog
 import plantainturn.relay.request.ResidenceClient
 import plantainturn.relay.request.SendPermits
 import plantainturn.relay.request.StreamVersions
 import plantainturn.relay.request.WaitingRequests
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.quarantine.CrashAttribution
-import plantainturn.request.relay.EngineDispatch
 import plantainturn.request.relay.EngineTimeEstimator
 import plantainturn.request.relay.RepetitionBudget
 import plantainturn.request.relay.RepetitionSettings
@@ -110,6 +111,8 @@
             platform.dialect::notice,
         )
     private val configuration = ConfigurationWatch(platform.records, ::onConfiguration)
+    private val freshness: ConfigurationFreshness =
+        ConfigurationFreshness(timer, { configurationFollower.heardAt }, configuration::versionNumber)
     private val instances = InstanceWatch(platform.records, roster, timer, ::onRoster)
     private val lease =
         StoreLease(
@@ -164,7 +167,15 @@
     private var streamLifetime = MINIMUM_STREAM_LIFETIME
     private val waiting = WaitingRequests()
     private val configurationFollower =
-        TopicFollower(platform.store, platform.configurationTopic, configuration, timer, pace = ::readPace)
+        TopicFollower(
+            platform.store,
+            platform.configurationTopic,
+            configuration,
+            timer,
+            // The records hold access keys; peers receive the one that ConfigurationWatch keeps, without them.
+            retained = 0,
+            pace = ::readPace,
+        )
     private val instanceFollower =
         TopicFollower(
             platform.store,
@@ -172,7 +183,7 @@
             instances,
             timer,
             rosterTimes.readPause / 2,
-            ::instanceReadPace,
+            pace = ::instanceReadPace,
         )
     private val crashEvidenceFollower: TopicFollower =
         TopicFollower(platform.store, CrashEvidenceTopic.NAME, crashEvidence, timer, pace = ::crashEvidenceReadPace)
@@ -189,6 +200,7 @@
             instanceFollower,
             crashEvidenceFollower,
             configuration,
+            freshness,
             streamOrigins,
         )
     private val permitDesk = PermitDesk(lease, notices, timer) { issuerLink.nodes }
@@ -220,7 +232,7 @@
     private var stopping = false
     private var reportCount = 0L
     private var claimableSince: Moment? = null
-    private var issuerConfigurationVersion: Long? = null
+    private var lastIssuerReport: IssuerReport? = null
 
     /** Starts to listen and to follow the store. Returns once all ports are bound or have failed, with the failures. */
     public fun start(): List<Throwable> {
@@ -348,9 +360,14 @@
         return lease.fence == null && age != null && age < rosterTimes.peerReadTimeout
     }
 
-    private fun onIssuerReport(report: IssuerReport) {
-        issuerConfigurationVersion = report.configurationVersion
+    private fun onIssuerReport(
+        report: IssuerReport,
+        sentAt: Moment,
+    ) {
+        lastIssuerReport = report
+        freshness.onVersion(maxOf(report.configurationVersion, report.latestConfigurationVersion))
         report.configuration?.let { configuration.onPeerRecord(it.decode()) }
+        report.configurationAge?.let { freshness.onConfirmed(report.configurationVersion, sentAt - it.milliseconds) }
         report.instances?.let { instanceFollower.offer(it.decode()) }
         report.breaks?.let { crashEvidenceFollower.offer(it.decode()) }
         configurationFollower.catchUp(report.ends.configuration)
@@ -371,6 +388,7 @@
                 ?.routes
                 ?.maxOfOrNull { it.timeout } ?: Duration.ZERO
         streamLifetime = maxOf(longest, MINIMUM_STREAM_LIFETIME)
+        handler.onConfiguration()
         waiting.retryAll()
     }
 
@@ -396,12 +414,16 @@
             residence = issuerLink as ResidenceClient,
             streamVersions = streamVersions,
             timeEstimator = timeEstimator,
-            engineDispatch = EngineDispatch(timeEstimator),
             repetitionBudget = repetitionBudget,
             crashes = crashes,
             demand = demand,
             waiting = waiting,
-            eventLog = RequestEventLog(),
+            accounts =
+                AccountCheck(
+                    freshness,
+                    strictAfter = settings.revocationMilliseconds.milliseconds.takeIf { settings.strictRevocation },
+                ),
+            quota = QuotaAdmission.Unlimited,
             metrics = RelayMetrics(registry).apply { gaugeUnansweredOrders { issuer.unansweredOrders().size } },
             random = Random.Default,
         )
@@ -452,15 +474,22 @@
                     versionHistory.isMixed(it, streamLifetime)
                 },
             configurationVersion = configuration.versionNumber,
-            configuration =
-                issuerConfigurationVersion
-                    ?.let(configuration::lostRecordAfter)
-                    ?.let(RelayedRecords.RelayedRecord::of),
+            configuration = configurationForIssuer()?.let(RelayedRecords.RelayedRecord::of),
+            configurationWanted = lease.fence == null && freshness.takeRequest(),
             ends =
                 TopicEnds(configurationFollower.end, instanceFollower.end, crashEvidenceFollower.end),
             unansweredOrders = unansweredOrders(except = known.session),
         )
 
+    private fun configurationForIssuer(): KeyedRecord? {
+        val issuer = lastIssuerReport ?: return null
+        return if (issuer.configurationWanted) {
+            configuration.recordAfter(issuer.configurationVersion)
+        } else {
+            configuration.lostRecordAfter(issuer.configurationVersion)
+        }
+    }
+
     private fun unansweredOrders(except: String? = null): List<RelayedOrder> =
         issuer.unansweredOrders(except).map { RelayedOrder.of(it, timer.now()) }
 
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelaySettings.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelaySettings.kt
@@ -23,6 +23,8 @@
  * @property repetitionsFixed repetitions that the deployment allows in each window in addition to the ratio
  * @property repetitionWindowSeconds the window of both repetition limits
  * @property loadWindowSeconds the window in which loads from the weight store are counted
+ * @property strictRevocation whether requests that need an access key are refused without a confirmed configuration
+ * @property revocationMilliseconds the age of the last confirmation from which a strict node refuses them
  */
 @Serializable
 public data class RelaySettings(
@@ -43,6 +45,8 @@
     val repetitionsFixed: Double = 10.0,
     val repetitionWindowSeconds: Double = 10.0,
     val loadWindowSeconds: Double = 5.0,
+    val strictRevocation: Boolean = false,
+    val revocationMilliseconds: Long = 3_000,
 ) {
     /** Returns the faults of the settings, empty if they are valid. */
     public fun faults(): List<String> =
@@ -64,6 +68,7 @@
                 "linkMegabits" to linkMegabits,
                 "repetitionWindowSeconds" to repetitionWindowSeconds,
                 "loadWindowSeconds" to loadWindowSeconds,
+                "revocationMilliseconds" to revocationMilliseconds.toDouble(),
             )) {
                 if (value != null && value <= 0) add("$name: must be positive")
             }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -31,7 +31,7 @@
  * outdated.
  *
  * @param createReport returns this node's report, given what it has already received from the issuer
- * @param onIssuerReport called with each report of the issuer
+ * @param onIssuerReport called with each report of the issuer and when this node's report for it was sent
  */
 internal class IssuerLink(
     private val lease: StoreLease,
@@ -45,7 +45,7 @@
     private val repetitionShare: RepetitionShare,
     private val streamOrigins: StreamOrigins,
     private val createReport: (IssuerKnowledge) -> NodeReport,
-    private val onIssuerReport: (IssuerReport) -> Unit,
+    private val onIssuerReport: (IssuerReport, Moment) -> Unit,
 ) : ResidenceClient {
     private val logger = LogManager.getLogger("issuer-link")
     private var arrivals: Map<String, Long> = emptyMap()
@@ -153,7 +153,7 @@
         notices.onPeerDepartures(report.departures.map { it.toInstanceRun() })
         notices.onPeerLimits(report.limits.associate { it.run to it.toStatement(now) })
         issuerStoreAnsweredAt = if (report.issuing) report.storeAge?.let { now - it.milliseconds } else null
-        onIssuerReport(report)
+        onIssuerReport(report, sentAt)
         if (report.known.session != knowledge.session) streamOrigins.announceAgain()
         streamOrigins.learn(report.streams)
         knowledge = if (report.issuing) report.known else IssuerKnowledge.NONE
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -21,7 +21,12 @@
  * @property instances records of the topic of instances that the node has not read, null if there are none
  * @property breaks records of the topic of crash evidence that the node has not read, null if there are none
  * @property configurationVersion the number of the configuration in force at the issuer, -1 if there is none
- * @property configuration its record, if the node lacks it and can't read it as the store has lost it
+ * @property configuration its record with digests in place of access keys, if the node lacks it and either asked for it
+ *   or can't read it as the store has lost it
+ * @property configurationWanted whether the issuer lacks the node's configuration and asks for its record
+ * @property configurationAge milliseconds since the store last answered the issuer about the configuration, null if
+ *   never or not reported
+ * @property latestConfigurationVersion the number of the latest configuration that any node has reported
  * @property storeAge milliseconds since the store last answered the issuer about instances
  * @property loadAges milliseconds since the start of recent loads from the weight store, for the next issuer
  * @property unansweredOrders orders that were not answered and may still be executed, for the next issuer
@@ -52,4 +57,7 @@
     val configuration: RelayedRecords.RelayedRecord?,
     val ends: TopicEnds,
     val unansweredOrders: List<RelayedOrder> = emptyList(),
+    val configurationWanted: Boolean = false,
+    val configurationAge: Long? = null,
+    val latestConfigurationVersion: Long = -1,
 )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -22,7 +22,9 @@
  * @property streams origins of its callers' streams, while several software versions serve
  * @property unansweredOrders orders that may still be executed, other than those that this issuer has reported
  * @property configurationVersion the number of the configuration in force at the node, -1 if there is none
- * @property configuration its record, if the issuer lacks it and can't read it as the store has lost it
+ * @property configuration its record with digests in place of access keys, if the issuer lacks it and either asked for
+ *   it or can't read it as the store has lost it
+ * @property configurationWanted whether the node knows of a later configuration that the store has not given it
  * @property prompts shareable parts of prompts that engines have processed for its callers since its last report
  */
 @Serializable
@@ -44,6 +46,7 @@
     val configuration: RelayedRecords.RelayedRecord?,
     val ends: TopicEnds,
     val unansweredOrders: List<RelayedOrder> = emptyList(),
+    val configurationWanted: Boolean = false,
 ) {
     /** The demand of the callers of one node for one base model. */
     @Serializable
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -1,11 +1,13 @@
 package plantainturn.relay.peer
 
 import plantainturn.connection.engine.FenceNumber
+import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.TopicFollower
 import plantainturn.process.control.lease.StoreLease
 import plantainturn.process.control.residence.ModelPressure
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
+import plantainturn.relay.node.ConfigurationFreshness
 import plantainturn.relay.node.ConfigurationWatch
 import plantainturn.relay.peer.RelayedRecords.RelayedRecord
 import plantainturn.relay.request.AdapterDemand
@@ -35,6 +37,7 @@
     private val instances: TopicFollower,
     private val breaks: TopicFollower,
     private val configuration: ConfigurationWatch,
+    private val freshness: ConfigurationFreshness,
     private val streamOrigins: StreamOrigins,
 ) {
     private val received = HashMap<String, ReceivedReport>()
@@ -54,6 +57,7 @@
         promptAnnouncements.add(report.prompts)
         streamAnnouncements.add(report.streams)
         streamOrigins.learn(report.streams)
+        freshness.onVersion(report.configurationVersion)
         report.configuration?.let { configuration.onPeerRecord(it.decode()) }
         if (report.node != identity) {
             issuer.onReportedOrders(report.node, report.unansweredOrders.map { it.toOrder(now) })
@@ -86,12 +90,23 @@
             prompts = promptAnnouncements.since(known.prompts),
             streams = streamAnnouncements.since(known.streams, ExchangeTiming.streamsPerReport(received.size)),
             configurationVersion = configuration.versionNumber,
-            configuration = configuration.lostRecordAfter(report.configurationVersion)?.let(RelayedRecord::of),
+            configuration = configurationFor(report)?.let(RelayedRecord::of),
             ends = aggregate.ends?.latest(report.ends) ?: report.ends,
             unansweredOrders = issuer.unansweredOrders().map { RelayedOrder.of(it, now) },
+            configurationWanted =
+                report.configurationVersion > configuration.versionNumber && freshness.takeRequest(),
+            configurationAge = freshness.storeAge?.inWholeMilliseconds,
+            latestConfigurationVersion = freshness.latestVersion,
         )
     }
 
+    private fun configurationFor(report: NodeReport): KeyedRecord? =
+        if (report.configurationWanted) {
+            configuration.recordAfter(report.configurationVersion)
+        } else {
+            configuration.lostRecordAfter(report.configurationVersion)
+        }
+
     private fun updateAggregate(now: Moment) {
         aggregatedAt = now
         val timeout = ExchangeTiming.nodeTimeout(received.size)
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -110,7 +110,14 @@
         val body =
             exchange.request.source.body
                 .retainedDuplicate()
-        ready.send(context.dialect.upstreamRequest(exchange.request, body, parameters.copy(timeLeft = left)), this)
+        // The key may have moved to another account while the connection was opened.
+        val current =
+            parameters.copy(
+                timeLeft = left,
+                hasAccounts = exchange.account.hasAccounts,
+                account = exchange.account.account?.name,
+            )
+        ready.send(context.dialect.upstreamRequest(exchange.request, body, current), this)
     }
 
     private fun unreachable(reason: String) {
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayContext.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayContext.kt
@@ -18,14 +18,16 @@
     val residence: ResidenceClient,
     val streamVersions: StreamVersions,
     val timeEstimator: EngineTimeEstimator,
-    val engineDispatch: EngineDispatch,
     val repetitionBudget: RepetitionBudget,
     val crashes: CrashTracker,
     val demand: DemandMeter,
     val waiting: WaitingRequests,
-    val eventLog: RequestEventLog,
+    val accounts: AccountCheck,
+    val quota: QuotaAdmission,
     val metrics: RelayMetrics,
     val random: Random,
 ) {
     val serviceDispatch: ServiceDispatch = ServiceDispatch()
+    val engineDispatch: EngineDispatch = EngineDispatch(timeEstimator)
+    val eventLog: RequestEventLog = RequestEventLog()
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
-import kotlinx.collections.immutable.toPersistentList
 import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.process.Outcome
 import plantainturn.process.ResultCode
@@ -12,8 +11,6 @@
 import plantainturn.process.time.TimerSubscription
 import plantainturn.relay.http.CallerConnectionListener
 import plantainturn.relay.http.CallerReply
-import plantainturn.request.quarantine.RequestFingerprint
-import plantainturn.request.quarantine.RequestTraits
 import plantainturn.request.relay.DispatchDecision
 import plantainturn.request.relay.PermitRequest
 import plantainturn.request.relay.ResidenceWaitLimit
@@ -35,6 +32,7 @@
     val request: RelayRequest,
     val route: Route,
     private val service: ServiceDefinition,
+    val account: RequestAccount,
     reply: CallerReply,
     private val onEnd: (RelayExchange) -> Unit,
 ) : CallerConnectionListener {
@@ -42,8 +40,9 @@
     private val deadline = arrivedAt + minOf(request.callerTimeout ?: route.timeout, route.timeout)
     private val answer = CallerAnswer(reply, route.repetition.streams)
     private val stream = request.resumedStream ?: request.identifier
-    private val traits = traitsOf(request)
-    private val placement = RelayPlacement(context, request, route, service, traits.request)
+    private val traits = RelayRequestTraits.of(request)
+    private val placement = RelayPlacement(context, request, service, traits.request, account)
+    private val admission = RequestAdmission(context, request, account, ::refuse)
     private val avoided = LinkedHashSet<UpstreamName>()
     private val sentTo = HashSet<UpstreamName>()
     private val permitsDenied = HashSet<UpstreamName>()
@@ -59,9 +58,9 @@
     private var timer: TimerSubscription? = null
     private var watchdog: TimerSubscription? = null
 
-    /** Urgency rank of the request's route; 0 is the most urgent. */
+    /** Urgency rank of the request; 0 is the most urgent. */
     val urgency: Int
-        get() = route.urgency
+        get() = account.urgency
 
     /** The model that the request waits for, null if it waits for none. */
     val awaitedModel: ModelName?
@@ -95,6 +94,21 @@
         if (!ended && waitingSince != null && !awaitingIssuer) dispatch()
     }
 
+    /** Ends a request that was not sent yet if the configuration that has come into force lacks its key. */
+    fun onConfiguration() {
+        if (!ended && !mayHaveRun && attempt?.sentAt == null) admission.isKeyInForce()
+    }
+
+    private fun refuse(
+        code: ResultCode,
+        details: String,
+        retryAfter: Duration?,
+    ) {
+        attempt?.let(::cancel)
+        attempt = null
+        giveUp(code, ResultCode.OUTCOME_UNKNOWN, "$details waited=${timeWaited()}", retryAfter)
+    }
+
     /** Ends a waiting request because this node stops. */
     fun onStopping(): Unit =
         giveUp(
@@ -119,7 +133,7 @@
     }
 
     private fun dispatch() {
-        if (ended || attempt != null) return
+        if (ended || attempt != null || !admission.isAdmitted(mayHaveRun, ::dispatch)) return
         val left = timeLeftToBegin()
         if (left < RequestLimits.MINIMUM_USEFUL_TIME) {
             giveUp(ResultCode.DEADLINE_PASSED_IN_QUEUE, ResultCode.DEADLINE_PASSED, "no time is left")
@@ -378,19 +392,7 @@
     private fun watchSilence(watched: RelayAttempt) {
         watchdog?.cancel()
         if (!route.repetition.repeatable) return
-        val limit =
-            if (route.repetition.streams) {
-                if (watched.isAnswering) {
-                    RequestLimits.STREAM_SILENCE_TIMEOUT
-                } else {
-                    maxOf(
-                        route.objective,
-                        RequestLimits.MINIMUM_FIRST_EVENT_TIMEOUT,
-                    )
-                }
-            } else {
-                maxOf(route.objective * RequestLimits.SILENCE_OBJECTIVE_FACTOR, RequestLimits.MINIMUM_SILENCE_TIMEOUT)
-            }
+        val limit = RequestLimits.silenceTimeout(route, watched.isAnswering)
         val due = watched.heardAt + limit
         watchdog =
             context.timer.schedule(due - context.timer.now()) {
@@ -564,6 +566,7 @@
     ) {
         onAnswered(from, successful = true)
         attempt = null
+        mayHaveRun = true
         context.metrics.onSend("answered")
         if (!answer.hasBegun) answer.begin(RequestLimits.OK, context.dialect.callerHeaders(head), null)
         answer.finish()
@@ -682,6 +685,7 @@
 
     override fun onCallerDisconnected() {
         if (ended) return
+        if (attempt?.sentAt != null) mayHaveRun = true
         attempt?.let(::cancel)
         attempt = null
         end(ResultCode.CANCELLED, ResultCode.CANCELLED.httpStatus, "arrivals=$arrivals began=${answer.hasBegun}")
@@ -697,32 +701,16 @@
         details: String,
     ) {
         ended = true
+        admission.close(mayHaveRun)
         stopWaiting()
         timer?.cancel()
         watchdog?.cancel()
         answer.release()
         request.source.body.release()
         val elapsed = context.timer.now() - arrivedAt
-        context.metrics.onEnd(route.urgency, code, elapsed)
-        context.eventLog.recordEnd(request.identifier, code, status, "elapsed=$elapsed route=${route.name} $details")
+        context.metrics.onEnd(urgency, code, elapsed)
+        val inputs = "elapsed=$elapsed route=${route.name} account=${account.account?.name}"
+        context.eventLog.recordEnd(request.identifier, code, status, "$inputs $details")
         onEnd(this)
     }
-
-    private companion object {
-        /** The last part of a prompt belongs to the request or its session alone. */
-        fun traitsOf(request: RelayRequest): RequestTraits {
-            val head = request.source.head
-            val body = request.source.body
-            val bytes = ByteArray(body.readableBytes()).also { body.getBytes(body.readerIndex(), it) }
-            val fingerprint = RequestFingerprint.of(head.method().name(), request.host, head.uri(), bytes)
-            val shared =
-                request.demand
-                    ?.parts
-                    .orEmpty()
-                    .dropLast(1)
-            val bounded = shared.take(RequestLimits.MAXIMUM_TRAIT_PARTS)
-            val parts = bounded.map { RequestFingerprint.ofPart(it.identifier) }
-            return RequestTraits(fingerprint, parts.toPersistentList())
-        }
-    }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
@@ -30,6 +30,9 @@
     /** Ends the requests in progress with an answer, as the time of this node ends. */
     fun endAll(): Unit = exchanges.toList().forEach { it.onEndOfNode() }
 
+    /** Ends the requests that wait with a key that is no longer in force. */
+    fun onConfiguration(): Unit = exchanges.toList().forEach { it.onConfiguration() }
+
     override fun handle(
         request: CallerRequest,
         reply: CallerReply,
@@ -61,10 +64,17 @@
             val details = "route=${route.name} configuration=${configuration.version}"
             return refuse(request.source, reply, identifier, ResultCode.NO_UPSTREAM, details, NOT_READY_RETRY_AFTER)
         }
-        val exchange = RelayExchange(context, request, route, service, reply, exchanges::remove)
-        exchanges += exchange
-        exchange.start()
-        return exchange
+        val account = RequestAccount(context, request, route)
+        val refused = account.lookUp()
+        return if (refused == null) {
+            RelayExchange(context, request, route, service, account, reply, exchanges::remove).also {
+                exchanges += it
+                it.start()
+            }
+        } else {
+            val details = "route=${route.name} configuration=${configuration.version} ${refused.reason}"
+            refuse(request.source, reply, identifier, refused.code, details, refused.retryAfter)
+        }
     }
 
     override fun onAlreadyDisconnected(request: CallerRequest) {
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
@@ -10,7 +10,6 @@
 import plantainturn.request.relay.RequestWork
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.UpstreamName
-import plantainturn.version.route.Route
 import plantainturn.version.route.ServiceDefinition
 import kotlin.time.Duration
 
@@ -18,9 +17,9 @@
 internal class RelayPlacement(
     private val context: RelayContext,
     private val request: RelayRequest,
-    private val route: Route,
     private val service: ServiceDefinition,
     private val fingerprint: RequestFingerprint,
+    private val account: RequestAccount,
 ) {
     /**
      * Returns the next step for the request.
@@ -41,7 +40,7 @@
     ): PlacementStep {
         val permitted =
             permitted(avoided, mayHaveRun, constraint).map {
-                Option(it, PermitTerms(route.urgency, patience(it, denied, times)))
+                Option(it, PermitTerms(account.urgency, patience(it, denied, times)))
             }
         val withoutCrash = permitted.filterNot { context.crashes.brokeAt(fingerprint, it.instance) }
         val step = find(withoutCrash, times)
@@ -161,7 +160,7 @@
     ): DispatchQuery =
         DispatchQuery(
             demand = request.demand,
-            urgency = route.urgency,
+            urgency = account.urgency,
             objectiveLeft = times.objectiveLeft,
             timeLeft = times.timeLeft,
             maximumRetryAfter = times.maximumRetryAfter,
--- a/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
@@ -1,5 +1,7 @@
 package plantainturn.relay.request
 
+import plantainturn.version.route.Route
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -80,4 +82,16 @@
 
     /** An instance that answers nobody for this long after a request was sent may have crashed while handling it. */
     val CRASH_SUSPICION_SILENCE = 1_500.milliseconds
+
+    /** Returns how long an instance may be silent before a request of [route] that can be repeated goes elsewhere. */
+    fun silenceTimeout(
+        route: Route,
+        isAnswering: Boolean,
+    ): Duration =
+        when {
+            !route.repetition.streams ->
+                maxOf(route.objective * SILENCE_OBJECTIVE_FACTOR, MINIMUM_SILENCE_TIMEOUT)
+            isAnswering -> STREAM_SILENCE_TIMEOUT
+            else -> maxOf(route.objective, MINIMUM_FIRST_EVENT_TIMEOUT)
+        }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/SendParameters.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/SendParameters.kt
@@ -11,6 +11,8 @@
  * @property timeLeft time until the request's deadline
  * @property rank rank among the engine's requests, 0 first; null for a plain service
  * @property resumeAfter identifier of the event after which a stream is resumed, null for a complete stream
+ * @property hasAccounts whether the configuration has client accounts, so that the instance must not receive access
+ *   keys or accounts that the caller states
  * @property account the client account of the caller, null if the request belongs to none
  */
 public data class SendParameters(
@@ -19,4 +21,5 @@
     val rank: Int?,
     val resumeAfter: String?,
     val account: ClientAccountName? = null,
+    val hasAccounts: Boolean = false,
 )
