--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -30,6 +30,7 @@
 import plantainturn.relay.peer.IssuerKnowledge
 import plantainturn.relay.peer.IssuerLink
 import plantainturn.relay.peer.IssuerReport
+import plantainturn.relay.peer.KnownPeers
 import plantainturn.relay.peer.NodeReport
 import plantainturn.relay.peer.PeerEndpoint
 import plantainturn.relay.peer.PeerHub
@@ -218,6 +219,7 @@
             notices,
             repetitionShare,
             streamOrigins,
+            KnownPeers(settings.advertisedPeers ?: settings.peers),
             ::createReport,
             ::onIssuerReport,
         )
@@ -476,6 +478,7 @@
             configurationVersion = configuration.versionNumber,
             configuration = configurationForIssuer()?.let(RelayedRecords.RelayedRecord::of),
             configurationWanted = lease.fence == null && freshness.takeRequest(),
+            address = settings.advertisedPeers ?: settings.peers,
             ends =
                 TopicEnds(configurationFollower.end, instanceFollower.end, crashEvidenceFollower.end),
             unansweredOrders = unansweredOrders(except = known.session),
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -28,8 +28,9 @@
  * Exchanges reports with the issuer of orders, which may be this node.
  *
  * Everything received is a hint: requests are processed without it, and a node reads the store if its hints are
- * outdated.
+ * outdated. A node that hears neither the issuer nor the store asks other nodes, each in turn, who the issuer is.
  *
+ * @param peers other nodes, to ask for the issuer
  * @param createReport returns this node's report, given what it has already received from the issuer
  * @param onIssuerReport called with each report of the issuer and when this node's report for it was sent
  */
@@ -44,6 +45,7 @@
     private val notices: InstanceNotices,
     private val repetitionShare: RepetitionShare,
     private val streamOrigins: StreamOrigins,
+    private val peers: KnownPeers,
     private val createReport: (IssuerKnowledge) -> NodeReport,
     private val onIssuerReport: (IssuerReport, Moment) -> Unit,
 ) : ResidenceClient {
@@ -57,6 +59,9 @@
     private var exchanging = false
     private var issuerStoreAnsweredAt: Moment? = null
     private var lastStepAt: Moment? = null
+    private var hintedHolder: SocketLocation? = null
+    private var hintedInsteadOf: SocketLocation? = null
+    private var askPeerNext = false
 
     /** The number of nodes that the issuer last reported. */
     var nodes: Int = 1
@@ -78,9 +83,43 @@
             applyReport(hub.exchange(createReport(knowledgeOf(SELF))), SELF, timer.now())
             return
         }
-        val location = lease.holderLocation()
-        if (location == null || isIssuerMissing()) lookUpIssuer()
-        if (location != null && !exchanging) exchangeWith(location)
+        val holder = holderLocation()
+        if (holder == null || isIssuerMissing()) lookUpIssuer()
+        if (exchanging) return
+        val location = if (holder == null || askPeerNext) peers.next() ?: holder else holder
+        askPeerNext = false
+        location?.let(::exchangeWith)
+    }
+
+    /** Returns where a peer believes the issuer, until the store names another one than before. */
+    private fun holderLocation(): SocketLocation? {
+        val inStore = lease.holderLocation()
+        if (inStore != hintedInsteadOf) hintedHolder = null
+        return hintedHolder ?: inStore
+    }
+
+    /** Follows a node that does not order itself to the holder it knows, and otherwise asks another node next. */
+    private fun onPeerReport(
+        report: IssuerReport,
+        from: SocketLocation,
+        sentAt: Moment,
+    ) {
+        onIssuerReport(report, sentAt)
+        peers.add(report.peers)
+        val holder = report.holder?.let { SocketLocation.parse(it) }
+        if (holder == null) {
+            onUnhelpful(from)
+        } else if (holder != from) {
+            logger.info("event=issuer-hinted peer={} holder={} before={}", from, holder, holderLocation())
+            hintedInsteadOf = lease.holderLocation()
+            hintedHolder = holder
+        }
+        lookUpIssuer()
+    }
+
+    private fun onUnhelpful(location: SocketLocation) {
+        if (location == hintedHolder) hintedHolder = null
+        askPeerNext = true
     }
 
     override fun expectedArrival(model: ModelName): Duration? {
@@ -120,10 +159,11 @@
             when {
                 report == null -> {
                     streamOrigins.announceAgain()
+                    onUnhelpful(location)
                     logger.debug("issuer={} event=exchange-failed result={}", location, result)
                 }
                 report.issuing -> applyReport(report, from, sentAt)
-                else -> lookUpIssuer()
+                else -> onPeerReport(report, location, sentAt)
             }
         }
     }
@@ -154,6 +194,7 @@
         notices.onPeerLimits(report.limits.associate { it.run to it.toStatement(now) })
         issuerStoreAnsweredAt = if (report.issuing) report.storeAge?.let { now - it.milliseconds } else null
         onIssuerReport(report, sentAt)
+        peers.add(report.peers)
         if (report.known.session != knowledge.session) streamOrigins.announceAgain()
         streamOrigins.learn(report.streams)
         knowledge = if (report.issuing) report.known else IssuerKnowledge.NONE
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -27,6 +27,8 @@
  * @property configurationAge milliseconds since the store last answered the issuer about the configuration, null if
  *   never or not reported
  * @property latestConfigurationVersion the number of the latest configuration that any node has reported
+ * @property holder where the answering node believes the lease's holder, null if it does not know
+ * @property peers addresses of a few other nodes
  * @property storeAge milliseconds since the store last answered the issuer about instances
  * @property loadAges milliseconds since the start of recent loads from the weight store, for the next issuer
  * @property unansweredOrders orders that were not answered and may still be executed, for the next issuer
@@ -60,4 +62,6 @@
     val configurationWanted: Boolean = false,
     val configurationAge: Long? = null,
     val latestConfigurationVersion: Long = -1,
+    val holder: String? = null,
+    val peers: List<String> = emptyList(),
 )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -25,6 +25,7 @@
  * @property configuration its record with digests in place of access keys, if the issuer lacks it and either asked for
  *   it or can't read it as the store has lost it
  * @property configurationWanted whether the node knows of a later configuration that the store has not given it
+ * @property address where peers reach the node
  * @property prompts shareable parts of prompts that engines have processed for its callers since its last report
  */
 @Serializable
@@ -47,6 +48,7 @@
     val ends: TopicEnds,
     val unansweredOrders: List<RelayedOrder> = emptyList(),
     val configurationWanted: Boolean = false,
+    val address: String = "",
 ) {
     /** The demand of the callers of one node for one base model. */
     @Serializable
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -46,6 +46,7 @@
     private var residenceChanges = ResidenceChanges()
     private var session: String? = null
     private var aggregate = ReportAggregate(emptyMap())
+    private var addresses: List<String> = emptyList()
     private var aggregatedAt: Moment? = null
     private var allocatorFence: FenceNumber? = null
     private var shareAllocator = RepetitionShareAllocator(shareTerms, Moment.ORIGIN)
@@ -97,9 +98,15 @@
                 report.configurationVersion > configuration.versionNumber && freshness.takeRequest(),
             configurationAge = freshness.storeAge?.inWholeMilliseconds,
             latestConfigurationVersion = freshness.latestVersion,
+            holder = holder(),
+            peers = KnownPeers.forReport(addresses, report.sequence),
         )
     }
 
+    /** A holder that lost the lease and can't read the store does not know its successor. */
+    private fun holder(): String? =
+        lease.holderRecord?.takeIf { lease.fence != null || it.holder != identity }?.address
+
     private fun configurationFor(report: NodeReport): KeyedRecord? =
         if (report.configurationWanted) {
             configuration.recordAfter(report.configurationVersion)
@@ -113,6 +120,7 @@
         received.values.removeIf { now - it.at > timeout }
         val reports = received.mapValues { it.value.report }
         aggregate = ReportAggregate(reports)
+        addresses = reports.values.map { it.address }.filter { it.isNotEmpty() }
         updateIssuerDemand(reports.values)
         val current = lease.fence?.let { "$identity/$it" }
         if (current != session) {
