--- a/library/src/main/kotlin/plantainturn/version/route/AccessKeyDigest.kt
+++ b/library/src/main/kotlin/plantainturn/version/route/AccessKeyDigest.kt
@@ -1,6 +1,7 @@
 package plantainturn.version.route
 
 import java.security.MessageDigest
+import java.util.HexFormat
 
 /**
  * The SHA-256 of an access key, in lower-case hexadecimal.
@@ -20,7 +21,7 @@
         /** Returns the digest of [key], encoded as UTF-8. */
         public fun of(key: String): AccessKeyDigest {
             val bytes = MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray())
-            return AccessKeyDigest(bytes.joinToString("") { "%02x".format(it) })
+            return AccessKeyDigest(HexFormat.of().formatHex(bytes))
         }
 
         /** Returns the digest that [text] contains, or null if [text] is not 64 lower-case hexadecimal digits. */
--- a/relay/src/main/kotlin/plantainturn/relay/node/ConfigurationFreshness.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/ConfigurationFreshness.kt
@@ -1,5 +1,6 @@
 package plantainturn.relay.node
 
+import org.apache.logging.log4j.LogManager
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.relay.request.ConfigurationCurrency
@@ -20,6 +21,7 @@
     private val heardAt: () -> Moment?,
     private val version: () -> Long,
 ) : ConfigurationCurrency {
+    private val logger = LogManager.getLogger("configuration")
     private var latestHeard = ConfigurationWatch.NO_VERSION
     private var confirmedByPeerAt: Moment? = null
     private var laterSince: Moment? = null
@@ -44,6 +46,7 @@
         if (number <= latestHeard) return
         if (!isLaterKnown) laterSince = timer.now()
         latestHeard = number
+        if (isLaterKnown) logger.info("event=later-configuration-heard version={} current={}", number, version())
     }
 
     /** The store's configuration was [number] at [at], as a peer read it. */
@@ -64,6 +67,7 @@
         if (!isLaterKnown || since == null || now - since < STORE_PATIENCE) return false
         if (askedAt?.let { now - it < REQUEST_PAUSE } == true) return false
         askedAt = now
+        logger.info("event=configuration-requested version={} current={} known={}", latestHeard, version(), now - since)
         return true
     }
 
--- a/relay/src/main/kotlin/plantainturn/relay/node/ConfigurationWatch.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/ConfigurationWatch.kt
@@ -66,11 +66,12 @@
         current = decoded
         currentRecord = decoder.redacted(record)
         logger.info(
-            "event=configuration-in-force version={} previous={} offset={} routes={}",
+            "event=configuration-in-force version={} previous={} offset={} routes={} accounts={}",
             decoded.version,
             before?.version,
             record.offset,
             decoded.table.routes.size,
+            decoded.accounts?.byName?.size,
         )
         onChange()
     }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -107,10 +107,11 @@
         onIssuerReport(report, sentAt)
         peers.add(report.peers)
         val holder = report.holder?.let { SocketLocation.parse(it) }
+        val known = holderLocation()
         if (holder == null) {
             onUnhelpful(from)
-        } else if (holder != from) {
-            logger.info("event=issuer-hinted peer={} holder={} before={}", from, holder, holderLocation())
+        } else if (holder != from && holder != known) {
+            logger.info("event=issuer-hinted peer={} holder={} before={}", from, holder, known)
             hintedInsteadOf = lease.holderLocation()
             hintedHolder = holder
         }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -104,8 +104,7 @@
     }
 
     /** A holder that lost the lease and can't read the store does not know its successor. */
-    private fun holder(): String? =
-        lease.holderRecord?.takeIf { lease.fence != null || it.holder != identity }?.address
+    private fun holder(): String? = lease.holderRecord?.takeIf { lease.fence != null || it.holder != identity }?.address
 
     private fun configurationFor(report: NodeReport): KeyedRecord? =
         if (report.configurationWanted) {
--- /dev/null
+++ b/relay/src/test/kotlin/plantainturn/relay/node/ConfigurationFreshnessTest.kt
@@ -0,0 +1,77 @@
+package plantainturn.relay.node
+
+import org.junit.jupiter.api.Test
+import plantainturn.process.time.Moment
+import plantainturn.process.time.VirtualTimerService
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ConfigurationFreshnessTest {
+    private val timer = VirtualTimerService()
+    private var heardAt: Moment? = null
+    private var version = 4L
+    private val freshness = ConfigurationFreshness(timer, { heardAt }, { version })
+
+    /** Guards against a node that takes another configuration's confirmation for its own. */
+    @Test
+    fun `the store, or a peer that read no later version there, confirms`() {
+        assertNull(freshness.confirmationAge)
+        val early = timer.now()
+        timer.advance(3.seconds)
+        freshness.onConfirmed(5, timer.now())
+        assertNull(freshness.confirmationAge)
+
+        freshness.onConfirmed(4, early)
+        assertEquals(3.seconds, freshness.confirmationAge)
+        heardAt = timer.now()
+        timer.advance(1.seconds)
+        freshness.onConfirmed(4, early)
+        assertEquals(1.seconds, freshness.confirmationAge)
+    }
+
+    /** Guards against an issuer that the store turns away and that confirms its peers' configuration all the same. */
+    @Test
+    fun `what a peer confirmed is not told as the store's own word`() {
+        freshness.onConfirmed(4, timer.now())
+
+        assertNull(freshness.storeAge)
+    }
+
+    /** Guards against large records that are handed on although the store is about to give them, or over and over. */
+    @Test
+    fun `a later version is asked for after 400 ms, with a pause between requests, until it is there`() {
+        freshness.onVersion(4)
+        assertFalse(freshness.isLaterKnown)
+        freshness.onVersion(5)
+        timer.advance(399.milliseconds)
+        freshness.onVersion(6)
+        assertTrue(freshness.isLaterKnown)
+        assertFalse(freshness.takeRequest())
+        timer.advance(1.milliseconds)
+
+        assertTrue(freshness.takeRequest())
+        timer.advance(399.milliseconds)
+        assertFalse(freshness.takeRequest())
+        timer.advance(1.milliseconds)
+        assertTrue(freshness.takeRequest())
+        version = 6
+        timer.advance(1.seconds)
+        assertFalse(freshness.takeRequest())
+        assertFalse(freshness.isLaterKnown)
+    }
+
+    /** Guards against a wait that began with an earlier version, which the store had given in time. */
+    @Test
+    fun `the wait for each later version begins when it is heard of`() {
+        freshness.onVersion(5)
+        version = 5
+        timer.advance(10.seconds)
+        freshness.onVersion(6)
+
+        assertFalse(freshness.takeRequest())
+    }
+}
