--- a/relay/src/main/kotlin/plantainturn/relay/node/ConfigurationFreshness.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/ConfigurationFreshness.kt
@@ -6,6 +6,7 @@
 import plantainturn.relay.request.ConfigurationCurrency
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Knows when this node's configuration was last confirmed, and whether a peer has a later one that must be asked for.
@@ -22,6 +23,7 @@
     private val version: () -> Long,
 ) : ConfigurationCurrency {
     private val logger = LogManager.getLogger("configuration")
+    private val startedAt = timer.now()
     private var latestHeard = ConfigurationWatch.NO_VERSION
     private var confirmedByPeerAt: Moment? = null
     private var laterSince: Moment? = null
@@ -35,8 +37,12 @@
     val storeAge: Duration?
         get() = heardAt()?.let { timer.now() - it }
 
+    /** The store may have come back from a copy that lacks a configuration; a node that starts hears of it by peers. */
     override val confirmationAge: Duration?
-        get() = listOfNotNull(heardAt(), confirmedByPeerAt).maxOrNull()?.let { timer.now() - it }
+        get() {
+            val own = heardAt()?.takeIf { confirmedByPeerAt != null || timer.now() - startedAt >= PEER_PATIENCE }
+            return listOfNotNull(own, confirmedByPeerAt).maxOrNull()?.let { timer.now() - it }
+        }
 
     override val isLaterKnown: Boolean
         get() = latestHeard > version()
@@ -75,6 +81,9 @@
         /** A node that hears of a later version usually reads it at the same time. */
         val STORE_PATIENCE = 400.milliseconds
 
+        /** A node that starts finds the issuer sooner, if there is one. */
+        val PEER_PATIENCE = 3.seconds
+
         /** A record of many accounts is large, so that one peer is asked at a time. */
         val REQUEST_PAUSE = 400.milliseconds
     }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/KnownPeers.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/KnownPeers.kt
@@ -28,7 +28,7 @@
     }
 
     internal companion object {
-        /** If the store turns a third of the nodes away, one of as many can hear it in all but few cases. */
+        /** With a third of the nodes turned away by the store, all of as many are in one case of 6,500. */
         private const val MAXIMUM = 8
 
         /** Each report carries as many, other ones in turn, as bytes between failure domains are billed. */
--- a/relay/src/test/kotlin/plantainturn/relay/node/ConfigurationFreshnessTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/ConfigurationFreshnessTest.kt
@@ -33,6 +33,17 @@
         assertEquals(1.seconds, freshness.confirmationAge)
     }
 
+    /** Guards against a 401 from a node that starts on a copy of the store which lacks a configuration with the key. */
+    @Test
+    fun `a node that starts does not rely on its own reading before it has heard a peer or waited for one`() {
+        heardAt = timer.now()
+        timer.advance(2_999.milliseconds)
+        assertNull(freshness.confirmationAge)
+        timer.advance(1.milliseconds)
+
+        assertEquals(3.seconds, freshness.confirmationAge)
+    }
+
     /** Guards against an issuer that the store turns away and that confirms its peers' configuration all the same. */
     @Test
     fun `what a peer confirmed is not told as the store's own word`() {
