Keep quotas over all nodes at the issuer and at each node

Nodes report what they admitted without asking, and ask the holder of the lease at POST /peer/quota otherwise. Without accounts in the configuration no message gains a field.

--- a/library/src/main/kotlin/plantainturn/process/ResultCode.kt
+++ b/library/src/main/kotlin/plantainturn/process/ResultCode.kt
@@ -46,6 +46,13 @@
         Outcome.NOT_RUN,
         "Each upstream that could run the request asked for a pause or for fewer requests.",
     ),
+    QUOTA_EXCEEDED(3010, 429, Outcome.NOT_RUN, "The client account has used its quota; come back later."),
+    QUOTA_UNAVAILABLE(
+        3011,
+        503,
+        Outcome.NOT_RUN,
+        "Whether the client account's quota has room cannot be told at present.",
+    ),
 
     UPSTREAM_FAILED(4000, 502, Outcome.FAILED, "The upstream ran the request and failed."),
     STREAM_BROKEN(4001, 502, Outcome.FAILED, "The answer broke off and could not be resumed."),
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -34,10 +34,14 @@
 import plantainturn.relay.peer.PeerHub
 import plantainturn.relay.peer.PermitClient
 import plantainturn.relay.peer.PermitDesk
+import plantainturn.relay.peer.QuotaClient
+import plantainturn.relay.peer.QuotaDesk
+import plantainturn.relay.peer.QuotaMetrics
 import plantainturn.relay.peer.RelayedDeparture
 import plantainturn.relay.peer.RelayedLimit
 import plantainturn.relay.peer.RelayedOrder
 import plantainturn.relay.peer.RelayedRecords
+import plantainturn.relay.peer.ShareDesk
 import plantainturn.relay.peer.StreamOriginLink
 import plantainturn.relay.peer.TopicEnds
 import plantainturn.relay.request.CrashTracker
@@ -55,12 +59,14 @@
 import plantainturn.relay.request.WaitingRequests
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.quarantine.CrashAttribution
+import plantainturn.request.quota.NodeQuotas
+import plantainturn.request.quota.QuotaTerms
 import plantainturn.request.relay.EngineDispatch
 import plantainturn.request.relay.EngineTimeEstimator
-import plantainturn.request.relay.RepetitionBudget
-import plantainturn.request.relay.RepetitionSettings
 import plantainturn.request.relay.NodeShare
 import plantainturn.request.relay.NodeShareTerms
+import plantainturn.request.relay.RepetitionBudget
+import plantainturn.request.relay.RepetitionSettings
 import plantainturn.request.relay.StreamOrigins
 import plantainturn.version.configuration.FailureDomain
 import java.io.ByteArrayOutputStream
@@ -177,14 +183,29 @@
     private val crashEvidenceFollower: TopicFollower =
         TopicFollower(platform.store, CrashEvidenceTopic.NAME, crashEvidence, timer, pace = ::crashEvidenceReadPace)
     private val shareTerms = NodeShareTerms(settings.repetitionWindowSeconds.seconds)
-    private val repetitionShare = NodeShare(shareTerms)
+    private val share = NodeShare(shareTerms)
+    private val shareDesk = ShareDesk(lease, shareTerms, timer)
+    private val quotaDesk =
+        QuotaDesk(lease, shareDesk, configuration, quotaTerms(), timer) { issuerLink.nodes }
+    private val quotaClient: QuotaClient =
+        QuotaClient(
+            incarnation,
+            lease,
+            quotaDesk,
+            NodeQuotas(Random.Default, share::fractionAt),
+            configuration,
+            caller,
+            timer,
+            QuotaMetrics(registry).apply { gaugeLevels { quotaDesk.levels } },
+        ) { issuerLink.isIssuerMissing() }
     private val hub =
         PeerHub(
             incarnation,
             issuer,
             lease,
             notices,
-            shareTerms,
+            shareDesk,
+            quotaDesk,
             timer,
             instanceFollower,
             crashEvidenceFollower,
@@ -204,14 +225,15 @@
             fleet,
             links,
             notices,
-            repetitionShare,
+            share,
             streamOrigins,
+            quotaClient,
             ::createReport,
             ::onIssuerReport,
         )
     private val crashes = CrashTracker(attribution, crashEvidence, timer, links, System::currentTimeMillis)
     private val timeEstimator = EngineTimeEstimator()
-    private val repetitionBudget = RepetitionBudget(repetitions(), repetitionShare::fractionAt)
+    private val repetitionBudget = RepetitionBudget(repetitions(), share::fractionAt)
     private val handler = RelayHandler(context())
     private val callerServer = CallerServer(eventLoop, timer, configuration, handler)
     private val peerServer = InternalHttpServer(eventLoop)
@@ -413,11 +435,14 @@
             settings.repetitionWindowSeconds.seconds,
         )
 
+    private fun quotaTerms() =
+        QuotaTerms(settings.quotaWindowSeconds.seconds, settings.quotaOverage, settings.quotaTolerance)
+
     private fun createReport(known: IssuerKnowledge): NodeReport =
         NodeReport(
             node = incarnation,
             sequence = reportCount++,
-            repetitionShare = repetitionShare.maximumWithinWindow(timer.now()),
+            repetitionShare = share.maximumWithinWindow(timer.now()),
             work = links.ownTotals().mapKeys { it.key.value },
             suspects = links.suspicions().map { it.key.value to it.value.inWholeMilliseconds }.toMap(),
             pressure =
@@ -459,6 +484,7 @@
             ends =
                 TopicEnds(configurationFollower.end, instanceFollower.end, crashEvidenceFollower.end),
             unansweredOrders = unansweredOrders(except = known.session),
+            admitted = quotaClient.createReport(whole = known.session == null),
         )
 
     private fun unansweredOrders(except: String? = null): List<RelayedOrder> =
@@ -468,7 +494,7 @@
     private fun round(value: Double): Double = Math.round(value * ROUNDING_FACTOR) / ROUNDING_FACTOR
 
     private fun registerEndpoints() {
-        PeerEndpoint(hub, issuer, permitDesk, streamOriginLink).registerOn(peerServer)
+        PeerEndpoint(hub, issuer, permitDesk, streamOriginLink, quotaDesk).registerOn(peerServer)
         readinessServer.on(
             platform.readinessCall,
         ) { _, done -> done(InternalHttpResponse(if (isReady()) OK else UNAVAILABLE)) }
@@ -496,10 +522,11 @@
                 inProgress = handler.inProgress,
                 waiting = waiting.size,
                 nodes = issuerLink.nodes,
-                repetitionShare = repetitionShare.fractionAt(timer.now()),
+                repetitionShare = share.fractionAt(timer.now()),
                 attribution = attribution,
                 storeEra = maxOf(configurationFollower.end, instanceFollower.end).era,
                 unansweredOrders = unansweredOrders(),
+                accounts = RelayDump.accountsOf(quotaDesk.levels, quotaClient.admitted),
             ).toJson()
 
     private companion object {
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelaySettings.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelaySettings.kt
@@ -23,6 +23,9 @@
  * @property repetitionsFixed repetitions that the deployment allows in each window in addition to the ratio
  * @property repetitionWindowSeconds the window of both repetition limits
  * @property loadWindowSeconds the window in which loads from the weight store are counted
+ * @property quotaWindowSeconds the window in which the use of an account's quota by all nodes is bounded
+ * @property quotaOverage part of rate x window + burst by which that use may exceed it
+ * @property quotaTolerance tokens by which that use may exceed it in addition
  */
 @Serializable
 public data class RelaySettings(
@@ -43,6 +46,9 @@
     val repetitionsFixed: Double = 10.0,
     val repetitionWindowSeconds: Double = 10.0,
     val loadWindowSeconds: Double = 5.0,
+    val quotaWindowSeconds: Double = 8.0,
+    val quotaOverage: Double = 0.1,
+    val quotaTolerance: Double = 0.0,
 ) {
     /** Returns the faults of the settings, empty if they are valid. */
     public fun faults(): List<String> =
@@ -64,11 +70,14 @@
                 "linkMegabits" to linkMegabits,
                 "repetitionWindowSeconds" to repetitionWindowSeconds,
                 "loadWindowSeconds" to loadWindowSeconds,
+                "quotaWindowSeconds" to quotaWindowSeconds,
             )) {
                 if (value != null && value <= 0) add("$name: must be positive")
             }
             if (handOverMilliseconds < 0) add("handOverMilliseconds: must not be negative")
             if (repetitionRatio < 0) add("repetitionRatio: must not be negative")
             if (repetitionsFixed < 0) add("repetitionsFixed: must not be negative")
+            if (quotaOverage < 0) add("quotaOverage: must not be negative")
+            if (quotaTolerance < 0) add("quotaTolerance: must not be negative")
         }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -42,8 +42,9 @@
     private val fleet: FleetView,
     private val links: InstanceLinks,
     private val notices: InstanceNotices,
-    private val repetitionShare: NodeShare,
+    private val share: NodeShare,
     private val streamOrigins: StreamOrigins,
+    private val quotas: QuotaClient,
     private val createReport: (IssuerKnowledge) -> NodeReport,
     private val onIssuerReport: (IssuerReport) -> Unit,
 ) : ResidenceClient {
@@ -75,7 +76,8 @@
         if (last != null && timer.now() - last < ExchangeTiming.period(nodes) - STEP_TOLERANCE) return
         lastStepAt = timer.now()
         if (lease.fence != null) {
-            applyReport(hub.exchange(createReport(knowledgeOf(SELF))), SELF, timer.now())
+            val own = createReport(knowledgeOf(SELF))
+            applyReport(hub.exchange(own), own, SELF, timer.now())
             return
         }
         val location = lease.holderLocation()
@@ -113,7 +115,8 @@
         exchanging = true
         val from = location.toString()
         val sentAt = timer.now()
-        val body = Json.encodeToString(NodeReport.serializer(), createReport(knowledgeOf(from))).toByteArray()
+        val sent = createReport(knowledgeOf(from))
+        val body = Json.encodeToString(NodeReport.serializer(), sent).toByteArray()
         caller.call(location, HttpCall(HttpMethod.POST, EXCHANGE_PATH, body), EXCHANGE_TIMEOUT) { result ->
             exchanging = false
             val report = PeerMessage.decode(result, IssuerReport.serializer())
@@ -122,7 +125,7 @@
                     streamOrigins.announceAgain()
                     logger.debug("issuer={} event=exchange-failed result={}", location, result)
                 }
-                report.issuing -> applyReport(report, from, sentAt)
+                report.issuing -> applyReport(report, sent, from, sentAt)
                 else -> lookUpIssuer()
             }
         }
@@ -133,6 +136,7 @@
 
     private fun applyReport(
         report: IssuerReport,
+        sent: NodeReport,
         from: String,
         sentAt: Moment,
     ) {
@@ -145,7 +149,7 @@
         }
         lastReportAt = now
         nodes = report.nodes
-        report.repetitionShare?.let { confirmRepetitionShare(it, from, sentAt) }
+        report.repetitionShare?.let { confirmShare(it, from, sentAt) }
         arrivals = report.arrivals
         arrivalsAt = now
         links.onPeerWork(report.work.mapKeys { UpstreamName(it.key) })
@@ -154,6 +158,7 @@
         notices.onPeerLimits(report.limits.associate { it.run to it.toStatement(now) })
         issuerStoreAnsweredAt = if (report.issuing) report.storeAge?.let { now - it.milliseconds } else null
         onIssuerReport(report)
+        quotas.onReport(sent.admitted, report, sentAt)
         if (report.known.session != knowledge.session) streamOrigins.announceAgain()
         streamOrigins.learn(report.streams)
         knowledge = if (report.issuing) report.known else IssuerKnowledge.NONE
@@ -172,17 +177,17 @@
         issuer.onReportedOrders(report.known.session ?: from, report.unansweredOrders.map { it.toOrder(now) })
     }
 
-    private fun confirmRepetitionShare(
+    private fun confirmShare(
         fraction: Double,
         from: String,
         sentAt: Moment,
     ) {
         val now = timer.now()
-        val before = repetitionShare.fractionAt(now)
+        val before = share.fractionAt(now)
         if (fraction != before) {
             logger.info("event=repetition-share issuer={} before={} now={} nodes={}", from, before, fraction, nodes)
         }
-        repetitionShare.confirm(fraction, sentAt, now)
+        share.confirm(fraction, sentAt, now)
     }
 
     private fun decodeResidence(encoded: Map<String, Map<String, List<String>>?>) =
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -15,7 +15,7 @@
  * @property adapterUse the use of each adapter by its callers
  * @property known what it has already received from this issuer
  * @property sequence increases with each report of this run of the node
- * @property repetitionShare the largest share of the fixed repetitions that it may have used within the last window
+ * @property repetitionShare the largest part of what all nodes share that it may have used within the last window
  * @property departingRuns its running requests by engine and model, for models no longer counted as resident there
  * @property departures runs of instances that have an entry and announced in an answer that they are leaving
  * @property limits what instances that have an entry said about their limits on requests
@@ -23,6 +23,7 @@
  * @property unansweredOrders orders that may still be executed, other than those that this issuer has reported
  * @property configurationVersion the number of the configuration in force at the node, -1 if there is none
  * @property configuration its record, if the issuer lacks it and can't read it as the store has lost it
+ * @property admitted what it has admitted of quotas without asking, null if its configuration has no accounts
  * @property prompts shareable parts of prompts that engines have processed for its callers since its last report
  */
 @Serializable
@@ -44,6 +45,7 @@
     val configuration: RelayedRecords.RelayedRecord?,
     val ends: TopicEnds,
     val unansweredOrders: List<RelayedOrder> = emptyList(),
+    val admitted: AdmittedReport? = null,
 ) {
     /** The demand of the callers of one node for one base model. */
     @Serializable
