--- a/library/src/main/kotlin/plantainturn/request/relay/RepetitionShare.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/NodeShare.kt
@@ -3,13 +3,13 @@
 import plantainturn.process.time.Moment
 
 /**
- * Holds the fraction of all nodes' repetitions that this node may use.
+ * Holds the fraction that this node may use of what all nodes may use together: repetitions and quotas of accounts.
  *
  * The fraction is a lease: it lapses if it is not confirmed within the term, so that it can be given to others.
  * Confined to one thread.
  */
-public class RepetitionShare(
-    private val terms: RepetitionShareTerms,
+public class NodeShare(
+    private val terms: NodeShareTerms,
 ) {
     private var confirmed = 0.0
     private var validUntil = Moment.ORIGIN
--- a/library/src/main/kotlin/plantainturn/request/relay/RepetitionShareAllocator.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/NodeShareAllocator.kt
@@ -5,7 +5,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Divides the repetitions of all nodes among the processes that report; the fractions never add up to more than 1.
+ * Divides what all nodes may use together among the processes that report; the fractions never add up to more than 1.
  *
  * Load pattern: instances refuse requests, so that repetitions are needed everywhere, while nodes are partitioned,
  * stop, restart and hand over this role. A fraction that a process may use, or may have used within a window, is not
@@ -16,8 +16,8 @@
  * @param allocatesFrom when all fractions that another holder of this role confirmed have lapsed, except those of
  *   processes that reported
  */
-public class RepetitionShareAllocator(
-    private val terms: RepetitionShareTerms,
+public class NodeShareAllocator(
+    private val terms: NodeShareTerms,
     private val allocatesFrom: Moment,
 ) {
     private val allocations = HashMap<String, Allocation>()
@@ -46,6 +46,21 @@
         return allocation.granted
     }
 
+    /**
+     * Returns the fractions of the processes that have been silent for longer than [silentAfter] and whose terms may
+     * not have ended.
+     */
+    public fun silentFraction(
+        silentAfter: Duration,
+        now: Moment,
+    ): Double = allocations.values.filter { now - it.lastReportAt in silentAfter..terms.term }.sumOf { it.granted }
+
+    /** Returns the fraction that processes may be using which reported to an earlier holder only. */
+    public fun unknownFraction(now: Moment): Double {
+        val mayBeUsed = now < allocatesFrom - terms.reclaimAfter + terms.term
+        return if (mayBeUsed) (1.0 - allocations.values.sumOf { it.granted }).coerceAtLeast(0.0) else 0.0
+    }
+
     private fun fractionFor(
         allocation: Allocation,
         now: Moment,
--- a/library/src/main/kotlin/plantainturn/request/relay/RepetitionShareTerms.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/NodeShareTerms.kt
@@ -4,13 +4,13 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Durations of the leases on fractions of all nodes' repetitions.
+ * Durations of the leases on fractions of what all nodes may use together.
  *
- * @property window the window in which repetitions are counted
+ * @property window the window in which the use of all nodes is counted
  * @property term how long a node may use its fraction, from when it sent the report that led to the confirmation
  * @property margin how much longer a fraction counts as held, for nodes whose clock stood still while suspended
  */
-public data class RepetitionShareTerms(
+public data class NodeShareTerms(
     val window: Duration,
     val term: Duration = 6.seconds,
     val margin: Duration = 5.seconds,
--- a/library/src/test/kotlin/plantainturn/request/relay/RepetitionShareAllocatorTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/NodeShareAllocatorTest.kt
@@ -9,7 +9,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-class RepetitionShareAllocatorTest {
+class NodeShareAllocatorTest {
     private val service = ServiceName("service")
 
     @Test
@@ -35,7 +35,7 @@
 
     @Test
     fun `a restarted node gets a fraction before that of its predecessor has lapsed`() {
-        val allocator = RepetitionShareAllocator(TERMS, allocatesFrom = at(0))
+        val allocator = NodeShareAllocator(TERMS, allocatesFrom = at(0))
         report(allocator, (1..8).map { "node $it" }, until = 10_000)
 
         assertTrue(allocator.renew("node 1 again", 0.0, sequence = 0, at(10_100)) > 0.05)
@@ -43,7 +43,7 @@
 
     @Test
     fun `a new holder confirms existing fractions, and gives more only when those of silent nodes have lapsed`() {
-        val allocator = RepetitionShareAllocator(TERMS, allocatesFrom = at(21_000))
+        val allocator = NodeShareAllocator(TERMS, allocatesFrom = at(21_000))
 
         assertEquals(0.2, allocator.renew("with", 0.2, sequence = 0, at(100)))
         assertEquals(0.0, allocator.renew("without", 0.0, sequence = 0, at(20_900)))
@@ -52,7 +52,7 @@
 
     @Test
     fun `a report that arrives out of order does not free a fraction in use`() {
-        val allocator = RepetitionShareAllocator(TERMS, allocatesFrom = at(0))
+        val allocator = NodeShareAllocator(TERMS, allocatesFrom = at(0))
         val first = allocator.renew("first", 0.0, sequence = 0, at(0))
         allocator.renew("first", first, sequence = 2, at(200))
         repeat(8) { allocator.renew("other $it", 0.0, sequence = 0, at(300)) }
@@ -65,7 +65,7 @@
     }
 
     private fun report(
-        allocator: RepetitionShareAllocator,
+        allocator: NodeShareAllocator,
         nodes: List<String>,
         until: Int,
     ) {
@@ -89,9 +89,9 @@
         private var holder: Holder? =
             Holder(
                 nodes.first(),
-                RepetitionShareAllocator(
+                NodeShareAllocator(
                     TERMS,
-                    at(0) + RepetitionShareAllocator.ABSENT_AFTER,
+                    at(0) + NodeShareAllocator.ABSENT_AFTER,
                 ),
             )
         private var holderFrom = at(0)
@@ -115,7 +115,7 @@
                 holder = null
                 holderFrom = now + random.nextInt(3_000).milliseconds
             } else if (current == null && now >= holderFrom) {
-                holder = Holder(nodes.random(random), RepetitionShareAllocator(TERMS, now + TERMS.reclaimAfter))
+                holder = Holder(nodes.random(random), NodeShareAllocator(TERMS, now + TERMS.reclaimAfter))
             }
         }
 
@@ -129,7 +129,7 @@
 
         private inner class Node {
             val name = "node ${started++}"
-            val share = RepetitionShare(TERMS)
+            val share = NodeShare(TERMS)
             var sequence = 0L
             var isolatedUntil = Moment.ORIGIN
             private val allowance = RepetitionBudget(BOUND, share::fractionAt)
@@ -141,12 +141,12 @@
 
         private inner class Holder(
             val node: Node,
-            val allocator: RepetitionShareAllocator,
+            val allocator: NodeShareAllocator,
         )
     }
 
     private companion object {
-        val TERMS = RepetitionShareTerms(window = 10.seconds)
+        val TERMS = NodeShareTerms(window = 10.seconds)
         val BOUND = RepetitionSettings(ratio = 0.2, fixed = 56.0, window = TERMS.window, usedShare = 1.0)
         const val ROUNDING = 1e-9
 
--- a/library/src/test/kotlin/plantainturn/request/relay/RepetitionShareTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/NodeShareTest.kt
@@ -5,8 +5,8 @@
 import kotlin.test.assertEquals
 import kotlin.time.Duration.Companion.seconds
 
-class RepetitionShareTest {
-    private val share = RepetitionShare(RepetitionShareTerms(window = 10.seconds, term = 6.seconds))
+class NodeShareTest {
+    private val share = NodeShare(NodeShareTerms(window = 10.seconds, term = 6.seconds))
 
     @Test
     fun `a fraction lapses if it is not confirmed and is reported until the window has passed`() {
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -61,8 +61,8 @@
 import plantainturn.request.relay.EngineTimeEstimator
 import plantainturn.request.relay.RepetitionBudget
 import plantainturn.request.relay.RepetitionSettings
-import plantainturn.request.relay.RepetitionShare
-import plantainturn.request.relay.RepetitionShareTerms
+import plantainturn.request.relay.NodeShare
+import plantainturn.request.relay.NodeShareTerms
 import plantainturn.request.relay.StreamOrigins
 import plantainturn.version.configuration.FailureDomain
 import java.io.ByteArrayOutputStream
@@ -188,8 +188,8 @@
         )
     private val crashEvidenceFollower: TopicFollower =
         TopicFollower(platform.store, CrashEvidenceTopic.NAME, crashEvidence, timer, pace = ::crashEvidenceReadPace)
-    private val shareTerms = RepetitionShareTerms(settings.repetitionWindowSeconds.seconds)
-    private val repetitionShare = RepetitionShare(shareTerms)
+    private val shareTerms = NodeShareTerms(settings.repetitionWindowSeconds.seconds)
+    private val repetitionShare = NodeShare(shareTerms)
     private val hub =
         PeerHub(
             incarnation,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -16,7 +16,7 @@
 import plantainturn.relay.request.InstanceNotices
 import plantainturn.relay.request.ResidenceClient
 import plantainturn.relay.residence.ResidenceIssuer
-import plantainturn.request.relay.RepetitionShare
+import plantainturn.request.relay.NodeShare
 import plantainturn.request.relay.StreamOrigins
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.ServiceName
@@ -43,7 +43,7 @@
     private val fleet: FleetView,
     private val links: InstanceLinks,
     private val notices: InstanceNotices,
-    private val repetitionShare: RepetitionShare,
+    private val repetitionShare: NodeShare,
     private val streamOrigins: StreamOrigins,
     private val peers: KnownPeers,
     private val createReport: (IssuerKnowledge) -> NodeReport,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -14,8 +14,8 @@
 import plantainturn.relay.request.InstanceNotices
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.relay.KeptPart
-import plantainturn.request.relay.RepetitionShareAllocator
-import plantainturn.request.relay.RepetitionShareTerms
+import plantainturn.request.relay.NodeShareAllocator
+import plantainturn.request.relay.NodeShareTerms
 import plantainturn.request.relay.StreamOrigin
 import plantainturn.request.relay.StreamOrigins
 import plantainturn.version.configuration.ModelName
@@ -32,7 +32,7 @@
     private val issuer: ResidenceIssuer,
     private val lease: StoreLease,
     private val notices: InstanceNotices,
-    private val shareTerms: RepetitionShareTerms,
+    private val shareTerms: NodeShareTerms,
     private val timer: TimerService,
     private val instances: TopicFollower,
     private val breaks: TopicFollower,
@@ -49,7 +49,7 @@
     private var addresses: List<String> = emptyList()
     private var aggregatedAt: Moment? = null
     private var allocatorFence: FenceNumber? = null
-    private var shareAllocator = RepetitionShareAllocator(shareTerms, Moment.ORIGIN)
+    private var shareAllocator = NodeShareAllocator(shareTerms, Moment.ORIGIN)
 
     /** Records [report] and returns the answer to it. */
     fun exchange(report: NodeReport): IssuerReport {
@@ -141,8 +141,8 @@
         if (fence == null || !lease.isExclusive) return null
         if (fence != allocatorFence) {
             allocatorFence = fence
-            val delay = if (lease.isFirstHolder) RepetitionShareAllocator.ABSENT_AFTER else shareTerms.reclaimAfter
-            shareAllocator = RepetitionShareAllocator(shareTerms, now + delay)
+            val delay = if (lease.isFirstHolder) NodeShareAllocator.ABSENT_AFTER else shareTerms.reclaimAfter
+            shareAllocator = NodeShareAllocator(shareTerms, now + delay)
         }
         return shareAllocator.renew(report.node, report.repetitionShare, report.sequence, now)
     }
