--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/quota/LocalBucket.kt
@@ -0,0 +1,37 @@
+package plantainturn.request.quota
+
+import plantainturn.process.time.Moment
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/**
+ * A node's own part of an account's rate while there is no desk to ask.
+ *
+ * Begins at a random debt of up to the cost of one request, so that many nodes together admit the rate on average and
+ * not one request each at once.
+ */
+internal class LocalBucket(
+    random: Random,
+    cost: Long,
+    private var advancedAt: Moment,
+) {
+    private var level = -random.nextDouble() * cost
+
+    /** Returns null and subtracts [cost] if there is no debt, otherwise the time until it is paid. */
+    fun take(
+        cost: Long,
+        unitsPerSecond: Double,
+        now: Moment,
+    ): Duration? {
+        val refill = unitsPerSecond * (now - advancedAt).toDouble(DurationUnit.SECONDS)
+        val highest = unitsPerSecond * QuotaTiming.LOCAL_LEAD.toDouble(DurationUnit.SECONDS)
+        level = maxOf(level, minOf(level + refill, highest))
+        advancedAt = now
+        if (unitsPerSecond <= 0) return QuotaTiming.WITHOUT_DESK_WAIT
+        if (level < 0) return (-level / unitsPerSecond).seconds.coerceAtMost(QuotaTiming.WITHOUT_DESK_WAIT)
+        level -= cost
+        return null
+    }
+}
--- /dev/null
+++ b/library/src/main/kotlin/plantainturn/request/quota/NodeAccount.kt
@@ -0,0 +1,119 @@
+package plantainturn.request.quota
+
+import plantainturn.process.time.Moment
+import plantainturn.version.route.AccountQuota
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/** What one node knows of an account's quota, and what it has admitted of it. */
+internal class NodeAccount(
+    private val random: Random,
+) {
+    private var heardTotal = 0L
+    private var heardAt = Moment.ORIGIN
+    private var heardSequence = -1L
+    private var refusal: Refusal? = null
+    private var local: LocalBucket? = null
+
+    /** Units admitted without asking, less all that was given back. */
+    var total = 0L
+        private set
+
+    /** Whether the desk has to be asked; true until it has said otherwise. */
+    var bound = true
+        private set
+
+    val hasUnheard: Boolean
+        get() = total != heardTotal
+
+    fun decide(
+        quota: AccountQuota,
+        cost: Long,
+        share: Double,
+        deskIsSilent: Boolean,
+        now: Moment,
+    ): NodeVerdict {
+        refusal?.waitFor(cost, quota, now)?.let { return NodeVerdict.Exceeded(it) }
+        return when {
+            mayAdmitOpen(quota, cost, share, deskIsSilent, now) -> admit(cost)
+            deskIsSilent -> decideAlone(cost, quota.perSecond * share, now)
+            else -> NodeVerdict.Ask
+        }
+    }
+
+    private fun decideAlone(
+        cost: Long,
+        unitsPerSecond: Double,
+        now: Moment,
+    ): NodeVerdict {
+        val bucket = local ?: LocalBucket(random, cost, now).also { local = it }
+        return bucket.take(cost, unitsPerSecond, now)?.let { NodeVerdict.Unavailable(it) } ?: admit(cost)
+    }
+
+    fun giveBack(units: Long) {
+        total -= units
+    }
+
+    /** Records that the desk heard [units], null if they had not changed, in the message [sequence] of [sentAt]. */
+    fun onHeard(
+        units: Long?,
+        sequence: Long,
+        nowBound: Boolean,
+        sentAt: Moment,
+    ) {
+        if (sequence <= heardSequence) return
+        heardSequence = sequence
+        heardTotal = units ?: heardTotal
+        heardAt = sentAt
+        bound = nowBound
+        local = null
+    }
+
+    fun onGrant(
+        grant: QuotaGrant,
+        now: Moment,
+    ) {
+        refusal = grant.refusedCost?.let { Refusal(it, now + grant.wait) }
+    }
+
+    private fun mayAdmitOpen(
+        quota: AccountQuota,
+        cost: Long,
+        share: Double,
+        deskIsSilent: Boolean,
+        now: Moment,
+    ): Boolean {
+        val age = now - heardAt
+        if (bound || age > QuotaTiming.OPEN_WITHOUT_DESK) return false
+        val unheard = total - heardTotal
+        val lead = age + minOf(age, QuotaTiming.OPEN_LEAD)
+        val allowed = quota.perSecond * share * lead.toDouble(DurationUnit.SECONDS)
+        return unheard + cost <= allowed || deskIsSilent && unheard <= 0
+    }
+
+    private fun admit(cost: Long): NodeVerdict {
+        total += cost
+        return NodeVerdict.Admitted
+    }
+
+    /** The desk's word that it has no room for [cost] until [until]; smaller requests may still be granted. */
+    private class Refusal(
+        private val cost: Long,
+        private val until: Moment,
+    ) {
+        fun waitFor(
+            asked: Long,
+            quota: AccountQuota,
+            now: Moment,
+        ): Duration? =
+            if (now >= until || asked < cost) {
+                null
+            } else if (quota.perSecond > 0) {
+                until - now + ((asked - cost) / quota.perSecond).seconds
+            } else {
+                until - now
+            }
+    }
+}
