Keep quotas over all nodes at the issuer and at each node

Nodes report what they admitted without asking, and ask the holder of the lease at POST /peer/quota otherwise. Without accounts in the configuration no message gains a field. RelayNode has the client; the calls of QuotaAdmission come with the check of access keys.

--- a/library/src/main/kotlin/plantainturn/process/ResultCode.kt
+++ b/library/src/main/kotlin/plantainturn/process/ResultCode.kt
@@ -47,7 +47,12 @@
         "Each upstream that could run the request asked for a pause or for fewer requests.",
     ),
     QUOTA_EXCEEDED(3010, 429, Outcome.NOT_RUN, "The client account has used its quota; come back later."),
-    QUOTA_UNAVAILABLE(3011, 503, Outcome.NOT_RUN, "Nobody can tell now whether the client account's quota has room."),
+    QUOTA_UNAVAILABLE(
+        3011,
+        503,
+        Outcome.NOT_RUN,
+        "Whether the client account's quota has room cannot be told at present.",
+    ),
     CONFIGURATION_OUTDATED(3012, 503, Outcome.NOT_RUN, "This node can't tell now whether the key is in force."),
 
     UPSTREAM_FAILED(4000, 502, Outcome.FAILED, "The upstream ran the request and failed."),
--- a/library/src/main/kotlin/plantainturn/request/quota/QuotaLedger.kt
+++ b/library/src/main/kotlin/plantainturn/request/quota/QuotaLedger.kt
@@ -73,7 +73,7 @@
         val (granted, refused) = costs.partition(bucket::tryTake)
         val refusedCost = refused.minOrNull()
         val wait = refusedCost?.let { maxOf(bucket.waitFor(it), QuotaTiming.MINIMUM_REFUSAL) } ?: Duration.ZERO
-        return QuotaGrant(granted.sum(), refusedCost, wait, bucket.isBound)
+        return QuotaGrant(granted.sum(), refusedCost, wait, bucket.isBound, bucket.level)
     }
 
     private fun configure(
--- a/library/src/test/kotlin/plantainturn/request/quota/NodeQuotasTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/quota/NodeQuotasTest.kt
@@ -74,7 +74,8 @@
     @Test
     fun `a refusal holds for as long as the desk said, and not for smaller requests`() {
         val totals = quotas.totalOf(account)
-        quotas.onGrant(account, totals, QuotaGrant(0, refusedCost = 1_000, 2.seconds, bound = true), now, now)
+        val refusal = QuotaGrant(0, refusedCost = 1_000, 2.seconds, bound = true, level = 0.0)
+        quotas.onGrant(account, totals, refusal, now, now)
 
         assertEquals(NodeVerdict.Exceeded(2.seconds), decide(1_000))
         assertEquals(NodeVerdict.Exceeded(2_100.milliseconds), decide(2_000))
--- a/library/src/test/kotlin/plantainturn/request/quota/QuotaWindowTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/quota/QuotaWindowTest.kt
@@ -131,7 +131,7 @@
         val draw: (Random) -> Long,
     ) {
         PLAIN({ 200 }),
-        LONG({ random -> minOf(57_000, (200 - ln(1 - random.nextDouble()) * 9_300).toLong()) }),
+        LONG({ random -> minOf(57_000, longCost(random)) }),
         MIXED({ random -> if (random.nextBoolean()) 200 else LONG.draw(random) }),
     }
 
@@ -148,7 +148,8 @@
             world: QuotaWorld,
             random: Random,
         ) {
-            val half = world.nodes.indices.shuffled(random).take(world.nodes.size / 2)
+            val order = world.nodes.indices.shuffled(random)
+            val half = order.take(world.nodes.size / 2)
             when (this) {
                 NONE -> Unit
                 DESK_CRASHES -> world.crashDesk(successorAfter = random.nextInt(2_000, 6_000).milliseconds)
@@ -161,6 +162,9 @@
     }
 
     private companion object {
+        /** Exponentially distributed, 9,500 on average. */
+        fun longCost(random: Random): Long = (200 - ln(1 - random.nextDouble()) * 9_300).toLong()
+
         const val HOT_LOAD = 7.5 * QuotaWorld.USUAL_LOAD
 
         fun quotaOf(rate: Double) = AccountQuota(QuotaUnit.TOKENS, rate, burst = rate, plainTokens = 200)
--- a/library/src/test/kotlin/plantainturn/request/quota/QuotaWorld.kt
+++ b/library/src/test/kotlin/plantainturn/request/quota/QuotaWorld.kt
@@ -34,6 +34,7 @@
 
     /** The offered load as a part of the quota's rate. */
     var load = USUAL_LOAD
+
     /** The time between two reports of a node. */
     val period: Duration get() = maxOf(200.milliseconds, 4.milliseconds * nodes.size)
 
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
@@ -10,7 +10,9 @@
 import plantainturn.relay.request.InstanceLinks
 import plantainturn.relay.request.InstanceNotices
 import plantainturn.request.quarantine.CrashAttribution
+import plantainturn.request.quota.AccountLevel
 import plantainturn.request.relay.WorkTotals
+import plantainturn.version.route.ClientAccountName
 import plantainturn.version.route.RoutingConfiguration
 import kotlin.time.Duration
 
@@ -36,7 +38,22 @@
     val blockedSeconds: Map<String, Long>,
     val unansweredOrders: List<RelayedOrder>,
     val instances: Map<String, InstanceDump>,
+    val accounts: Map<String, AccountDump> = emptyMap(),
 ) {
+    /**
+     * The quota of a client account.
+     *
+     * @property level the units left at the desk, null at other nodes
+     * @property state whether nodes have to ask the desk, null at other nodes
+     * @property admitted the units that this node has admitted without asking, less what was given back
+     */
+    @Serializable
+    data class AccountDump(
+        val level: Long?,
+        val state: String?,
+        val admitted: Long,
+    )
+
     /** The state of an instance of a service. */
     @Serializable
     data class InstanceDump(
@@ -55,6 +72,16 @@
     companion object {
         private val FORMAT = Json { prettyPrint = true }
 
+        fun accountsOf(
+            levels: Map<ClientAccountName, AccountLevel>,
+            admitted: Map<ClientAccountName, Long>,
+        ): Map<String, AccountDump> =
+            (levels.keys + admitted.keys).sorted().associate { name ->
+                val level = levels[name]
+                val state = level?.let { if (it.bound) "bound" else "open" }
+                name.value to AccountDump(level?.units?.toLong(), state, admitted[name] ?: 0)
+            }
+
         @Suppress("LongParameterList")
         fun of(
             node: String,
@@ -72,6 +99,7 @@
             attribution: CrashAttribution,
             storeEra: StoreEra,
             unansweredOrders: List<RelayedOrder>,
+            accounts: Map<String, AccountDump>,
         ): RelayDump {
             val work = links.ownTotals()
             return RelayDump(
@@ -89,6 +117,7 @@
                 blockedSeconds =
                     attribution.blocked.entries.associate { (trait, left) -> "$trait" to left.inWholeSeconds },
                 unansweredOrders = unansweredOrders,
+                accounts = accounts,
                 instances =
                     roster.instances
                         .map { (name, instance) ->
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -36,10 +36,14 @@
 import plantainturn.relay.peer.PeerHub
 import plantainturn.relay.peer.PermitClient
 import plantainturn.relay.peer.PermitDesk
+import plantainturn.relay.peer.QuotaClient
+import plantainturn.relay.peer.QuotaDesk
+import plantainturn.relay.peer.QuotaMetrics
 import plantainturn.relay.peer.RelayedDeparture
 import plantainturn.relay.peer.RelayedLimit
 import plantainturn.relay.peer.RelayedOrder
 import plantainturn.relay.peer.RelayedRecords
+import plantainturn.relay.peer.ShareDesk
 import plantainturn.relay.peer.StreamOriginLink
 import plantainturn.relay.peer.TopicEnds
 import plantainturn.relay.request.AccountCheck
@@ -48,7 +52,6 @@
 import plantainturn.relay.request.FleetView
 import plantainturn.relay.request.InstanceLinks
 import plantainturn.relay.request.InstanceNotices
-import plantainturn.relay.request.QuotaAdmission
 import plantainturn.relay.request.RelayContext
 import plantainturn.relay.request.RelayHandler
 import plantainturn.relay.request.RelayMetrics
@@ -58,11 +61,13 @@
 import plantainturn.relay.request.WaitingRequests
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.quarantine.CrashAttribution
+import plantainturn.request.quota.NodeQuotas
+import plantainturn.request.quota.QuotaTerms
 import plantainturn.request.relay.EngineTimeEstimator
-import plantainturn.request.relay.RepetitionBudget
-import plantainturn.request.relay.RepetitionSettings
 import plantainturn.request.relay.NodeShare
 import plantainturn.request.relay.NodeShareTerms
+import plantainturn.request.relay.RepetitionBudget
+import plantainturn.request.relay.RepetitionSettings
 import plantainturn.request.relay.StreamOrigins
 import plantainturn.version.configuration.FailureDomain
 import java.io.ByteArrayOutputStream
@@ -189,14 +194,30 @@
     private val crashEvidenceFollower: TopicFollower =
         TopicFollower(platform.store, CrashEvidenceTopic.NAME, crashEvidence, timer, pace = ::crashEvidenceReadPace)
     private val shareTerms = NodeShareTerms(settings.repetitionWindowSeconds.seconds)
-    private val repetitionShare = NodeShare(shareTerms)
+    private val share = NodeShare(shareTerms)
+    private val shareDesk = ShareDesk(lease, shareTerms, timer)
+    private val quotaDesk =
+        QuotaDesk(lease, shareDesk, configuration, quotaTerms(), timer) { issuerLink.nodes }
+    private val quotaClient: QuotaClient =
+        QuotaClient(
+            incarnation,
+            lease,
+            quotaDesk,
+            NodeQuotas(Random.Default, share::fractionAt),
+            configuration,
+            caller,
+            timer,
+            QuotaMetrics(registry).apply { gaugeLevels { quotaDesk.levels } },
+            { issuerLink.holderLocation() },
+        ) { issuerLink.isIssuerMissing() }
     private val hub =
         PeerHub(
             incarnation,
             issuer,
             lease,
             notices,
-            shareTerms,
+            shareDesk,
+            quotaDesk,
             timer,
             instanceFollower,
             crashEvidenceFollower,
@@ -217,15 +238,16 @@
             fleet,
             links,
             notices,
-            repetitionShare,
+            share,
             streamOrigins,
             KnownPeers(settings.advertisedPeers ?: settings.peers),
+            quotaClient,
             ::createReport,
             ::onIssuerReport,
         )
     private val crashes = CrashTracker(attribution, crashEvidence, timer, links, System::currentTimeMillis)
     private val timeEstimator = EngineTimeEstimator()
-    private val repetitionBudget = RepetitionBudget(repetitions(), repetitionShare::fractionAt)
+    private val repetitionBudget = RepetitionBudget(repetitions(), share::fractionAt)
     private val handler = RelayHandler(context())
     private val callerServer = CallerServer(eventLoop, timer, configuration, handler)
     private val peerServer = InternalHttpServer(eventLoop)
@@ -425,7 +447,7 @@
                     freshness,
                     strictAfter = settings.revocationMilliseconds.milliseconds.takeIf { settings.strictRevocation },
                 ),
-            quota = QuotaAdmission.Unlimited,
+            quota = quotaClient,
             metrics = RelayMetrics(registry).apply { gaugeUnansweredOrders { issuer.unansweredOrders().size } },
             random = Random.Default,
         )
@@ -437,11 +459,14 @@
             settings.repetitionWindowSeconds.seconds,
         )
 
+    private fun quotaTerms() =
+        QuotaTerms(settings.quotaWindowSeconds.seconds, settings.quotaOverage, settings.quotaTolerance)
+
     private fun createReport(known: IssuerKnowledge): NodeReport =
         NodeReport(
             node = incarnation,
             sequence = reportCount++,
-            repetitionShare = repetitionShare.maximumWithinWindow(timer.now()),
+            repetitionShare = share.maximumWithinWindow(timer.now()),
             work = links.ownTotals().mapKeys { it.key.value },
             suspects = links.suspicions().map { it.key.value to it.value.inWholeMilliseconds }.toMap(),
             pressure =
@@ -482,6 +507,7 @@
             ends =
                 TopicEnds(configurationFollower.end, instanceFollower.end, crashEvidenceFollower.end),
             unansweredOrders = unansweredOrders(except = known.session),
+            admitted = quotaClient.createReport(whole = known.session == null),
         )
 
     private fun configurationForIssuer(): KeyedRecord? {
@@ -500,7 +526,7 @@
     private fun round(value: Double): Double = Math.round(value * ROUNDING_FACTOR) / ROUNDING_FACTOR
 
     private fun registerEndpoints() {
-        PeerEndpoint(hub, issuer, permitDesk, streamOriginLink).registerOn(peerServer)
+        PeerEndpoint(hub, issuer, permitDesk, streamOriginLink, quotaDesk).registerOn(peerServer)
         readinessServer.on(
             platform.readinessCall,
         ) { _, done -> done(InternalHttpResponse(if (isReady()) OK else UNAVAILABLE)) }
@@ -528,10 +554,11 @@
                 inProgress = handler.inProgress,
                 waiting = waiting.size,
                 nodes = issuerLink.nodes,
-                repetitionShare = repetitionShare.fractionAt(timer.now()),
+                repetitionShare = share.fractionAt(timer.now()),
                 attribution = attribution,
                 storeEra = maxOf(configurationFollower.end, instanceFollower.end).era,
                 unansweredOrders = unansweredOrders(),
+                accounts = RelayDump.accountsOf(quotaDesk.levels, quotaClient.admitted),
             ).toJson()
 
     private companion object {
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelaySettings.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelaySettings.kt
@@ -25,6 +25,9 @@
  * @property loadWindowSeconds the window in which loads from the weight store are counted
  * @property strictRevocation whether requests that need an access key are refused without a confirmed configuration
  * @property revocationMilliseconds the age of the last confirmation from which a strict node refuses them
+ * @property quotaWindowSeconds the window in which the use of an account's quota by all nodes is bounded
+ * @property quotaOverage part of rate x window + burst by which that use may exceed it
+ * @property quotaTolerance tokens by which that use may exceed it in addition
  */
 @Serializable
 public data class RelaySettings(
@@ -47,6 +50,9 @@
     val loadWindowSeconds: Double = 5.0,
     val strictRevocation: Boolean = false,
     val revocationMilliseconds: Long = 3_000,
+    val quotaWindowSeconds: Double = 8.0,
+    val quotaOverage: Double = 0.1,
+    val quotaTolerance: Double = 0.0,
 ) {
     /** Returns the faults of the settings, empty if they are valid. */
     public fun faults(): List<String> =
@@ -69,11 +75,14 @@
                 "repetitionWindowSeconds" to repetitionWindowSeconds,
                 "loadWindowSeconds" to loadWindowSeconds,
                 "revocationMilliseconds" to revocationMilliseconds.toDouble(),
+                "quotaWindowSeconds" to quotaWindowSeconds,
             )) {
                 if (value != null && value <= 0) add("$name: must be positive")
             }
             if (handOverMilliseconds < 0) add("handOverMilliseconds: must not be negative")
             if (repetitionRatio < 0) add("repetitionRatio: must not be negative")
             if (repetitionsFixed < 0) add("repetitionsFixed: must not be negative")
+            if (quotaOverage < 0) add("quotaOverage: must not be negative")
+            if (quotaTolerance < 0) add("quotaTolerance: must not be negative")
         }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -43,9 +43,10 @@
     private val fleet: FleetView,
     private val links: InstanceLinks,
     private val notices: InstanceNotices,
-    private val repetitionShare: NodeShare,
+    private val share: NodeShare,
     private val streamOrigins: StreamOrigins,
     private val peers: KnownPeers,
+    private val quotas: QuotaClient,
     private val createReport: (IssuerKnowledge) -> NodeReport,
     private val onIssuerReport: (IssuerReport, Moment) -> Unit,
 ) : ResidenceClient {
@@ -80,7 +81,8 @@
         if (last != null && timer.now() - last < ExchangeTiming.period(nodes) - STEP_TOLERANCE) return
         lastStepAt = timer.now()
         if (lease.fence != null) {
-            applyReport(hub.exchange(createReport(knowledgeOf(SELF))), SELF, timer.now())
+            val own = createReport(knowledgeOf(SELF))
+            applyReport(hub.exchange(own), own, SELF, timer.now())
             return
         }
         val holder = holderLocation()
@@ -92,7 +94,7 @@
     }
 
     /** Returns where a peer believes the issuer, until the store names another one than before. */
-    private fun holderLocation(): SocketLocation? {
+    fun holderLocation(): SocketLocation? {
         val inStore = lease.holderLocation()
         if (inStore != hintedInsteadOf) hintedHolder = null
         return hintedHolder ?: inStore
@@ -153,7 +155,8 @@
         exchanging = true
         val from = location.toString()
         val sentAt = timer.now()
-        val body = Json.encodeToString(NodeReport.serializer(), createReport(knowledgeOf(from))).toByteArray()
+        val sent = createReport(knowledgeOf(from))
+        val body = Json.encodeToString(NodeReport.serializer(), sent).toByteArray()
         caller.call(location, HttpCall(HttpMethod.POST, EXCHANGE_PATH, body), EXCHANGE_TIMEOUT) { result ->
             exchanging = false
             val report = PeerMessage.decode(result, IssuerReport.serializer())
@@ -163,7 +166,7 @@
                     onUnhelpful(location)
                     logger.debug("issuer={} event=exchange-failed result={}", location, result)
                 }
-                report.issuing -> applyReport(report, from, sentAt)
+                report.issuing -> applyReport(report, sent, from, sentAt)
                 else -> onPeerReport(report, location, sentAt)
             }
         }
@@ -174,6 +177,7 @@
 
     private fun applyReport(
         report: IssuerReport,
+        sent: NodeReport,
         from: String,
         sentAt: Moment,
     ) {
@@ -186,7 +190,7 @@
         }
         lastReportAt = now
         nodes = report.nodes
-        report.repetitionShare?.let { confirmRepetitionShare(it, from, sentAt) }
+        report.repetitionShare?.let { confirmShare(it, from, sentAt) }
         arrivals = report.arrivals
         arrivalsAt = now
         links.onPeerWork(report.work.mapKeys { UpstreamName(it.key) })
@@ -196,6 +200,7 @@
         issuerStoreAnsweredAt = if (report.issuing) report.storeAge?.let { now - it.milliseconds } else null
         onIssuerReport(report, sentAt)
         peers.add(report.peers)
+        quotas.onReport(sent.admitted, report, sentAt)
         if (report.known.session != knowledge.session) streamOrigins.announceAgain()
         streamOrigins.learn(report.streams)
         knowledge = if (report.issuing) report.known else IssuerKnowledge.NONE
@@ -214,17 +219,17 @@
         issuer.onReportedOrders(report.known.session ?: from, report.unansweredOrders.map { it.toOrder(now) })
     }
 
-    private fun confirmRepetitionShare(
+    private fun confirmShare(
         fraction: Double,
         from: String,
         sentAt: Moment,
     ) {
         val now = timer.now()
-        val before = repetitionShare.fractionAt(now)
+        val before = share.fractionAt(now)
         if (fraction != before) {
             logger.info("event=repetition-share issuer={} before={} now={} nodes={}", from, before, fraction, nodes)
         }
-        repetitionShare.confirm(fraction, sentAt, now)
+        share.confirm(fraction, sentAt, now)
     }
 
     private fun decodeResidence(encoded: Map<String, Map<String, List<String>>?>) =
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -10,7 +10,7 @@
  *
  * @property issuing whether the answering node holds the lease
  * @property nodes the number of nodes that reported recently, itself included
- * @property repetitionShare the share of the fixed repetitions that the node may use, null if not determined
+ * @property repetitionShare the share of what all nodes may use together that the node may use, null if not determined
  * @property work the work of all other nodes at each instance
  * @property suspects milliseconds for which any node still suspects an instance that answered with errors
  * @property departures runs of instances that announced in an answer to some node that they are leaving
@@ -34,6 +34,7 @@
  * @property unansweredOrders orders that were not answered and may still be executed, for the next issuer
  * @property prompts cached parts of prompts that the node has not received
  * @property streams origins of streams that the node has not received, as many as the exchanges can carry
+ * @property boundAccounts accounts for which nodes ask before they admit a request, null if the issuer counts none
  * @property arrivals expected milliseconds until each model that is being loaded is resident
  */
 @Serializable
@@ -64,4 +65,5 @@
     val latestConfigurationVersion: Long = -1,
     val holder: String? = null,
     val peers: List<String> = emptyList(),
+    val boundAccounts: List<String>? = null,
 )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -15,7 +15,7 @@
  * @property adapterUse the use of each adapter by its callers
  * @property known what it has already received from this issuer
  * @property sequence increases with each report of this run of the node
- * @property repetitionShare the largest share of the fixed repetitions that it may have used within the last window
+ * @property repetitionShare the largest part of what all nodes share that it may have used within the last window
  * @property departingRuns its running requests by engine and model, for models no longer counted as resident there
  * @property departures runs of instances that have an entry and announced in an answer that they are leaving
  * @property limits what instances that have an entry said about their limits on requests
@@ -26,6 +26,7 @@
  *   it or can't read it as the store has lost it
  * @property configurationWanted whether the node knows of a later configuration that the store has not given it
  * @property address where peers reach the node
+ * @property admitted what it has admitted of quotas without asking, null if its configuration has no accounts
  * @property prompts shareable parts of prompts that engines have processed for its callers since its last report
  */
 @Serializable
@@ -49,6 +50,7 @@
     val unansweredOrders: List<RelayedOrder> = emptyList(),
     val configurationWanted: Boolean = false,
     val address: String = "",
+    val admitted: AdmittedReport? = null,
 ) {
     /** The demand of the callers of one node for one base model. */
     @Serializable
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerEndpoint.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerEndpoint.kt
@@ -15,6 +15,7 @@
     private val issuer: ResidenceIssuer,
     private val permits: PermitDesk,
     private val streamOrigins: StreamOriginLink,
+    private val quotas: QuotaDesk,
 ) {
     /** Registers the handlers of peer calls on [server]. */
     fun registerOn(server: InternalHttpServer) {
@@ -35,6 +36,7 @@
             if (wish == null) done(InternalHttpResponse(BAD_REQUEST)) else grant(wish, done)
         }
         server.on("POST ${StreamOriginLink.PATH}", ::answerQuestion)
+        server.on("POST ${QuotaClient.PATH}", ::answerQuota)
         server.on("POST ${PermitClient.PATH}") { body, done ->
             val wish = PeerMessage.decode(body, PermitWish.serializer())
             if (wish == null) {
@@ -59,6 +61,15 @@
         )
     }
 
+    private fun answerQuota(
+        body: ByteArray,
+        done: (InternalHttpResponse) -> Unit,
+    ) {
+        val wish = PeerMessage.decode(body, QuotaWish.serializer()) ?: return done(InternalHttpResponse(BAD_REQUEST))
+        val answer = quotas.ask(wish)
+        done(if (answer == null) InternalHttpResponse(UNAVAILABLE) else answer(QuotaAnswer.serializer(), answer))
+    }
+
     private fun grant(
         wish: AdapterWish,
         done: (InternalHttpResponse) -> Unit,
@@ -79,5 +90,6 @@
     private companion object {
         const val OK = 200
         const val BAD_REQUEST = 400
+        const val UNAVAILABLE = 503
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -1,6 +1,5 @@
 package plantainturn.relay.peer
 
-import plantainturn.connection.engine.FenceNumber
 import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.TopicFollower
 import plantainturn.process.control.lease.StoreLease
@@ -14,8 +13,6 @@
 import plantainturn.relay.request.InstanceNotices
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.relay.KeptPart
-import plantainturn.request.relay.NodeShareAllocator
-import plantainturn.request.relay.NodeShareTerms
 import plantainturn.request.relay.StreamOrigin
 import plantainturn.request.relay.StreamOrigins
 import plantainturn.version.configuration.ModelName
@@ -32,7 +29,8 @@
     private val issuer: ResidenceIssuer,
     private val lease: StoreLease,
     private val notices: InstanceNotices,
-    private val shareTerms: NodeShareTerms,
+    private val shares: ShareDesk,
+    private val quotas: QuotaDesk,
     private val timer: TimerService,
     private val instances: TopicFollower,
     private val breaks: TopicFollower,
@@ -48,8 +46,6 @@
     private var aggregate = ReportAggregate(emptyMap())
     private var addresses: List<String> = emptyList()
     private var aggregatedAt: Moment? = null
-    private var allocatorFence: FenceNumber? = null
-    private var shareAllocator = NodeShareAllocator(shareTerms, Moment.ORIGIN)
 
     /** Records [report] and returns the answer to it. */
     fun exchange(report: NodeReport): IssuerReport {
@@ -69,7 +65,7 @@
         return IssuerReport(
             issuing = issuer.isActive,
             nodes = received.size,
-            repetitionShare = shareFor(report, now),
+            repetitionShare = shares.shareFor(report),
             work = aggregate.workOfOthers(report.node),
             suspects = aggregate.suspects,
             departures = aggregate.departures,
@@ -100,6 +96,7 @@
             latestConfigurationVersion = freshness.latestVersion,
             holder = holder(),
             peers = KnownPeers.forReport(addresses, report.sequence),
+            boundAccounts = quotas.report(report.node, report.admitted),
         )
     }
 
@@ -129,24 +126,6 @@
         residenceChanges.update(issuer.residence())
     }
 
-    /**
-     * Returns the reporting node's share of the fixed repetitions, or null unless this node holds the lease
-     * exclusively: two nodes that answered at the same time could allocate the same share twice.
-     */
-    private fun shareFor(
-        report: NodeReport,
-        now: Moment,
-    ): Double? {
-        val fence = lease.fence
-        if (fence == null || !lease.isExclusive) return null
-        if (fence != allocatorFence) {
-            allocatorFence = fence
-            val delay = if (lease.isFirstHolder) NodeShareAllocator.ABSENT_AFTER else shareTerms.reclaimAfter
-            shareAllocator = NodeShareAllocator(shareTerms, now + delay)
-        }
-        return shareAllocator.renew(report.node, report.repetitionShare, report.sequence, now)
-    }
-
     private fun updateIssuerDemand(reports: Collection<NodeReport>) {
         val pressure = HashMap<ModelName, ModelPressure>()
         val use = HashMap<Pair<ModelName, ModelName>, AdapterDemand>()
--- a/relay/src/test/kotlin/plantainturn/relay/peer/ReportAggregateTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/peer/ReportAggregateTest.kt
@@ -1,11 +1,13 @@
 package plantainturn.relay.peer
 
+import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.Test
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.store.StoreEra
 import plantainturn.connection.store.StorePosition
 import plantainturn.request.relay.WorkTotals
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 
 class ReportAggregateTest {
     @Test
@@ -52,6 +54,12 @@
         breaks: Long,
     ) = TopicEnds(position(configuration), position(instances), position(breaks))
 
+    /** Guards against bytes for quotas in deployments that have no accounts. */
+    @Test
+    fun `a report without accounts has no field for them`() {
+        assertFalse("admitted" in Json.encodeToString(NodeReport.serializer(), report("a")))
+    }
+
     private fun position(offset: Long) = StorePosition(StoreEra.FIRST, LogOffset(offset))
 
     private fun report(
