--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -208,6 +208,7 @@
             caller,
             timer,
             QuotaMetrics(registry).apply { gaugeLevels { quotaDesk.levels } },
+            { issuerLink.holderLocation() },
         ) { issuerLink.isIssuerMissing() }
     private val hub =
         PeerHub(
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -94,7 +94,7 @@
     }
 
     /** Returns where a peer believes the issuer, until the store names another one than before. */
-    private fun holderLocation(): SocketLocation? {
+    fun holderLocation(): SocketLocation? {
         val inStore = lease.holderLocation()
         if (inStore != hintedInsteadOf) hintedHolder = null
         return hintedHolder ?: inStore
--- a/relay/src/test/kotlin/plantainturn/relay/peer/QuotaClientTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/peer/QuotaClientTest.kt
@@ -169,6 +169,7 @@
                 HttpClient(loop, ExecutorTimerService(loop)),
                 timer,
                 QuotaMetrics(PrometheusRegistry()),
+                lease::holderLocation,
             ) { false }
 
         fun learnIssuer() {
