--- a/library/src/main/kotlin/plantainturn/connection/store/RecordStore.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/RecordStore.kt
@@ -10,6 +10,12 @@
  * every failure is a result. The platform bills each call.
  */
 public interface RecordStore {
+    /** Returns this store for calls of the given [kind]; only a store that counts calls tells them apart. */
+    public fun forKind(kind: StoreCallKind): RecordStore = this
+
+    /** Returns this store with [onCall] called before each of its calls, further pages of a reading included. */
+    public fun observed(onCall: (TopicName) -> Unit): RecordStore = this
+
     /**
      * Appends a record for [key].
      *
--- a/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
@@ -63,7 +63,7 @@
     }
 
     /** Begins to follow. */
-    public fun start(): Unit = readOn()
+    public fun start(): Unit = readOn(StoreCallKind.FIRST_READING)
 
     /**
      * Reads the newest records if the topic is known to end at [hinted], and the outstanding read has not told so
@@ -79,21 +79,23 @@
         if (catchingUp || timer.now() - since < hintPatience) return
         catchingUp = true
         logger.info("topic={} event=catch-up known={} hinted={}", topic, before, hinted)
-        store.readNewest(topic) { result ->
+        store.forKind(StoreCallKind.CATCH_UP).readNewest(topic) { result ->
             catchingUp = false
             if (result is StoreReadResult.Records) takeWhole(result)
         }
     }
 
-    private fun readOn() {
+    private fun readOn(kind: StoreCallKind = StoreCallKind.READING) {
         val from = known
         val number = ++readNumber
         if (from == null || expired) {
-            store.readNewest(topic) { whole(it) }
+            store.forKind(kind).readNewest(topic) { whole(it) }
         } else {
             val sent = timer.now()
             val longest = pace().wait
-            store.read(topic, from.offset, longest) { if (number == readNumber) further(it, from, sent + longest) }
+            store.forKind(kind).read(topic, from.offset, longest) {
+                if (number == readNumber) further(it, from, sent + longest)
+            }
             watch(number, sent)
         }
     }
@@ -107,7 +109,7 @@
             if (number != readNumber || resting) return@schedule
             if (timer.now() - sent > pace().wait + LATE_ANSWER) {
                 logger.info("topic={} event=read-replaced after={}", topic, timer.now() - sent)
-                readOn()
+                readOn(StoreCallKind.REPLACED_READING)
             } else {
                 watch(number, sent)
             }
@@ -183,7 +185,7 @@
                         result.next,
                     )
                     expired = true
-                    readOn()
+                    readOn(StoreCallKind.WHOLE_READING)
                     return
                 }
                 if (timer.now() > due + LATE_ANSWER) noteOutage(due)
@@ -195,7 +197,7 @@
             is StoreReadResult.Expired -> {
                 logger.info("topic={} event=history-expired at={} era={} action=read-newest", topic, known, result.era)
                 expired = true
-                readOn()
+                readOn(StoreCallKind.WHOLE_READING)
             }
             is StoreReadResult.Unavailable -> lost(result)
         }
@@ -208,7 +210,7 @@
         logger.debug("topic={} event=read-failed result={}", topic, result)
         timer.schedule(RETRY_PAUSE * minOf(failures, MAXIMUM_PAUSE_FACTOR)) {
             resting = false
-            readOn()
+            readOn(StoreCallKind.RETRY)
         }
     }
 
--- a/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
@@ -9,6 +9,7 @@
 import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.RecordStore
 import plantainturn.connection.store.StoreAppendResult
+import plantainturn.connection.store.StoreCallKind
 import plantainturn.connection.store.StoreEra
 import plantainturn.connection.store.StorePosition
 import plantainturn.connection.store.StoreReadResult
@@ -98,7 +99,7 @@
 
     /** Reads the holder's record from the store, unless this node holds the lease or a call is in progress. */
     public fun readHolder() {
-        if (!callInProgress && held == null) read()
+        if (!callInProgress && held == null) read(StoreCallKind.HOLDER_LOOK_UP)
     }
 
     /**
@@ -115,7 +116,9 @@
     private fun releaseNow(current: Held) {
         lose("released")
         val record = HolderRecord(NO_HOLDER, "", current.fence.value)
-        append(record, current.end) { logger.info("event=lease-release fence={} result={}", current.fence, it) }
+        append(record, current.end, StoreCallKind.LEASE_RENEWAL) {
+            logger.info("event=lease-release fence={} result={}", current.fence, it)
+        }
     }
 
     /** Gives up the lease if an engine has refused this node's fence because it has seen [later]. */
@@ -140,7 +143,7 @@
         if (!due || !retryDue) return
         val difference = clockDifference()
         val record = HolderRecord(holder.value, address, current.fence.value)
-        append(record, current.end) { result -> renewed(result, now, difference) }
+        append(record, current.end, StoreCallKind.LEASE_RENEWAL) { result -> renewed(result, now, difference) }
     }
 
     private fun renewed(
@@ -179,7 +182,7 @@
      */
     private fun resolveConflict(current: Held) {
         callInProgress = true
-        store.readNewest(TOPIC) { result ->
+        store.forKind(StoreCallKind.LEASE_RENEWAL).readNewest(TOPIC) { result ->
             callInProgress = false
             if (result is StoreReadResult.Records && held === current) {
                 val newest = newest(result)
@@ -223,14 +226,15 @@
     private fun contend() {
         val seen = observed
         when {
-            seen == null || timer.now() >= seen.mayClaimAt(settings) && !seen.confirmed -> read()
+            seen == null || timer.now() >= seen.mayClaimAt(settings) && !seen.confirmed ->
+                read(StoreCallKind.LEASE_CLAIM)
             timer.now() >= seen.mayClaimAt(settings) -> claim(seen.end, seen.record, seen.ordersFrom(settings))
         }
     }
 
-    private fun read() {
+    private fun read(kind: StoreCallKind) {
         callInProgress = true
-        store.readNewest(TOPIC) { result ->
+        store.forKind(kind).readNewest(TOPIC) { result ->
             callInProgress = false
             if (result is StoreReadResult.Records) observe(result)
         }
@@ -271,7 +275,7 @@
         val sentAt = timer.now()
         val difference = clockDifference()
         val record = HolderRecord(holder.value, address, fenceOf(end).value)
-        append(record, end) { result ->
+        append(record, end, StoreCallKind.LEASE_CLAIM) { result ->
             when (result) {
                 is StoreAppendResult.Appended ->
                     granted(result.position, previous, maxOf(sentAt, ordersFrom), sentAt, difference)
@@ -322,10 +326,11 @@
     private fun append(
         record: HolderRecord,
         at: StorePosition,
+        kind: StoreCallKind,
         done: (StoreAppendResult) -> Unit,
     ) {
         callInProgress = true
-        store.append(TOPIC, KEY, Json.encodeToString(record).toByteArray(), at) { result ->
+        store.forKind(kind).append(TOPIC, KEY, Json.encodeToString(record).toByteArray(), at) { result ->
             callInProgress = false
             done(result)
         }
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -14,8 +14,10 @@
 import plantainturn.connection.roster.RosterTimes
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.connection.roster.VersionHistory
+import plantainturn.connection.store.CountedRecordStore
 import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.ReadPace
+import plantainturn.connection.store.RecordStore
 import plantainturn.connection.store.TopicFollower
 import plantainturn.process.control.lease.HolderIdentifier
 import plantainturn.process.control.lease.IssuerFitness
@@ -100,6 +102,9 @@
     private val caller = HttpClient(eventLoop, timer, heldBytes)
     private val platform = connect(eventLoop, caller, location(settings.store))
     private val registry = PrometheusRegistry()
+    private val metrics: RelayMetrics =
+        RelayMetrics(registry).apply { gaugeUnansweredOrders { issuer.unansweredOrders().size } }
+    private val store: RecordStore = CountedRecordStore(platform.store, metrics::onStoreCall)
     private val rosterTimes = RosterTimes(settings.drainMilliseconds.milliseconds)
     private val roster = InstanceRoster(rosterTimes.lapseGrace)
     private val fleet = FleetView(roster, timer)
@@ -122,7 +127,7 @@
     private val instances = InstanceWatch(platform.records, roster, timer, ::onRoster)
     private val lease =
         StoreLease(
-            platform.store,
+            store,
             HolderIdentifier(incarnation),
             settings.advertisedPeers ?: settings.peers,
             timer,
@@ -146,7 +151,7 @@
     private val attribution = CrashAttribution(timer, CrashEvidenceTopic.SETTINGS)
     private val crashEvidence: CrashEvidenceTopic =
         CrashEvidenceTopic(
-            platform.store,
+            store,
             attribution,
             timer,
             Random.Default,
@@ -157,7 +162,7 @@
     private val versionHistory = VersionHistory(timer)
     private val streamOrigins = StreamOrigins(timer)
     private val versionRecords =
-        VersionRecords(platform.store, versionHistory, timer, System::currentTimeMillis) { lease.isExclusive }
+        VersionRecords(store, versionHistory, timer, System::currentTimeMillis) { lease.isExclusive }
     private val streamOriginLink: StreamOriginLink =
         StreamOriginLink(streamOrigins, lease, caller) { issuerLink.isIssuerMissing() }
     private val streamVersions =
@@ -174,7 +179,7 @@
     private val waiting = WaitingRequests()
     private val configurationFollower =
         TopicFollower(
-            platform.store,
+            store,
             platform.configurationTopic,
             configuration,
             timer,
@@ -184,7 +189,7 @@
         )
     private val instanceFollower =
         TopicFollower(
-            platform.store,
+            store,
             platform.instanceTopic,
             instances,
             timer,
@@ -192,7 +197,7 @@
             pace = ::instanceReadPace,
         )
     private val crashEvidenceFollower: TopicFollower =
-        TopicFollower(platform.store, CrashEvidenceTopic.NAME, crashEvidence, timer, pace = ::crashEvidenceReadPace)
+        TopicFollower(store, CrashEvidenceTopic.NAME, crashEvidence, timer, pace = ::crashEvidenceReadPace)
     private val shareTerms = NodeShareTerms(settings.repetitionWindowSeconds.seconds)
     private val share = NodeShare(shareTerms)
     private val shareDesk = ShareDesk(lease, shareTerms, timer)
@@ -241,6 +246,7 @@
             streamOrigins,
             KnownPeers(settings.advertisedPeers ?: settings.peers),
             quotaClient,
+            metrics,
             ::createReport,
             ::onIssuerReport,
         )
@@ -447,7 +453,7 @@
                     strictAfter = settings.revocationMilliseconds.milliseconds.takeIf { settings.strictRevocation },
                 ),
             quota = quotaClient,
-            metrics = RelayMetrics(registry).apply { gaugeUnansweredOrders { issuer.unansweredOrders().size } },
+            metrics = metrics,
             random = Random.Default,
         )
 
@@ -525,7 +531,7 @@
     private fun round(value: Double): Double = Math.round(value * ROUNDING_FACTOR) / ROUNDING_FACTOR
 
     private fun registerEndpoints() {
-        PeerEndpoint(hub, issuer, permitDesk, streamOriginLink, quotaDesk).registerOn(peerServer)
+        PeerEndpoint(hub, issuer, permitDesk, streamOriginLink, quotaDesk, metrics).registerOn(peerServer)
         readinessServer.on(
             platform.readinessCall,
         ) { _, done -> done(InternalHttpResponse(if (isReady()) OK else UNAVAILABLE)) }
--- a/relay/src/main/kotlin/plantainturn/relay/node/VersionRecords.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/VersionRecords.kt
@@ -9,6 +9,7 @@
 import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.KeyedValue
 import plantainturn.connection.store.RecordStore
+import plantainturn.connection.store.StoreCallKind
 import plantainturn.connection.store.StoreReadResult
 import plantainturn.connection.store.TopicName
 import plantainturn.process.time.Moment
@@ -44,13 +45,15 @@
         private set
 
     /** Reads what was written, again and again until the store answers. */
-    fun start() {
-        store.readNewest(TOPIC) { result ->
+    fun start(): Unit = read(StoreCallKind.FIRST_READING)
+
+    private fun read(kind: StoreCallKind) {
+        store.forKind(kind).readNewest(TOPIC) { result ->
             if (result is StoreReadResult.Records) {
                 result.records.forEach(::apply)
                 isLoaded = true
             } else {
-                timer.schedule(RETRY_PAUSE) { start() }
+                timer.schedule(RETRY_PAUSE) { read(StoreCallKind.RETRY) }
             }
         }
     }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -10,10 +10,12 @@
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.relay.http.HttpCall
+import plantainturn.relay.http.HttpCallResult
 import plantainturn.relay.http.HttpClient
 import plantainturn.relay.request.FleetView
 import plantainturn.relay.request.InstanceLinks
 import plantainturn.relay.request.InstanceNotices
+import plantainturn.relay.request.RelayMetrics
 import plantainturn.relay.request.ResidenceClient
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.relay.NodeShare
@@ -47,6 +49,7 @@
     private val streamOrigins: StreamOrigins,
     private val peers: KnownPeers,
     private val quotas: QuotaClient,
+    private val metrics: RelayMetrics,
     private val createReport: (IssuerKnowledge) -> NodeReport,
     private val onIssuerReport: (IssuerReport, Moment) -> Unit,
 ) : ResidenceClient {
@@ -157,8 +160,10 @@
         val sentAt = timer.now()
         val sent = createReport(knowledgeOf(from))
         val body = Json.encodeToString(NodeReport.serializer(), sent).toByteArray()
+        metrics.onExchangeBytes(sent = true, "report", body.size)
         caller.call(location, HttpCall(HttpMethod.POST, EXCHANGE_PATH, body), EXCHANGE_TIMEOUT) { result ->
             exchanging = false
+            if (result is HttpCallResult.Answered) metrics.onExchangeBytes(sent = false, "answer", result.body.size)
             val report = PeerMessage.decode(result, IssuerReport.serializer())
             when {
                 report == null -> {
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerEndpoint.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerEndpoint.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.json.Json
 import plantainturn.relay.http.InternalHttpResponse
 import plantainturn.relay.http.InternalHttpServer
+import plantainturn.relay.request.RelayMetrics
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.ServiceName
@@ -16,20 +17,20 @@
     private val permits: PermitDesk,
     private val streamOrigins: StreamOriginLink,
     private val quotas: QuotaDesk,
+    private val metrics: RelayMetrics,
 ) {
     /** Registers the handlers of peer calls on [server]. */
     fun registerOn(server: InternalHttpServer) {
         server.on("POST ${IssuerLink.EXCHANGE_PATH}") { body, done ->
+            metrics.onExchangeBytes(sent = false, "report", body.size)
             val report = PeerMessage.decode(body, NodeReport.serializer())
-            done(
-                if (report ==
-                    null
-                ) {
-                    InternalHttpResponse(BAD_REQUEST)
-                } else {
-                    answer(IssuerReport.serializer(), hub.exchange(report))
-                },
-            )
+            if (report == null) {
+                done(InternalHttpResponse(BAD_REQUEST))
+            } else {
+                val answer = answer(IssuerReport.serializer(), hub.exchange(report))
+                metrics.onExchangeBytes(sent = true, "answer", answer.body.size)
+                done(answer)
+            }
         }
         server.on("POST ${IssuerLink.ADAPTER_PATH}") { body, done ->
             val wish = PeerMessage.decode(body, AdapterWish.serializer())
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
@@ -4,6 +4,8 @@
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import plantainturn.connection.store.StoreCallKind
+import plantainturn.connection.store.TopicName
 import plantainturn.process.ResultCode
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -46,6 +48,20 @@
             .name("plantainturn_relay_other_answers_total")
             .help("Answers on connections to instances that were not taken for the answer to the request in progress.")
             .register(registry)
+    private val storeCalls =
+        Counter
+            .builder()
+            .name("plantainturn_relay_store_calls_total")
+            .help("Calls to the store by topic and kind, refused ones too; each is billed.")
+            .labelNames("topic", "kind")
+            .register(registry)
+    private val exchangeBytes =
+        Counter
+            .builder()
+            .name("plantainturn_relay_exchange_bytes_total")
+            .help("Bytes of the bodies of exchanges between this node and the issuer, by direction and message.")
+            .labelNames("direction", "message")
+            .register(registry)
     private val firstByte =
         Histogram
             .builder()
@@ -92,6 +108,26 @@
         permits.labelValues(granted.toString()).inc()
     }
 
+    internal fun onStoreCall(
+        topic: TopicName,
+        kind: StoreCallKind,
+    ) {
+        storeCalls.labelValues(topic.value, kind.name.lowercase()).inc()
+    }
+
+    /**
+     * Counts the [bytes] of one message.
+     *
+     * @param message `report` or `answer`
+     */
+    internal fun onExchangeBytes(
+        sent: Boolean,
+        message: String,
+        bytes: Int,
+    ) {
+        exchangeBytes.labelValues(if (sent) "sent" else "received", message).inc(bytes.toDouble())
+    }
+
     internal fun onOtherAnswer() {
         otherAnswers.inc()
     }
