--- a/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
@@ -3,6 +3,7 @@
 import org.apache.logging.log4j.LogManager
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -14,8 +15,12 @@
  * older than what is known are dropped. When the store has come back from a copy, shown by a later era of any answer or
  * hint, the topic is read anew as a whole. Confined to the thread of the node's event loop.
  *
+ * While a peer hands on what it reads, failed reads are retried rarely, and the store counts as lost only if the peer
+ * has heard nothing meanwhile either.
+ *
  * @param hintPatience how long a hint of a later end may be known before the topic is read anew for it
  * @param retained how many records are kept for [since]
+ * @param random varies the pauses after reads that failed
  * @param pace how long reads wait and rest, looked at again while a read rests
  */
 public class TopicFollower(
@@ -25,6 +30,7 @@
     private val timer: TimerService,
     private val hintPatience: Duration = HINT_PATIENCE,
     private val retained: Int = RECENT,
+    random: Random = Random.Default,
     private val pace: () -> ReadPace,
 ) {
     private val logger = LogManager.getLogger(TopicFollower::class.java)
@@ -33,7 +39,12 @@
     private var catchingUp = false
     private var hintedAt: Moment? = null
     private var lostSince: Moment? = null
-    private var failures = 0
+    private var failingSince: Moment? = null
+    private var offeredAt = Moment.ORIGIN
+    private val readBackoff = RetryBackoff(RETRY_PAUSE, random)
+    private val catchUpBackoff = RetryBackoff(RETRY_PAUSE, random)
+    private var catchUpFrom = Moment.ORIGIN
+    private var retryDue: Moment? = null
     private var readNumber = 0L
     private var resting = false
     private val recent = ArrayDeque<KeyedRecord>()
@@ -59,7 +70,12 @@
     public fun offer(offered: RecordsSince) {
         val before = known ?: return
         val sameEra = offered.from.era == before.era && offered.next.era == before.era
-        if (sameEra && offered.from <= before && offered.next > before) take(offered.records, offered.next, before)
+        if (!sameEra || offered.from > before || offered.next <= before) return
+        // The peer heard nothing for a while either, so the store was away for both.
+        if (failingSince != null && timer.now() - offeredAt > LONGEST_OFFER_GAP) noteOutage(offeredAt)
+        offeredAt = timer.now()
+        if (pace().isInformedByPeer) endOutage()
+        take(offered.records, offered.next, before)
     }
 
     /** Begins to follow. */
@@ -76,12 +92,17 @@
             return
         }
         val since = hintedAt ?: timer.now().also { hintedAt = it }
-        if (catchingUp || timer.now() - since < hintPatience) return
+        if (catchingUp || timer.now() - since < hintPatience || timer.now() < catchUpFrom) return
         catchingUp = true
         logger.info("topic={} event=catch-up known={} hinted={}", topic, before, hinted)
         store.forKind(StoreCallKind.CATCH_UP).readNewest(topic) { result ->
             catchingUp = false
-            if (result is StoreReadResult.Records) takeWhole(result)
+            if (result is StoreReadResult.Records) {
+                catchUpBackoff.reset()
+                takeWhole(result)
+            } else {
+                catchUpFrom = timer.now() + catchUpBackoff.onFailure(LONGEST_CATCH_UP_PAUSE)
+            }
         }
     }
 
@@ -204,12 +225,29 @@
     }
 
     private fun lost(result: StoreReadResult) {
-        if (lostSince == null) noteOutage(timer.now())
-        failures++
-        resting = true
+        if (failingSince == null) failingSince = timer.now()
+        if (!pace().isInformedByPeer) noteOutage(timer.now())
         logger.debug("topic={} event=read-failed result={}", topic, result)
-        timer.schedule(RETRY_PAUSE * minOf(failures, MAXIMUM_PAUSE_FACTOR)) {
-            resting = false
+        resting = true
+        val now = timer.now()
+        retryDue = now + readBackoff.onFailure(pace().longestRetryPause)
+        awaitRetry(now)
+    }
+
+    /** Reads again soon if the last read failed, as the store answers reads of another topic again. */
+    public fun onStoreAnswers() {
+        if (retryDue != null) retryDue = timer.now()
+    }
+
+    /** The pace may become shorter meanwhile, as the peer that informs this node may fall silent. */
+    private fun awaitRetry(failedAt: Moment) {
+        val due = retryDue ?: return
+        val left = minOf(due, failedAt + pace().longestRetryPause) - timer.now()
+        resting = left.isPositive()
+        if (resting) {
+            timer.schedule(minOf(left, PACE_CHECK)) { awaitRetry(failedAt) }
+        } else {
+            retryDue = null
             readOn(StoreCallKind.RETRY)
         }
     }
@@ -223,7 +261,13 @@
 
     private fun regained() {
         heardAt = timer.now()
-        failures = 0
+        readBackoff.reset()
+        failingSince?.let { if (offeredAt < it) noteOutage(it) }
+        failingSince = null
+        endOutage()
+    }
+
+    private fun endOutage() {
         val since = lostSince ?: return
         lostSince = null
         logger.info("topic={} event=dependency-regained dependency=store after={}", topic, timer.now() - since)
@@ -242,7 +286,12 @@
 
         /** A refused read costs like any other, so a store that is down is asked a few times a second at most. */
         val RETRY_PAUSE = 250.milliseconds
-        const val MAXIMUM_PAUSE_FACTOR = 3
+
+        /** Longer than a peer that hears the store takes to read and hand on the entries that are renewed. */
+        val LONGEST_OFFER_GAP = 800.milliseconds
+
+        /** Short enough for a configuration to be in force in time after two failures. */
+        val LONGEST_CATCH_UP_PAUSE = 1_000.milliseconds
 
         /** An answer later than this beyond the wait shows that the store was away meanwhile. */
         val LATE_ANSWER = 400.milliseconds
--- a/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
@@ -8,6 +8,7 @@
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.RecordStore
+import plantainturn.connection.store.RetryBackoff
 import plantainturn.connection.store.StoreAppendResult
 import plantainturn.connection.store.StoreCallKind
 import plantainturn.connection.store.StoreEra
@@ -16,6 +17,8 @@
 import plantainturn.connection.store.TopicName
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
+import kotlin.random.Random
+import kotlin.time.Duration
 
 /**
  * A lease on a store with conditional appends.
@@ -48,6 +51,9 @@
     private var held: Held? = null
     private var renewalFailedAt: Moment? = null
     private var callInProgress = false
+    private val random = Random(holder.value.hashCode())
+    private val readBackoff = RetryBackoff(settings.readRetryDelay, random)
+    private var readFrom = Moment.ORIGIN
     private var stopping = false
 
     /** The holder's record as this node last read or wrote it, null if it has read none. */
@@ -99,7 +105,12 @@
 
     /** Reads the holder's record from the store, unless this node holds the lease or a call is in progress. */
     public fun readHolder() {
-        if (!callInProgress && held == null) read(StoreCallKind.HOLDER_LOOK_UP)
+        if (!callInProgress && held == null && timer.now() >= readFrom) read(StoreCallKind.HOLDER_LOOK_UP)
+    }
+
+    /** Lets a contender whose calls failed read again soon, as the store answers other calls again. */
+    public fun onStoreAnswers() {
+        readFrom = minOf(readFrom, timer.now() + settings.claimSpread * random.nextDouble())
     }
 
     /**
@@ -225,6 +236,7 @@
 
     private fun contend() {
         val seen = observed
+        if (timer.now() < readFrom) return
         when {
             seen == null || timer.now() >= seen.mayClaimAt(settings) && !seen.confirmed ->
                 read(StoreCallKind.LEASE_CLAIM)
@@ -236,10 +248,20 @@
         callInProgress = true
         store.forKind(kind).readNewest(TOPIC) { result ->
             callInProgress = false
-            if (result is StoreReadResult.Records) observe(result)
+            if (result is StoreReadResult.Records) {
+                readBackoff.reset()
+                observe(result)
+            } else {
+                delayReads()
+            }
         }
     }
 
+    /** A store that is away must not be asked at each [step]: each call is billed, also when it is refused. */
+    private fun delayReads() {
+        readFrom = timer.now() + readBackoff.onFailure(settings.longestReadRetryDelay)
+    }
+
     private fun observe(result: StoreReadResult.Records) {
         val before = observed
         if (before != null && result.next.era < before.end.era) return
@@ -256,6 +278,7 @@
                     confirmed = record == null,
                     // Only one process can listen at an address, so the previous holder there has ended.
                     previousHolderEnded = record != null && record.address == address && record.holder != holder.value,
+                    claimDelay = settings.claimSpread * random.nextDouble(),
                     isCertain = if (record == null) result.next.era == StoreEra.FIRST else isOfEra(record, result.next),
                 )
             }
@@ -286,9 +309,11 @@
                 is StoreAppendResult.Unknown -> {
                     renewalFailedAt = timer.now()
                     observed = null
+                    delayReads()
                 }
                 is StoreAppendResult.Refused -> {
                     renewalFailedAt = timer.now()
+                    delayReads()
                     logger.debug("event=lease-claim-refused result={}", result)
                 }
             }
@@ -379,10 +404,11 @@
         val at: Moment,
         val confirmed: Boolean,
         val previousHolderEnded: Boolean,
+        val claimDelay: Duration,
         val isCertain: Boolean,
     ) {
         fun mayClaimAt(settings: StoreLeaseSettings): Moment =
-            if (isCertain && (isFree || previousHolderEnded)) at else at + settings.contenderWait
+            if (isCertain && (isFree || previousHolderEnded)) at else at + settings.contenderWait + claimDelay
 
         /**
          * Returns when orders may start: immediately if no holder preceded or its process has ended, otherwise at least
--- a/relay/src/main/kotlin/plantainturn/relay/node/InstanceWatch.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/InstanceWatch.kt
@@ -10,12 +10,17 @@
 import plantainturn.version.configuration.UpstreamName
 import kotlin.time.Duration.Companion.seconds
 
-/** Updates the roster of instances from their entries in the store. */
+/**
+ * Updates the roster of instances from their entries in the store.
+ *
+ * @param onStoreAnswers called when the store answers again after an outage
+ */
 internal class InstanceWatch(
     private val decoder: RecordDecoder,
     private val roster: InstanceRoster,
     private val timer: TimerService,
     private val onChange: () -> Unit,
+    private val onStoreAnswers: () -> Unit,
 ) : TopicListener {
     private val logger = LogManager.getLogger("roster")
 
@@ -70,7 +75,10 @@
 
     override fun onLost(): Unit = roster.onStoreLost()
 
-    override fun onRegained(): Unit = roster.onStoreRegained(timer.now())
+    override fun onRegained() {
+        roster.onStoreRegained(timer.now())
+        onStoreAnswers()
+    }
 
     private fun logChange(
         current: UpstreamInstance,
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -106,6 +106,7 @@
         RelayMetrics(registry).apply { gaugeUnansweredOrders { issuer.unansweredOrders().size } }
     private val store: RecordStore = CountedRecordStore(platform.store, metrics::onStoreCall)
     private val rosterTimes = RosterTimes(settings.drainMilliseconds.milliseconds)
+    private val readPaces = StoreReadPaces(rosterTimes)
     private val roster = InstanceRoster(rosterTimes.lapseGrace)
     private val fleet = FleetView(roster, timer)
     private val limits = RequestLimitTracker()
@@ -124,7 +125,7 @@
     private val configuration = ConfigurationWatch(platform.records, ::onConfiguration)
     private val freshness: ConfigurationFreshness =
         ConfigurationFreshness(timer, { configurationFollower.heardAt }, configuration::versionNumber)
-    private val instances = InstanceWatch(platform.records, roster, timer, ::onRoster)
+    private val instances = InstanceWatch(platform.records, roster, timer, ::onRoster, ::onStoreAnswers)
     private val lease =
         StoreLease(
             store,
@@ -185,7 +186,7 @@
             timer,
             // The records hold access keys; peers receive the one that ConfigurationWatch keeps, without them.
             retained = 0,
-            pace = ::readPace,
+            pace = ::configurationReadPace,
         )
     private val instanceFollower =
         TopicFollower(
@@ -361,32 +362,30 @@
 
     /** Returns whether this node may contend for the lease; VMs with ample resources for the issuer's work go first. */
     private fun mayContend(): Boolean {
-        val claimable = issuerLink.isIssuerMissing() || lease.isFree
+        val claimable = !issuerLink.isInformed() || lease.isFree
         if (!claimable) claimableSince = null
         val since = if (claimable) claimableSince ?: timer.now().also { claimableSince = it } else return false
         return timer.now() - since >= IssuerFitness.claimDelay(settings.processorShare, settings.linkMegabits)
     }
 
-    /** Each read is billed, so only the issuer reads often and informs the others; without one, each reads often. */
-    private fun readPace(): ReadPace =
-        if (lease.fence != null ||
-            issuerLink.isIssuerMissing()
-        ) {
-            ReadPace(SHORT_WAIT, SHORT_REST)
-        } else {
-            ReadPace(LONG_WAIT, rosterTimes.readPause)
-        }
+    /** The issuer need not hear the store itself to hint at later configurations that others have read. */
+    private fun configurationReadPace(): ReadPace =
+        readPaces.configuration(
+            when {
+                lease.fence != null -> StoreReader.ISSUER
+                issuerLink.isInformed() -> StoreReader.INFORMED
+                else -> StoreReader.ALONE
+            },
+        )
 
-    /** Instances change often, but the issuer passes on the changes that it reads. */
-    private fun instanceReadPace(): ReadPace = if (reliesOnIssuer()) ReadPace(LONG_WAIT, HINTED_REST) else readPace()
+    private fun instanceReadPace(): ReadPace = readPaces.instances(storeReader(), issuerLink.nodes)
 
-    /** Crash evidence is rare and completes a waiting read; the wait bounds how long a hung read goes unnoticed. */
-    private fun crashEvidenceReadPace(): ReadPace =
-        if (reliesOnIssuer()) ReadPace(LONG_WAIT, HINTED_REST) else ReadPace(CRASH_EVIDENCE_WAIT, CRASH_EVIDENCE_REST)
+    private fun crashEvidenceReadPace(): ReadPace = readPaces.crashEvidence(storeReader())
 
-    private fun reliesOnIssuer(): Boolean {
+    private fun storeReader(): StoreReader {
+        if (lease.fence != null) return StoreReader.ISSUER
         val age = issuerLink.issuerStoreAge()
-        return lease.fence == null && age != null && age < rosterTimes.peerReadTimeout
+        return if (age != null && age < rosterTimes.peerReadTimeout) StoreReader.INFORMED else StoreReader.ALONE
     }
 
     private fun onIssuerReport(
@@ -428,6 +427,12 @@
         fleet.onRosterChange()
     }
 
+    private fun onStoreAnswers() {
+        lease.onStoreAnswers()
+        configurationFollower.onStoreAnswers()
+        crashEvidenceFollower.onStoreAnswers()
+    }
+
     private fun onDeparture(run: InstanceRun) {
         links.drain(run)
         fleet.onRosterChange()
@@ -582,20 +587,6 @@
         /** Several times the streams that begin at a node between two reports. */
         const val STREAMS_PER_REPORT = 64
 
-        /** Half of the shortest time within which a change must take effect. */
-        val SHORT_WAIT = 800.milliseconds
-        val SHORT_REST = 200.milliseconds
-
-        /** Changes are learned sooner from the issuer's hints. */
-        val LONG_WAIT = 25.seconds
-
-        /** Pause between a node's own reads while it relies on the issuer, in case the issuer misses a change. */
-        val HINTED_REST = 15.seconds
-
-        /** With the time to write crash evidence, shorter than the time within which all nodes must know it. */
-        val CRASH_EVIDENCE_WAIT = 2.seconds
-        val CRASH_EVIDENCE_REST = 500.milliseconds
-
         /** Longer than usual outages of the store. */
         val OUTAGE_TOLERANCE = 12.seconds
         val CONTROL_PERIOD = 50.milliseconds
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -7,6 +7,7 @@
 import org.apache.logging.log4j.LogManager
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.process.control.lease.StoreLease
+import plantainturn.process.control.lease.StoreLeaseSettings
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.relay.http.HttpCall
@@ -23,6 +24,7 @@
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.ServiceName
 import plantainturn.version.configuration.UpstreamName
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -59,7 +61,8 @@
     private var knowledge = IssuerKnowledge.NONE
     private var knowledgeIssuer: String? = null
     private var lastReportAt: Moment? = null
-    private var lastLookupAt: Moment? = null
+    private var lastNewsAt: Moment? = null
+    private val lookUps = HolderLookUpSchedule(StoreLeaseSettings().contenderWait, Random.Default)
     private var exchanging = false
     private var issuerStoreAnsweredAt: Moment? = null
     private var lastStepAt: Moment? = null
@@ -75,6 +78,10 @@
     fun isIssuerMissing(): Boolean =
         lastReportAt?.let { timer.now() - it > ExchangeTiming.issuerTimeout(nodes) } ?: true
 
+    /** Returns whether a holder of the lease informs this node of what it reads, though it may not issue orders yet. */
+    fun isInformed(): Boolean =
+        !isIssuerMissing() || lastNewsAt?.let { timer.now() - it < ExchangeTiming.issuerTimeout(nodes) } ?: false
+
     /** Returns how long ago the store last answered the issuer about instances, null if not reported. */
     fun issuerStoreAge(): Duration? = issuerStoreAnsweredAt?.let { timer.now() - it }
 
@@ -89,7 +96,7 @@
             return
         }
         val holder = holderLocation()
-        if (holder == null || isIssuerMissing()) lookUpIssuer()
+        if (holder == null || !isInformed()) lookUpIssuer(lease.holderRecord)
         if (exchanging) return
         val location = if (holder == null || askPeerNext) peers.next() ?: holder else holder
         askPeerNext = false
@@ -120,7 +127,7 @@
             hintedInsteadOf = lease.holderLocation()
             hintedHolder = holder
         }
-        lookUpIssuer()
+        lookUpIssuer(silentHolder = null)
     }
 
     private fun onUnhelpful(location: SocketLocation) {
@@ -172,6 +179,7 @@
                     logger.debug("issuer={} event=exchange-failed result={}", location, result)
                 }
                 report.issuing -> applyReport(report, sent, from, sentAt)
+                report.informing -> applyNews(report, sentAt)
                 else -> onPeerReport(report, location, sentAt)
             }
         }
@@ -194,6 +202,7 @@
             logger.info("event=nodes-counted issuer={} before={} now={}", from, nodes, report.nodes)
         }
         lastReportAt = now
+        lookUps.reset()
         nodes = report.nodes
         report.repetitionShare?.let { confirmShare(it, from, sentAt) }
         arrivals = report.arrivals
@@ -216,6 +225,18 @@
         if (report.issuing) fleet.onResidence(decodeResidence(report.residence), report.residenceWhole)
     }
 
+    /** Takes over what a holder has read that must not issue orders yet, as its predecessor's may still take effect. */
+    private fun applyNews(
+        report: IssuerReport,
+        sentAt: Moment,
+    ) {
+        lastNewsAt = timer.now()
+        lookUps.reset()
+        issuerStoreAnsweredAt = report.storeAge?.let { timer.now() - it.milliseconds }
+        peers.add(report.peers)
+        onIssuerReport(report, sentAt)
+    }
+
     private fun learnOrders(
         report: IssuerReport,
         from: String,
@@ -247,12 +268,9 @@
                 UpstreamName(engine) to decoded?.toMap()?.toPersistentMap()
             }.toMap()
 
-    private fun lookUpIssuer() {
-        val now = timer.now()
-        val last = lastLookupAt
-        if (last != null && now - last < LOOKUP_INTERVAL) return
-        lastLookupAt = now
-        lease.readHolder()
+    /** [silentHolder] is the lease's record if it may name a holder that died, null if the holder answered. */
+    private fun lookUpIssuer(silentHolder: StoreLease.HolderRecord?) {
+        if (lookUps.takeDue(silentHolder.takeUnless { lease.isFree }, timer.now())) lease.readHolder()
     }
 
     internal companion object {
@@ -265,8 +283,5 @@
 
         /** The timer calls [step] slightly early or late. */
         private val STEP_TOLERANCE = 20.milliseconds
-
-        /** Each lookup is a call to the store, which is billed. */
-        private val LOOKUP_INTERVAL = 400.milliseconds
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -35,6 +35,8 @@
  * @property prompts cached parts of prompts that the node has not received
  * @property streams origins of streams that the node has not received, as many as the exchanges can carry
  * @property boundAccounts accounts for which nodes ask before they admit a request, null if the issuer counts none
+ * @property informing whether the answering node holds the lease and no other can: it reads the store for the others,
+ *   also while it must not issue orders yet
  * @property arrivals expected milliseconds until each model that is being loaded is resident
  */
 @Serializable
@@ -66,4 +68,5 @@
     val holder: String? = null,
     val peers: List<String> = emptyList(),
     val boundAccounts: List<String>? = null,
+    val informing: Boolean = false,
 )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -97,6 +97,7 @@
             holder = holder(),
             peers = KnownPeers.forReport(addresses, report.sequence),
             boundAccounts = quotas.report(report.node, report.admitted),
+            informing = lease.isExclusive,
         )
     }
 
