--- a/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
@@ -230,10 +230,16 @@
         logger.debug("topic={} event=read-failed result={}", topic, result)
         resting = true
         val now = timer.now()
-        retryDue = now + readBackoff.onFailure(pace().longestRetryPause)
+        retryDue = now + readBackoff.onFailure(longestRetryPause())
         awaitRetry(now)
     }
 
+    /** A peer can only hand on what follows a reading as a whole, so without one the node must read soon itself. */
+    private fun longestRetryPause(): Duration {
+        val longest = pace().longestRetryPause
+        return if (known == null || expired) minOf(longest, LONGEST_WHOLE_READING_PAUSE) else longest
+    }
+
     /** Reads again soon if the last read failed, as the store answers reads of another topic again. */
     public fun onStoreAnswers() {
         if (retryDue != null) retryDue = timer.now()
@@ -242,7 +248,7 @@
     /** The pace may become shorter meanwhile, as the peer that informs this node may fall silent. */
     private fun awaitRetry(failedAt: Moment) {
         val due = retryDue ?: return
-        val left = minOf(due, failedAt + pace().longestRetryPause) - timer.now()
+        val left = minOf(due, failedAt + longestRetryPause()) - timer.now()
         resting = left.isPositive()
         if (resting) {
             timer.schedule(minOf(left, PACE_CHECK)) { awaitRetry(failedAt) }
@@ -287,6 +293,8 @@
         /** A refused read costs like any other, so a store that is down is asked a few times a second at most. */
         val RETRY_PAUSE = 250.milliseconds
 
+        val LONGEST_WHOLE_READING_PAUSE = 750.milliseconds
+
         /** Longer than a peer that hears the store takes to read and hand on the entries that are renewed. */
         val LONGEST_OFFER_GAP = 800.milliseconds
 
--- a/library/src/test/kotlin/plantainturn/connection/store/RefusedReaderTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/store/RefusedReaderTest.kt
@@ -104,6 +104,19 @@
         assertNotNull(refused.heardAt)
     }
 
+    /** A node is not ready before it has read the instances, and a peer hands on only what follows. */
+    @Test
+    fun `a node whose first reading is refused reads within a second of the end of the refusal`() {
+        store.reaches = { false }
+        val refused = follower(counted, heard, ::pace)
+        timer.advance(9.seconds)
+        store.reaches = { true }
+        // The fake store answers a refused call after its time-out only.
+        timer.advance(1.seconds + FakeRecordStore.TIMEOUT)
+
+        assertNotNull(refused.heardAt)
+    }
+
     @Test
     fun `a store that is away is asked less than twice a second`() {
         isInformed = false
