--- a/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
@@ -8,13 +8,17 @@
 import plantainturn.connection.log.LogOffset
 import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.RecordStore
+import plantainturn.connection.store.RetryBackoff
 import plantainturn.connection.store.StoreAppendResult
+import plantainturn.connection.store.StoreCallKind
 import plantainturn.connection.store.StoreEra
 import plantainturn.connection.store.StorePosition
 import plantainturn.connection.store.StoreReadResult
 import plantainturn.connection.store.TopicName
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
+import kotlin.random.Random
+import kotlin.time.Duration
 
 /**
  * A lease on a store with conditional appends.
@@ -47,6 +51,9 @@
     private var held: Held? = null
     private var renewalFailedAt: Moment? = null
     private var callInProgress = false
+    private val random = Random(holder.value.hashCode())
+    private val readBackoff = RetryBackoff(settings.readRetryDelay, random)
+    private var readFrom = Moment.ORIGIN
     private var stopping = false
 
     /** The holder's record as this node last read or wrote it, null if it has read none. */
@@ -98,7 +105,12 @@
 
     /** Reads the holder's record from the store, unless this node holds the lease or a call is in progress. */
     public fun readHolder() {
-        if (!callInProgress && held == null) read()
+        if (!callInProgress && held == null && timer.now() >= readFrom) read(StoreCallKind.HOLDER_LOOK_UP)
+    }
+
+    /** Lets a contender whose calls failed read again soon, as the store answers other calls again. */
+    public fun onStoreAnswers() {
+        readFrom = minOf(readFrom, timer.now() + settings.claimSpread * random.nextDouble())
     }
 
     /**
@@ -115,7 +127,9 @@
     private fun releaseNow(current: Held) {
         lose("released")
         val record = HolderRecord(NO_HOLDER, "", current.fence.value)
-        append(record, current.end) { logger.info("event=lease-release fence={} result={}", current.fence, it) }
+        append(record, current.end, StoreCallKind.LEASE_RENEWAL) {
+            logger.info("event=lease-release fence={} result={}", current.fence, it)
+        }
     }
 
     /** Gives up the lease if an engine has refused this node's fence because it has seen [later]. */
@@ -140,7 +154,7 @@
         if (!due || !retryDue) return
         val difference = clockDifference()
         val record = HolderRecord(holder.value, address, current.fence.value)
-        append(record, current.end) { result -> renewed(result, now, difference) }
+        append(record, current.end, StoreCallKind.LEASE_RENEWAL) { result -> renewed(result, now, difference) }
     }
 
     private fun renewed(
@@ -179,7 +193,7 @@
      */
     private fun resolveConflict(current: Held) {
         callInProgress = true
-        store.readNewest(TOPIC) { result ->
+        store.forKind(StoreCallKind.LEASE_RENEWAL).readNewest(TOPIC) { result ->
             callInProgress = false
             if (result is StoreReadResult.Records && held === current) {
                 val newest = newest(result)
@@ -222,20 +236,32 @@
 
     private fun contend() {
         val seen = observed
+        if (timer.now() < readFrom) return
         when {
-            seen == null || timer.now() >= seen.mayClaimAt(settings) && !seen.confirmed -> read()
+            seen == null || timer.now() >= seen.mayClaimAt(settings) && !seen.confirmed ->
+                read(StoreCallKind.LEASE_CLAIM)
             timer.now() >= seen.mayClaimAt(settings) -> claim(seen.end, seen.record, seen.ordersFrom(settings))
         }
     }
 
-    private fun read() {
+    private fun read(kind: StoreCallKind) {
         callInProgress = true
-        store.readNewest(TOPIC) { result ->
+        store.forKind(kind).readNewest(TOPIC) { result ->
             callInProgress = false
-            if (result is StoreReadResult.Records) observe(result)
+            if (result is StoreReadResult.Records) {
+                readBackoff.reset()
+                observe(result)
+            } else {
+                delayReads()
+            }
         }
     }
 
+    /** A store that is away must not be asked at each [step]: each call is billed, also when it is refused. */
+    private fun delayReads() {
+        readFrom = timer.now() + readBackoff.onFailure(settings.longestReadRetryDelay)
+    }
+
     private fun observe(result: StoreReadResult.Records) {
         val before = observed
         if (before != null && result.next.era < before.end.era) return
@@ -252,6 +278,7 @@
                     confirmed = record == null,
                     // Only one process can listen at an address, so the previous holder there has ended.
                     previousHolderEnded = record != null && record.address == address && record.holder != holder.value,
+                    claimDelay = settings.claimSpread * random.nextDouble(),
                     isCertain = if (record == null) result.next.era == StoreEra.FIRST else isOfEra(record, result.next),
                 )
             }
@@ -271,7 +298,7 @@
         val sentAt = timer.now()
         val difference = clockDifference()
         val record = HolderRecord(holder.value, address, fenceOf(end).value)
-        append(record, end) { result ->
+        append(record, end, StoreCallKind.LEASE_CLAIM) { result ->
             when (result) {
                 is StoreAppendResult.Appended ->
                     granted(result.position, previous, maxOf(sentAt, ordersFrom), sentAt, difference)
@@ -282,9 +309,11 @@
                 is StoreAppendResult.Unknown -> {
                     renewalFailedAt = timer.now()
                     observed = null
+                    delayReads()
                 }
                 is StoreAppendResult.Refused -> {
                     renewalFailedAt = timer.now()
+                    delayReads()
                     logger.debug("event=lease-claim-refused result={}", result)
                 }
             }
@@ -322,10 +351,11 @@
     private fun append(
         record: HolderRecord,
         at: StorePosition,
+        kind: StoreCallKind,
         done: (StoreAppendResult) -> Unit,
     ) {
         callInProgress = true
-        store.append(TOPIC, KEY, Json.encodeToString(record).toByteArray(), at) { result ->
+        store.forKind(kind).append(TOPIC, KEY, Json.encodeToString(record).toByteArray(), at) { result ->
             callInProgress = false
             done(result)
         }
@@ -374,10 +404,11 @@
         val at: Moment,
         val confirmed: Boolean,
         val previousHolderEnded: Boolean,
+        val claimDelay: Duration,
         val isCertain: Boolean,
     ) {
         fun mayClaimAt(settings: StoreLeaseSettings): Moment =
-            if (isCertain && (isFree || previousHolderEnded)) at else at + settings.contenderWait
+            if (isCertain && (isFree || previousHolderEnded)) at else at + settings.contenderWait + claimDelay
 
         /**
          * Returns when orders may start: immediately if no holder preceded or its process has ended, otherwise at least
