Dispatch by what instances state and by what was learned of them

InstancePace learns the usual time of an instance's work and puts the fourth figure of the load that it states into each estimate; services draw two instances in proportion to their speed. Where no instance states the figure, services are chosen as before.

Engines: a request that shares no prompt no longer prefers one engine by the model's name, and an engine with clearly more prefill than the mean costs more.

--- a/library/src/main/kotlin/plantainturn/request/relay/DispatchCandidate.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/DispatchCandidate.kt
@@ -18,6 +18,8 @@
  * @property answerSeconds how long a whole answer takes, null if unknown
  * @property backoffRemaining how much longer it must be sent no requests, null if it may be
  * @property permitWait time until it should accept a request, null if it does not limit its requests
+ * @property pace how fast it works, null if it never stated it, so that dispatch goes by nominal times and
+ *   [answerSeconds]
  */
 public data class DispatchCandidate(
     val name: UpstreamName,
@@ -33,4 +35,5 @@
     val answerSeconds: Double?,
     val backoffRemaining: Duration? = null,
     val permitWait: Duration? = null,
+    val pace: PaceEstimate? = null,
 )
--- a/library/src/main/kotlin/plantainturn/request/relay/DispatchQuery.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/DispatchQuery.kt
@@ -12,6 +12,7 @@
  * @property maximumRetryAfter the longest retry delay after which its caller would still come back
  * @property cacheCapacityTokens tokens that an engine's KV cache holds
  * @property affinity hash that is equal for requests that share a prompt, so that all nodes prefer the same copy
+ * @property sharesPrompt whether other requests share a part of its prompt; if not, [affinity] only spreads requests
  */
 public data class DispatchQuery(
     val demand: GenerationDemand?,
@@ -21,4 +22,5 @@
     val maximumRetryAfter: Duration,
     val cacheCapacityTokens: Long,
     val affinity: Long,
+    val sharesPrompt: Boolean = true,
 )
--- a/library/src/main/kotlin/plantainturn/request/relay/EngineDispatch.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/EngineDispatch.kt
@@ -35,7 +35,8 @@
         if (available.isEmpty()) return decideWithoutAvailable(candidates)
         val healthy = available.filter { !it.suspected }.ifEmpty { available }
         val eligible = healthy.filter { !exceedsPrefillLimit(it, demand) }.ifEmpty { healthy }
-        val best = eligible.minBy { cost(it, demand, query) }
+        val meanPrefill = eligible.sumOf { it.prefillShare } / eligible.size
+        val best = eligible.minBy { cost(it, demand, query, meanPrefill) }
         val expected = expectedFirstEvent(best, demand, query)
         val inTime = expected <= query.objectiveLeft
         val hasFreeSlots = best.running < best.concurrency * settings.lowLoadShare && fitsCache(best, demand, query)
@@ -57,7 +58,8 @@
         query: DispatchQuery,
     ): Duration {
         val uncached = demand.promptTokens - candidate.cachedTokens
-        val prefill = timeEstimator.timeToFirstEvent(demand.model, candidate.prefillTokens + uncached)
+        val nominal = timeEstimator.timeToFirstEvent(demand.model, candidate.prefillTokens + uncached)
+        val prefill = nominal * (candidate.pace?.inUse(least = 1.0) ?: 1.0)
         val excess = candidate.running + 1 - candidate.concurrency
         val queueing = if (excess > 0) settings.slotWait * excess else Duration.ZERO
         val cacheWait = if (fitsCache(candidate, demand, query)) Duration.ZERO else settings.fullCacheWait
@@ -86,6 +88,7 @@
         candidate: DispatchCandidate,
         demand: GenerationDemand,
         query: DispatchQuery,
+        meanPrefill: Double,
     ): Double {
         val expected = expectedFirstEvent(candidate, demand, query)
         val crossDomain = if (candidate.sameDomain) Duration.ZERO else settings.domainPenalty
@@ -96,9 +99,13 @@
             if (candidate.cachedTokens > 0) {
                 Duration.ZERO
             } else {
-                settings.affinityPenalty * affinityScore(candidate, query)
+                val most = if (query.sharesPrompt) settings.affinityPenalty else settings.spreadPenalty
+                most * affinityScore(candidate, query)
             }
-        return (expected + crossDomain + connecting + prefill + load + affinity).toDouble(
+        val excess = candidate.prefillShare / (meanPrefill + IDLE_PREFILL) - settings.balanceShare
+        val balance = settings.balancePenalty * excess.coerceAtLeast(0.0)
+        val failures = settings.failureCost * (candidate.pace?.failureShare ?: 0.0)
+        return (expected + crossDomain + connecting + prefill + load + affinity + balance + failures).toDouble(
             DurationUnit.MILLISECONDS,
         )
     }
@@ -138,6 +145,8 @@
     }
 
     private companion object {
+        /** Fraction of an engine's time for prefill that counts as nothing: a short prompt within the last seconds. */
+        const val IDLE_PREFILL = 0.01
         const val LAST_RANK = 9
 
         /** 2^64 divided by the golden ratio, as a signed number (Fibonacci hashing). */
--- a/library/src/main/kotlin/plantainturn/request/relay/EngineDispatchSettings.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/EngineDispatchSettings.kt
@@ -23,6 +23,12 @@
  * @property prefillPenalty how much faster an engine that only does prefill must be than one that does none
  * @property runningPenalty how much each request at an engine slows the others
  * @property affinityPenalty how much longer a request may wait to reach the preferred copy of a shared prompt
+ * @property spreadPenalty how much longer a request that shares no prompt may wait, so that such requests of all nodes
+ *   spread over engines that are equally busy: two requests more or less
+ * @property balancePenalty how much longer a request may wait for each multiple of the mean prefill of the engines by
+ *   which one exceeds [balanceShare]; a cached part that saves more is still used
+ * @property balanceShare multiple of the mean prefill up to which an engine counts as equally busy
+ * @property failureCost expected loss of time by a request that fails: about the objective of a first event
  * @property minimumRetryAfter the shortest retry delay that a caller is told
  */
 public data class EngineDispatchSettings(
@@ -41,5 +47,9 @@
     val prefillPenalty: Duration = 100.milliseconds,
     val runningPenalty: Duration = 2.milliseconds,
     val affinityPenalty: Duration = 40.milliseconds,
+    val spreadPenalty: Duration = 4.milliseconds,
+    val balancePenalty: Duration = 120.milliseconds,
+    val balanceShare: Double = 1.2,
+    val failureCost: Duration = 600.milliseconds,
     val minimumRetryAfter: Duration = 150.milliseconds,
 )
--- a/library/src/main/kotlin/plantainturn/request/relay/InstanceStats.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/InstanceStats.kt
@@ -18,6 +18,9 @@
     /** Decides from the outcomes of requests whether the instance is suspected. */
     public val health: InstanceHealth = InstanceHealth()
 
+    /** Learns how fast the instance works. */
+    public val pace: InstancePace = InstancePace()
+
     /** Requests of this node at the instance. */
     public var ownRunning: Int = 0
         private set
@@ -92,6 +95,7 @@
     ) {
         reported = load
         reportedAt = now
+        load.slownessPercent?.let { pace.onStated(it, now) }
     }
 
     /** Adds the time of one whole answer to the average. */
@@ -111,6 +115,15 @@
         return maxOf(counted, fresh.running + fresh.waiting)
     }
 
+    /** Returns how many times as long one more request takes because it waits for one of [concurrency] slots. */
+    public fun crowding(
+        concurrency: Int,
+        now: Moment,
+    ): Double {
+        val slots = concurrency.coerceAtLeast(1)
+        return 1.0 + (running(now) + 1 - slots).coerceAtLeast(0).toDouble() / slots
+    }
+
     /** Returns the prompt tokens of all nodes' requests that are yet to be processed. */
     public fun prefillTokens(): Int = ownPrefillTokens + others.prefillTokens
 
--- a/library/src/test/kotlin/plantainturn/request/relay/ReplayServer.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/ReplayServer.kt
@@ -94,6 +94,7 @@
         val demand: GenerationDemand?,
         val requestWork: RequestWork,
         val decision: DispatchDecision.Send,
+        val crowding: Double,
     )
 
     /** A request that runs, with the moments of its first event and of its end. */
--- a/library/src/test/kotlin/plantainturn/request/relay/ServiceDispatchTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/ServiceDispatchTest.kt
@@ -2,14 +2,16 @@
 
 import org.junit.jupiter.api.Test
 import plantainturn.version.configuration.UpstreamName
+import kotlin.random.Random
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class ServiceDispatchTest {
-    private val dispatch = ServiceDispatch()
+    private val dispatch = ServiceDispatch(Random(1))
 
     /** Load pattern: overloaded instances ask for a backoff, one after the other. */
     @Test
@@ -45,6 +47,30 @@
         assertEquals(UpstreamName("limited"), assertIs<DispatchDecision.Send>(overflow).instance)
     }
 
+    /** Guards against a draw that sends to a full instance, or rejects while another one has room. */
+    @Test
+    fun `an instance with a full queue gets nothing, however fast it is`() {
+        val fast = candidate("fast", running = 18).copy(pace = paceOf(0.01))
+        val slow = candidate("slow", running = 10).copy(pace = paceOf(0.2))
+
+        repeat(DRAWS) {
+            assertEquals(UpstreamName("slow"), assertIs<DispatchDecision.Send>(decide(fast, slow)).instance)
+        }
+        assertIs<DispatchDecision.Rejected>(decide(fast, fast))
+    }
+
+    /** Guards against all nodes moving to one instance at once because they see the same figures. */
+    @Test
+    fun `decisions on the same figures spread over instances in proportion to their speed`() {
+        val fast = candidate("fast", running = 6).copy(pace = paceOf(0.01))
+        val usual = candidate("usual", running = 6).copy(pace = paceOf(0.02))
+
+        val toUsual =
+            List(DRAWS) { assertIs<DispatchDecision.Send>(decide(fast, usual)).instance }
+                .count { it == UpstreamName("usual") }
+        assertTrue(toUsual in DRAWS / 20..DRAWS / 4, "$toUsual of $DRAWS")
+    }
+
     @Test
     fun `without instances the decision is NoCandidate`() {
         assertEquals(DispatchDecision.NoCandidate, decide())
@@ -52,7 +78,10 @@
 
     private fun decide(vararg candidates: DispatchCandidate) = dispatch.decide(QUERY, candidates.toList())
 
+    private fun paceOf(seconds: Double) = PaceEstimate(1.0, seconds, 1.0, 0.0, PaceReason.STATED)
+
     private companion object {
+        const val DRAWS = 200
         val QUERY =
             DispatchQuery(
                 demand = null,
--- a/library/src/test/kotlin/plantainturn/request/relay/UnevenReplay.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/UnevenReplay.kt
@@ -18,6 +18,7 @@
 internal class UnevenReplay(
     private val load: ReplayLoad,
     private val nodes: Int,
+    private val mode: Mode,
     seed: Int,
 ) {
     private val servers = load.servers()
@@ -74,14 +75,16 @@
         if (failure != null) {
             if (failure == FailureKind.REFUSED) refused += 1
             stats.health.onFailure(failure, now)
+            stats.pace.onFailure(now)
             return
         }
         val unread = (demand?.promptTokens ?: 0) - candidates.first { it.name == server.name }.cachedTokens
         val work =
             demand?.let { RequestWork(unread, unread + it.outputTokens, READING_TIME * unread) } ?: RequestWork.NONE
+        val crowding = stats.crowding(server.slots, now)
         stats.begin(work, now)
         demand?.let { view.prompts.onSend(server.name, it) }
-        server.arrive(ReplayServer.Arrival(now, node, serviceTime, demand, work, decision))
+        server.arrive(ReplayServer.Arrival(now, node, serviceTime, demand, work, decision, crowding))
         beginNext(server)
     }
 
@@ -98,11 +101,31 @@
         if (now - arrival.sentAt <= objective) kept += 1
         val view = views[arrival.node]
         val stats = view.statsOf(server)
-        stats.onReportedLoad(ReportedLoad(server.running, 0, server.slots), now)
+        stats.onReportedLoad(
+            ReportedLoad(
+                server.running,
+                0,
+                server.slots,
+                server.stated(now).takeIf {
+                    mode ==
+                        Mode.STATED
+                },
+            ),
+            now,
+        )
         stats.onPrefillDone(arrival.requestWork)
-        val demand = arrival.demand ?: return stats.onAnswerTime(now - arrival.sentAt)
+        val demand = arrival.demand
+        if (demand == null) {
+            stats.onAnswerTime(now - arrival.sentAt)
+            stats.pace.onSample((now - arrival.sentAt).toDouble(DurationUnit.SECONDS) / arrival.crowding, now)
+            return
+        }
         view.prompts.onPrefillEnd(server.name, demand)
         view.prompts.onPrefillDone(server.name, demand)
+        val tokens = arrival.decision.tokensAhead + arrival.requestWork.prefillTokens
+        if (arrival.crowding == 1.0 && tokens >= InstancePace.MINIMUM_SAMPLE_TOKENS) {
+            stats.pace.onSample((now - arrival.sentAt) / view.estimator.timeToFirstEvent(demand.model, tokens), now)
+        }
         if (arrival.decision.tokensAhead == 0) {
             view.estimator.observe(demand.model, arrival.requestWork.prefillTokens, now - arrival.sentAt)
         }
@@ -116,6 +139,7 @@
         val stats = views[arrival.node].statsOf(server)
         stats.end(arrival.requestWork, prefillDone = true)
         stats.health.onSuccess(now)
+        stats.pace.onSuccess(now)
         beginNext(server)
     }
 
@@ -161,7 +185,8 @@
             timeLeft = objective * 4,
             maximumRetryAfter = 1.seconds,
             cacheCapacityTokens = 1_000_000,
-            affinity = demand?.let { (it.lastSharedPart ?: it.model.value).hashCode().toLong() } ?: 0,
+            affinity = demand?.let { (it.lastSharedPart ?: it.parts.last().identifier).hashCode().toLong() } ?: 0,
+            sharesPrompt = demand?.lastSharedPart != null,
         )
 
     private fun schedule(
@@ -177,7 +202,7 @@
     ) {
         val estimator = EngineTimeEstimator()
         val engines = EngineDispatch(estimator)
-        val services = ServiceDispatch()
+        val services = ServiceDispatch(random)
         val prompts = PromptCacheTracker()
         private val stats = HashMap<ReplayServer, InstanceStats>()
 
@@ -200,10 +225,18 @@
                 connected = true,
                 suspected = known.health.isSuspected(now),
                 answerSeconds = known.answerTime?.toDouble(DurationUnit.SECONDS),
+                pace = known.pace.estimate(now).takeIf { mode == Mode.LEARNED || known.pace.isStated },
             )
         }
     }
 
+    /** What dispatch goes by. */
+    enum class Mode {
+        FIXED,
+        LEARNED,
+        STATED,
+    }
+
     /**
      * What a play came to.
      *
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -12,6 +12,7 @@
 import plantainturn.request.relay.DispatchCandidate
 import plantainturn.request.relay.GenerationDemand
 import plantainturn.request.relay.InstanceStats
+import plantainturn.request.relay.PaceEstimate
 import plantainturn.request.relay.PromptCacheTracker
 import plantainturn.request.relay.WorkTotals
 import plantainturn.version.configuration.FailureDomain
@@ -73,6 +74,12 @@
         for ((name, link) in links) link.stats.others = totals[name] ?: WorkTotals.NONE
     }
 
+    /** Returns how fast each instance works, as far as this node has heard of it. */
+    internal fun paces(): Map<UpstreamName, PaceEstimate> {
+        val now = timer.now()
+        return links.mapValues { (_, link) -> link.stats.pace.estimate(now) }
+    }
+
     /** Returns the instances that this node suspects because of error answers, with the remaining time. */
     public fun suspicions(): Map<UpstreamName, Duration> {
         val now = timer.now()
@@ -152,6 +159,7 @@
             answerSeconds = stats.answerTime?.toDouble(DurationUnit.SECONDS),
             backoffRemaining = backoffOf(instance, terms),
             permitWait = permits.waitFor(instance, terms.urgency),
+            pace = stats.pace.estimate(now).takeIf { stats.pace.isStated },
         )
     }
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -12,8 +12,10 @@
 import plantainturn.relay.http.UpstreamConnection
 import plantainturn.request.relay.DispatchDecision
 import plantainturn.request.relay.FailureKind
+import plantainturn.request.relay.InstancePace
 import plantainturn.request.relay.RequestWork
 import kotlin.time.Duration
+import kotlin.time.DurationUnit
 
 /**
  * One send of a request to one instance, and its answer.
@@ -38,6 +40,7 @@
     private var promptRead = false
     private var earlierOnConnection = 0
     private var ended = false
+    private var crowding = 1.0
 
     /** When the request was written to the instance, null if it was not. */
     var sentAt: Moment? = null
@@ -64,6 +67,7 @@
 
     /** Sends the request on a connection that was idle for [reuse] at most, or on a new one if [reuse] is null. */
     fun begin(reuse: Duration?) {
+        crowding = stats.crowding(instance.concurrency, begunAt)
         stats.begin(work, begunAt)
         exchange.request.demand?.let {
             context.demand.onAdapterRunning(it, 1)
@@ -243,11 +247,15 @@
 
     private fun succeeded(now: Moment) {
         stats.health.onSuccess(now)
-        if (!exchange.route.repetition.streams) stats.onAnswerTime(now - (sentAt ?: begunAt))
+        stats.pace.onSuccess(now)
+        val time = now - (sentAt ?: begunAt)
+        if (!exchange.route.repetition.streams) stats.onAnswerTime(time)
+        if (exchange.request.demand == null) stats.pace.onSample(time.toDouble(DurationUnit.SECONDS) / crowding, now)
     }
 
     private fun failed(kind: FailureKind) {
         val now = context.timer.now()
+        stats.pace.onFailure(now)
         if (stats.health.onFailure(kind, now)) {
             context.eventLog.record(exchange.request.identifier, "suspected", "instance=${instance.name} kind=$kind")
         }
@@ -261,6 +269,11 @@
         context.links.prompts.onPrefillEnd(instance.name, demand)
         context.links.prompts.onPrefillDone(instance.name, demand)
         val sent = sentAt ?: return
+        val tokens = decision.tokensAhead + work.prefillTokens
+        // With a wait for a slot, or with few tokens, the time says little about the engine's speed.
+        if (crowding == 1.0 && tokens >= InstancePace.MINIMUM_SAMPLE_TOKENS) {
+            stats.pace.onSample((now - sent) / context.timeEstimator.timeToFirstEvent(demand.model, tokens), now)
+        }
         if (decision.tokensAhead == 0) context.timeEstimator.observe(demand.model, work.prefillTokens, now - sent)
     }
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
@@ -165,7 +165,12 @@
             timeLeft = times.timeLeft,
             maximumRetryAfter = times.maximumRetryAfter,
             cacheCapacityTokens = cacheTokens,
-            affinity = request.demand?.let { (it.lastSharedPart ?: it.model.value).hashCode().toLong() } ?: 0,
+            affinity =
+                request.demand
+                    ?.let { it.lastSharedPart ?: request.identifier.value }
+                    .hashCode()
+                    .toLong(),
+            sharesPrompt = request.demand?.lastSharedPart != null,
         )
 
     /**
