--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -103,7 +103,10 @@
     private val platform = connect(eventLoop, caller, location(settings.store))
     private val registry = PrometheusRegistry()
     private val metrics: RelayMetrics =
-        RelayMetrics(registry).apply { gaugeUnansweredOrders { issuer.unansweredOrders().size } }
+        RelayMetrics(registry).apply {
+            gaugeUnansweredOrders { issuer.unansweredOrders().size }
+            gaugePaces { links.paces() }
+        }
     private val store: RecordStore = CountedRecordStore(platform.store, metrics::onStoreCall)
     private val rosterTimes = RosterTimes(settings.drainMilliseconds.milliseconds)
     private val readPaces = StoreReadPaces(rosterTimes)
@@ -112,7 +115,7 @@
     private val limits = RequestLimitTracker()
     private val notices = InstanceNotices(roster, RetryAfterTracker(), limits, timer, ::onDeparture)
     private val permits = SendPermits(limits, timer) { run, request, done -> permitClient.request(run, request, done) }
-    private val links =
+    private val links: InstanceLinks =
         InstanceLinks(
             eventLoop,
             timer,
