Bound the memory that connections of callers and peers hold

HeldBytes owns the count of all incomplete messages at their real cost, and decides who may grow and who is given up. RequestGate and TurnQueue share the time for decoding, and keep pipelined requests undecoded until the answers before them are taken. Readiness and peers run on the same connections as callers. Sockets use heap buffers only: exhausted direct memory stopped the event loop for each further allocation.

--- a/library/src/main/kotlin/plantainturn/process/ResultCode.kt
+++ b/library/src/main/kotlin/plantainturn/process/ResultCode.kt
@@ -54,6 +54,7 @@
         "Whether the client account's quota has room cannot be told at present.",
     ),
     CONFIGURATION_OUTDATED(3012, 503, Outcome.NOT_RUN, "This node can't tell now whether the key is in force."),
+    MEMORY_LIMIT_REACHED(3013, 503, Outcome.NOT_RUN, "This node holds as much for its callers as it may."),
 
     UPSTREAM_FAILED(4000, 502, Outcome.FAILED, "The upstream ran the request and failed."),
     STREAM_BROKEN(4001, 502, Outcome.FAILED, "The answer broke off and could not be resumed."),
--- a/relay/src/main/kotlin/plantainturn/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/CallerConnection.kt
@@ -1,7 +1,6 @@
 package plantainturn.relay.http
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
@@ -24,38 +23,107 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import org.apache.logging.log4j.LogManager
+import plantainturn.connection.http.HeldBytes
+import plantainturn.connection.http.HolderStanding
 import plantainturn.process.time.Moment
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Reads the requests on one caller's connection and writes their answers in the same order.
  *
- * One request is handled at a time. Pipelined requests are queued, and reading stops once the queue exceeds
- * [MAXIMUM_PIPELINED] messages.
+ * One request is handled at a time. [gate] holds back the bytes of pipelined requests until the answers before them
+ * have been taken by the caller. What the connection holds in memory is counted in [CallerServer.held].
  */
 internal class CallerConnection(
     private val server: CallerServer,
-) : ChannelInboundHandlerAdapter() {
+) : ChannelInboundHandlerAdapter(),
+    HeldBytes.Holder {
     private val logger = LogManager.getLogger(CallerConnection::class.java)
     private val pipelined = ArrayDeque<Any>()
     private lateinit var context: ChannelHandlerContext
     private var head: HttpRequest? = null
     private var headAt = Moment.ORIGIN
-    private var body: CompositeByteBuf? = null
+    private var body: BodyBlocks? = null
     private var reply: Reply? = null
     private var listener: CallerConnectionListener? = null
     private var discarding = false
     private var closing = false
     private var requestStartedAt: Moment? = null
-    private var idleSince = server.timer.now()
+    private var headBytes = 0
+    private var headCost = 0L
+    private var requestCost = 0L
+    private var progressAt = server.timer.now()
+    private var unsentBytes = 0L
+
+    /** Passes on the bytes of the connection. */
+    val gate = RequestGate(this, server.turns)
+
+    /** When the last answer ended, or the connection was opened. */
+    var idleSince: Moment = server.timer.now()
+        private set
+
+    /** Whether no request is in progress or arriving. */
+    val isIdle: Boolean
+        get() = reply == null && requestStartedAt == null && gate.isEmpty
+
+    /** Whether all further bytes of the caller are dropped. */
+    val isDiscarding: Boolean
+        get() = discarding
+
+    /** Whether the decoder may get further bytes: the last request was answered, and the caller takes its answers. */
+    val takesBytes: Boolean
+        get() = reply == null && !discarding && pipelined.isEmpty() && context.channel().isWritable
+
+    /** Whether there is memory for further bytes. */
+    val mayGrow: Boolean
+        get() = server.held.mayGrow(this)
+
+    override val standing: HolderStanding
+        get() =
+            when {
+                server.timer.now() - progressAt > STALL_TIMEOUT && (reply == null || unsentBytes > 0) ->
+                    HolderStanding.STALLED
+                reply == null -> HolderStanding.INCOMPLETE
+                else -> HolderStanding.IN_USE
+            }
 
     override fun channelActive(context: ChannelHandlerContext) {
         this.context = context
         server.onOpen(this)
     }
 
+    /** Refuses a request that is arriving, which no server has seen, and closes the connection otherwise. */
+    override fun giveUp(reason: String) {
+        logger.warn("event=caller-given-up {} standing={} reason=\"{}\"", this, standing, reason)
+        gate.discard()
+        if (reply == null && requestStartedAt != null && context.channel().isWritable) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, reason)
+        } else {
+            context.close()
+        }
+    }
+
+    override fun toString(): String = "caller=${context.channel().remoteAddress()}"
+
+    /** Counts the memory that the connection holds at present. */
+    fun updateHeld() {
+        if (!context.channel().isOpen) return
+        val arriving = if (head == null) headBytes * MEMORY_OF_HEAD_BYTE else headCost + (body?.heldBytes ?: 0)
+        val queued = if (pipelined.isEmpty()) 0 else RequestGate.TURN_BYTES * MEMORY_OF_HEAD_BYTE
+        server.held.update(this, gate.waitingBytes + arriving + queued + requestCost + unsent())
+    }
+
+    private fun unsent(): Long =
+        context
+            .channel()
+            .unsafe()
+            .outboundBuffer()
+            ?.totalPendingWriteBytes() ?: 0
+
     override fun channelInactive(context: ChannelHandlerContext) {
         server.onClosed(this)
+        server.held.update(this, 0)
         body?.release()
         body = null
         pipelined.forEach { ReferenceCountUtil.release(it) }
@@ -76,6 +144,7 @@
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         listener?.onWritabilityChanged(context.channel().isWritable)
+        acceptPipelined()
     }
 
     override fun channelRead(
@@ -88,34 +157,54 @@
         }
         if (reply != null) {
             pipelined.addLast(message)
-            if (pipelined.size > MAXIMUM_PIPELINED) context.channel().config().isAutoRead = false
             return
         }
         accept(message)
     }
 
-    /** Starts the timeout of a request when its first bytes arrive, before they are decoded. */
-    fun onBytesReceived() {
-        if (reply == null && requestStartedAt == null) requestStartedAt = server.timer.now()
+    /** Starts the timeout of a request when its first bytes go to the decoder. */
+    fun onBytesReceived(count: Int) {
+        progressAt = server.timer.now()
+        if (reply == null && requestStartedAt == null) requestStartedAt = progressAt
+        if (head == null) headBytes += count
     }
 
     /** Closes an idle connection, and rejects a request that arrives too slowly, once a limit is exceeded. */
     fun checkTimeouts(now: Moment) {
+        noteWritten(now)
+        updateHeld()
+        gate.updateReading()
         val since = requestStartedAt
         when {
+            unsentBytes > 0 && now - progressAt > server.limits.idleTimeout -> {
+                logger.info("event=answer-not-taken {} unsentBytes={}", this, unsentBytes)
+                context.close()
+            }
             closing || reply != null -> Unit
             since != null && head == null && now - since > server.limits.headerTimeout ->
                 reject(HttpResponseStatus.REQUEST_TIMEOUT, "request headers not received in time")
             since != null && head != null && now - headAt > server.limits.idleTimeout ->
                 reject(HttpResponseStatus.REQUEST_TIMEOUT, "request body not received in time")
-            since == null && now - idleSince > server.limits.idleTimeout -> context.close()
+            since == null && unsentBytes == 0L && now - idleSince > server.limits.idleTimeout -> context.close()
+        }
+    }
+
+    /** Looks whether the caller has taken bytes of its answers since the last call. */
+    private fun noteWritten(now: Moment) {
+        val buffer = context.channel().unsafe().outboundBuffer() ?: return
+        val unsent = buffer.totalPendingWriteBytes()
+        val left = if (unsent > 0) unsent - buffer.currentProgress() else 0
+        if (left != unsentBytes) {
+            progressAt = now
+            if (reply == null && requestStartedAt == null) idleSince = now
         }
+        unsentBytes = left
     }
 
     /** Closes the connection as soon as it has no request in progress. */
     fun closeWhenIdle() {
         closing = true
-        if (reply == null && requestStartedAt == null) context.close()
+        if (isIdle) context.close()
     }
 
     private fun accept(message: Any) {
@@ -135,13 +224,15 @@
                 reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "request line or headers too large")
             failure != null -> reject(HttpResponseStatus.BAD_REQUEST, StrictRequestDecoder.describe(failure))
             fault != null -> reject(HttpResponseStatus.BAD_REQUEST, fault)
-            request.protocolVersion() != HttpVersion.HTTP_1_1 ->
+            request.protocolVersion() !in server.versions ->
                 reject(HttpResponseStatus.HTTP_VERSION_NOT_SUPPORTED, "HTTP version other than 1.1")
             HttpUtil.getContentLength(request, 0L) > server.limits.bodyBytes -> tooLarge()
             else -> {
                 head = request
                 headAt = server.timer.now()
-                body = context.alloc().compositeBuffer(MAXIMUM_BODY_PARTS)
+                headCost = headBytes + request.headers().size() * MEMORY_OF_FIELD
+                headBytes = 0
+                body = BodyBlocks(context.alloc())
                 if (HttpUtil.is100ContinueExpected(request)) {
                     context.writeAndFlush(
                         DefaultFullHttpResponse(
@@ -162,11 +253,11 @@
             reject(HttpResponseStatus.BAD_REQUEST, "undecodable body: ${StrictRequestDecoder.describe(failure)}")
             return
         }
-        if (received.readableBytes() + content.content().readableBytes() > server.limits.bodyBytes) {
+        if (received.size + content.content().readableBytes() > server.limits.bodyBytes) {
             tooLarge()
             return
         }
-        if (content.content().isReadable) received.addComponent(true, content.content().retain())
+        received.append(content.content())
         if (content is LastHttpContent) dispatch()
     }
 
@@ -176,9 +267,10 @@
         head = null
         body = null
         requestStartedAt = null
+        requestCost = headCost + whole.heldBytes
         val answer = Reply(keepAlive = HttpUtil.isKeepAlive(request))
         reply = answer
-        val caller = CallerRequest(request, whole, headAt)
+        val caller = CallerRequest(request, whole.toBuffer(), headAt)
         context.executor().execute { handOver(caller, answer) }
     }
 
@@ -209,6 +301,7 @@
         reason: String,
     ) {
         head = null
+        headBytes = 0
         body?.release()
         body = null
         discarding = true
@@ -220,10 +313,19 @@
     private fun onAnswered(keepAlive: Boolean) {
         reply = null
         listener = null
+        requestCost = 0
         idleSince = server.timer.now()
-        if (!keepAlive) return
-        context.channel().config().isAutoRead = true
-        while (reply == null && pipelined.isNotEmpty()) accept(pipelined.removeFirst())
+        progressAt = idleSince
+        updateHeld()
+        if (keepAlive) acceptPipelined() else gate.resume()
+    }
+
+    /** Goes on with the requests that were decoded behind the last one, unless the caller leaves its answers unread. */
+    private fun acceptPipelined() {
+        while (reply == null && pipelined.isNotEmpty() && context.channel().isWritable) {
+            accept(pipelined.removeFirst())
+        }
+        gate.resume()
     }
 
     /**
@@ -340,9 +442,14 @@
     }
 
     private companion object {
-        /** Number of decoded messages queued behind a request in progress beyond which reading stops. */
-        const val MAXIMUM_PIPELINED = 64
-        const val MAXIMUM_BODY_PARTS = 1_024
+        /** While a head is decoded, an empty field of four bytes takes two strings and an entry. */
+        const val MEMORY_OF_HEAD_BYTE = 40L
+
+        /** A header field in the request of the caller, and its copy in the request to a server. */
+        const val MEMORY_OF_FIELD = 400L
+
+        /** Long compared with the pauses of a sound caller within a message. */
+        val STALL_TIMEOUT = 1.seconds
         const val LINGER_MILLISECONDS = 100L
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/http/CallerServer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/CallerServer.kt
@@ -1,36 +1,64 @@
 package plantainturn.relay.http
 
+import com.sun.management.UnixOperatingSystemMXBean
 import io.netty.bootstrap.ServerBootstrap
-import io.netty.buffer.ByteBuf
 import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
-import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpResponseEncoder
+import io.netty.handler.codec.http.HttpVersion
+import plantainturn.connection.http.HeldBytes
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.process.time.TimerService
 import plantainturn.version.route.CallerLimits
 import plantainturn.version.route.RoutingSource
+import java.lang.management.ManagementFactory
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Accepts connections of callers and enforces the configured limits on them. */
-public class CallerServer(
+/**
+ * Accepts connections of callers and enforces limits on them.
+ *
+ * @param held counts what the connections hold in memory
+ * @param versions the versions of HTTP in which requests may come
+ * @param currentLimits returns the limits at present
+ */
+public class CallerServer internal constructor(
     private val loop: EventLoop,
     internal val timer: TimerService,
-    private val configuration: RoutingSource,
     internal val handler: CallerHandler,
+    internal val held: HeldBytes,
+    internal val versions: Set<HttpVersion>,
+    private val currentLimits: () -> CallerLimits,
 ) {
     private val connections = HashSet<CallerConnection>()
     private var serverChannel: Channel? = null
 
-    /** The limits of the current configuration, or the initial ones as long as there is none. */
+    /** Shares the time for decoding among the connections. */
+    internal val turns: TurnQueue = TurnQueue(loop)
+
+    /** The limits at present. */
     internal val limits: CallerLimits
-        get() = configuration.current?.limits ?: CallerLimits.INITIAL
+        get() = currentLimits()
+
+    /** Enforces the limits of the current [configuration], or the initial ones as long as there is none. */
+    public constructor(
+        loop: EventLoop,
+        timer: TimerService,
+        configuration: RoutingSource,
+        handler: CallerHandler,
+        held: HeldBytes = HeldBytes(),
+    ) : this(
+        loop,
+        timer,
+        handler,
+        held,
+        setOf(HttpVersion.HTTP_1_1),
+        { configuration.current?.limits ?: CallerLimits.INITIAL },
+    )
 
     /** Whether each connection is closed after its next answer. */
     public var isClosing: Boolean = false
@@ -48,6 +76,7 @@
         timer.subscribe(TIMEOUT_CHECK_PERIOD) {
             val now = timer.now()
             connections.toList().forEach { it.checkTimeouts(now) }
+            held.relieve(now)
         }
         ServerBootstrap()
             .group(loop, loop)
@@ -55,13 +84,14 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.ALLOCATOR, HeapAllocator)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, readUntilEmptyAllocator())
             .childHandler(
                 object : ChannelInitializer<Channel>() {
                     override fun initChannel(channel: Channel) {
                         val connection = CallerConnection(this@CallerServer)
                         channel.pipeline().addLast(
-                            ByteListener(connection),
+                            connection.gate,
                             StrictRequestDecoder(limits),
                             HttpResponseEncoder(),
                             connection,
@@ -87,6 +117,9 @@
     }
 
     internal fun onOpen(connection: CallerConnection) {
+        if (connections.size >= MAXIMUM_CONNECTIONS) {
+            connections.filter { it.isIdle }.minByOrNull { it.idleSince }?.closeWhenIdle()
+        }
         connections += connection
     }
 
@@ -96,29 +129,32 @@
 
     /** Reads until no bytes are left, so that the close of a connection is seen together with its last bytes. */
     private fun readUntilEmptyAllocator() =
-        AdaptiveRecvByteBufAllocator().apply {
+        AdaptiveRecvByteBufAllocator(MINIMUM_READ, INITIAL_READ, MAXIMUM_READ).apply {
             maxMessagesPerRead(MAXIMUM_CONSECUTIVE_READS)
             respectMaybeMoreData(false)
         }
 
-    private class ByteListener(
-        private val connection: CallerConnection,
-    ) : ChannelInboundHandlerAdapter() {
-        override fun channelRead(
-            context: ChannelHandlerContext,
-            message: Any,
-        ) {
-            if (message is ByteBuf && message.isReadable) connection.onBytesReceived()
-            context.fireChannelRead(message)
-        }
-    }
-
     private companion object {
         /** Accept queue for callers that connect at the same time; a full queue delays them by seconds. */
         const val BACKLOG = 1_024
 
         /** Number of consecutive reads of one connection before the event loop turns to the others. */
-        const val MAXIMUM_CONSECUTIVE_READS = 16
+        const val MAXIMUM_CONSECUTIVE_READS = 4
+
+        /** Bytes of a single read. Larger ones would only wait at the gate. */
+        const val MINIMUM_READ = 256
+        const val INITIAL_READ = 2_048
+        const val MAXIMUM_READ = 16_384
+
         val TIMEOUT_CHECK_PERIOD = 250.milliseconds
+
+        /** Half of the descriptors of the process, as each connection may need one to a server. */
+        val MAXIMUM_CONNECTIONS: Int = maximumDescriptors() / 2
+
+        fun maximumDescriptors(): Int =
+            (ManagementFactory.getOperatingSystemMXBean() as? UnixOperatingSystemMXBean)
+                ?.maxFileDescriptorCount
+                ?.coerceAtMost(Int.MAX_VALUE.toLong())
+                ?.toInt() ?: Int.MAX_VALUE
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
@@ -98,6 +98,7 @@
             .group(loop)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOCATOR, HeapAllocator)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
             .handler(
                 object : ChannelInitializer<Channel>() {
--- a/relay/src/main/kotlin/plantainturn/relay/http/InternalHttpServer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/InternalHttpServer.kt
@@ -1,31 +1,30 @@
 package plantainturn.relay.http
 
-import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.Unpooled
-import io.netty.channel.Channel
-import io.netty.channel.ChannelFuture
-import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInitializer
-import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
-import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpObjectAggregator
-import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpVersion
 import org.apache.logging.log4j.LogManager
+import plantainturn.connection.http.HeldBytes
 import plantainturn.connection.roster.SocketLocation
+import plantainturn.process.time.TimerService
+import plantainturn.version.route.CallerLimits
+import kotlin.time.Duration.Companion.seconds
 
-/** Serves internal requests with small bodies: readiness probes of the load balancer, peers, metrics and dumps. */
+/**
+ * Serves internal requests with small bodies: readiness probes of the load balancer, peers, metrics and dumps.
+ *
+ * @param held counts what the connections hold in memory
+ */
 public class InternalHttpServer(
-    private val loop: EventLoop,
+    loop: EventLoop,
+    timer: TimerService,
+    held: HeldBytes,
 ) {
     private val logger = LogManager.getLogger(InternalHttpServer::class.java)
     private val handlers = HashMap<String, (ByteArray, (InternalHttpResponse) -> Unit) -> Unit>()
+    private val server = CallerServer(loop, timer, Handler(), held, VERSIONS) { LIMITS }
 
     /** Registers [handler] for requests whose method and path are [call], such as `GET /metrics`. */
     public fun on(
@@ -39,60 +38,60 @@
     public fun listen(
         location: SocketLocation,
         done: (Throwable?) -> Unit,
-    ) {
-        ServerBootstrap()
-            .group(loop, loop)
-            .channel(NioServerSocketChannel::class.java)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(
-                object : ChannelInitializer<Channel>() {
-                    override fun initChannel(channel: Channel) {
-                        channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_BYTES), Handler())
-                    }
-                },
-            ).bind(location.ip, location.port)
-            .addListener { done((it as ChannelFuture).cause()) }
-    }
+    ): Unit = server.listen(location, done)
 
-    private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
-        override fun channelRead0(
-            context: ChannelHandlerContext,
-            request: FullHttpRequest,
-        ) {
-            val call = "${request.method()} ${request.uri().substringBefore('?')}"
-            val body = ByteArray(request.content().readableBytes()).also { request.content().readBytes(it) }
+    private inner class Handler : CallerHandler {
+        override fun handle(
+            request: CallerRequest,
+            reply: CallerReply,
+        ): CallerConnectionListener {
+            val call = "${request.head.method()} ${request.head.uri().substringBefore('?')}"
+            val body = ByteArray(request.body.readableBytes()).also { request.body.readBytes(it) }
+            request.body.release()
             val handler = handlers[call] ?: { _, done -> done(InternalHttpResponse(NOT_FOUND)) }
-            handler(body) { answer -> write(context, answer) }
+            handler(body) { answer ->
+                val headers = DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
+                reply.send(answer.status, headers, Unpooled.wrappedBuffer(answer.body))
+            }
+            return IgnoringListener
         }
 
-        override fun exceptionCaught(
-            context: ChannelHandlerContext,
-            cause: Throwable,
-        ) {
-            logger.debug("event=small-server-connection-failed cause={}", cause.toString())
-            context.close()
+        override fun onAlreadyDisconnected(request: CallerRequest) {
+            request.body.release()
         }
 
-        private fun write(
-            context: ChannelHandlerContext,
-            answer: InternalHttpResponse,
+        override fun onUnreadable(
+            reply: CallerReply,
+            status: Int,
+            reason: String,
         ) {
-            val response =
-                DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(answer.status),
-                    Unpooled.wrappedBuffer(answer.body),
-                )
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body.size)
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
-            context.writeAndFlush(response)
+            logger.info("event=internal-request-unreadable status={} reason=\"{}\"", status, reason)
+            reply.send(status, DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER)
         }
     }
 
+    private object IgnoringListener : CallerConnectionListener {
+        override fun onCallerDisconnected() = Unit
+
+        override fun onWritabilityChanged(writable: Boolean) = Unit
+    }
+
     private companion object {
-        /** Larger than the largest exchange between peers in a system of hundreds of nodes. */
-        const val MAXIMUM_BYTES = 1_048_576
         const val NOT_FOUND = 404
+
+        /** Balancers may probe with the older version. */
+        val VERSIONS = setOf(HttpVersion.HTTP_1_1, HttpVersion.HTTP_1_0)
+
+        /**
+         * The largest body is larger than the largest exchange between peers in a system of hundreds of nodes. Peers
+         * keep connections idle for up to 20 s.
+         */
+        val LIMITS =
+            CallerLimits(
+                headerBytes = 16_384,
+                bodyBytes = 1_048_576,
+                headerTimeout = 10.seconds,
+                idleTimeout = 60.seconds,
+            )
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
@@ -131,6 +131,8 @@
         }
     }
 
+    override fun toString(): String = "server=${context.channel().remoteAddress()}"
+
     override fun giveUp(reason: String) {
         held = 0
         fail(reason)
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import plantainturn.connection.http.HeldBytes
 import plantainturn.connection.roster.InstanceRoster
 import plantainturn.connection.store.StoreEra
 import plantainturn.process.control.lease.StoreLease
@@ -20,6 +21,8 @@
  * The state of a relay node, for operators.
  *
  * @property unansweredOrders orders to engines that were not answered and may still be executed
+ * @property heldBytes memory of messages that are not complete
+ * @property largestHolders the connections that hold most of it, with their bytes
  * @property blockedSeconds how much longer requests with a trait are refused, by its fingerprint
  */
 @Serializable
@@ -37,6 +40,8 @@
     val waiting: Int,
     val blockedSeconds: Map<String, Long>,
     val unansweredOrders: List<RelayedOrder>,
+    val heldBytes: Long,
+    val largestHolders: Map<String, Long>,
     val instances: Map<String, InstanceDump>,
     val accounts: Map<String, AccountDump> = emptyMap(),
 ) {
@@ -70,6 +75,7 @@
     fun toJson(): String = FORMAT.encodeToString(serializer(), this)
 
     companion object {
+        private const val LARGEST_HOLDERS = 10
         private val FORMAT = Json { prettyPrint = true }
 
         fun accountsOf(
@@ -100,6 +106,7 @@
             storeEra: StoreEra,
             unansweredOrders: List<RelayedOrder>,
             accounts: Map<String, AccountDump>,
+            heldBytes: HeldBytes,
         ): RelayDump {
             val work = links.ownTotals()
             return RelayDump(
@@ -118,6 +125,8 @@
                     attribution.blocked.entries.associate { (trait, left) -> "$trait" to left.inWholeSeconds },
                 unansweredOrders = unansweredOrders,
                 accounts = accounts,
+                heldBytes = heldBytes.total,
+                largestHolders = heldBytes.largest(LARGEST_HOLDERS).associate { (holder, bytes) -> "$holder" to bytes },
                 instances =
                     roster.instances
                         .map { (name, instance) ->
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -248,9 +248,9 @@
     private val timeEstimator = EngineTimeEstimator()
     private val repetitionBudget = RepetitionBudget(repetitions(), share::fractionAt)
     private val handler = RelayHandler(context())
-    private val callerServer = CallerServer(eventLoop, timer, configuration, handler)
-    private val peerServer = InternalHttpServer(eventLoop)
-    private val readinessServer = InternalHttpServer(eventLoop)
+    private val callerServer = CallerServer(eventLoop, timer, configuration, handler, heldBytes)
+    private val peerServer = InternalHttpServer(eventLoop, timer, heldBytes)
+    private val readinessServer = InternalHttpServer(eventLoop, timer, heldBytes)
     private val startedAt: Moment = timer.now()
     private var stopping = false
     private var reportCount = 0L
@@ -447,7 +447,11 @@
                     strictAfter = settings.revocationMilliseconds.milliseconds.takeIf { settings.strictRevocation },
                 ),
             quota = quotaClient,
-            metrics = RelayMetrics(registry).apply { gaugeUnansweredOrders { issuer.unansweredOrders().size } },
+            metrics =
+                RelayMetrics(registry).apply {
+                    gaugeUnansweredOrders { issuer.unansweredOrders().size }
+                    gaugeHeldBytes(heldBytes)
+                },
             random = Random.Default,
         )
 
@@ -558,6 +562,7 @@
                 storeEra = maxOf(configurationFollower.end, instanceFollower.end).era,
                 unansweredOrders = unansweredOrders(),
                 accounts = RelayDump.accountsOf(quotaDesk.levels, quotaClient.admitted),
+                heldBytes = heldBytes,
             ).toJson()
 
     private companion object {
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
@@ -98,9 +98,11 @@
             when (status) {
                 REQUEST_TIMEOUT -> ResultCode.REQUEST_TOO_SLOW
                 TOO_LARGE, HEADERS_TOO_LARGE -> ResultCode.REQUEST_TOO_LARGE
+                MEMORY_SCARCE -> ResultCode.MEMORY_LIMIT_REACHED
                 else -> ResultCode.MALFORMED_REQUEST
             }
-        reply.send(status, context.dialect.ownHeaders(null, code, null), Unpooled.EMPTY_BUFFER)
+        val retryAfter = MEMORY_RETRY_AFTER.takeIf { status == MEMORY_SCARCE }
+        reply.send(status, context.dialect.ownHeaders(null, code, retryAfter), Unpooled.EMPTY_BUFFER)
         context.metrics.onEnd(null, code, Duration.ZERO)
         context.eventLog.recordEnd(null, code, status, "reason=\"$reason\"")
     }
@@ -132,6 +134,10 @@
         const val REQUEST_TIMEOUT = 408
         const val TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
+        const val MEMORY_SCARCE = 503
+
+        /** Half of the memory is free again a second after it became scarce. */
+        val MEMORY_RETRY_AFTER = 1_000.milliseconds
         val NOT_READY_RETRY_AFTER = 300.milliseconds
 
         /** Short, because another node can serve the caller at once. */
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
@@ -1,9 +1,11 @@
 package plantainturn.relay.request
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import plantainturn.connection.http.HeldBytes
 import plantainturn.process.ResultCode
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -71,6 +73,28 @@
             .register(registry)
     }
 
+    /** Registers metrics of what [held] counts. */
+    internal fun gaugeHeldBytes(held: HeldBytes) {
+        GaugeWithCallback
+            .builder()
+            .name("plantainturn_relay_held_bytes")
+            .help("Memory of messages that are not complete, of all connections.")
+            .callback { it.call(held.total.toDouble()) }
+            .register(registry)
+        GaugeWithCallback
+            .builder()
+            .name("plantainturn_relay_held_bytes_limit")
+            .help("The bound on plantainturn_relay_held_bytes.")
+            .callback { it.call(held.limit.toDouble()) }
+            .register(registry)
+        CounterWithCallback
+            .builder()
+            .name("plantainturn_relay_given_up_total")
+            .help("Incomplete messages that were given up since memory was scarce.")
+            .callback { it.call(held.givenUp.toDouble()) }
+            .register(registry)
+    }
+
     internal fun onEnd(
         urgency: Int?,
         code: ResultCode,
