Take answers without a status from 100 to 599 for broken ones

Netty takes any number, OkHttp any three digits, so that 600 reached callers. A 101, which no request asks for, and more than 32 informational answers are broken too.

--- a/library/src/main/kotlin/plantainturn/connection/http/AtMostOnceClient.kt
+++ b/library/src/main/kotlin/plantainturn/connection/http/AtMostOnceClient.kt
@@ -26,6 +26,7 @@
         .eventListenerFactory { call -> listeners.create(call) + SendFailureListener }
         .addInterceptor(ReadTimeoutInterceptor)
         .addNetworkInterceptor(CutAnswerInterceptor)
+        .addNetworkInterceptor(StatusInterceptor)
         .addNetworkInterceptor(AtMostOnceInterceptor)
         .build()
 }
@@ -76,6 +77,22 @@
             response.header("Transfer-Encoding").equals("chunked", ignoreCase = true)
 }
 
+/**
+ * Rejects an answer whose status is not a final one, from 200 to 599.
+ *
+ * OkHttp takes any three digits. It skips one informational answer and returns the next one as if it were final.
+ */
+private object StatusInterceptor : Interceptor {
+    private val FINAL_STATUSES = 200..599
+
+    override fun intercept(chain: Interceptor.Chain): Response {
+        val response = chain.proceed(chain.request())
+        if (response.code in FINAL_STATUSES) return response
+        response.close()
+        throw IOException("the status ${response.code} is not a final one")
+    }
+}
+
 /**
  * Records that a connection was made and sending begins, and keeps OkHttp from sending the request again.
  *
--- a/relay/src/main/kotlin/plantainturn/relay/http/StrictResponseDecoder.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/StrictResponseDecoder.kt
@@ -57,6 +57,12 @@
             containsStatusLine(head.status().reasonPhrase()) ||
             head.headers().any { (name, value) -> containsStatusLine(name) || containsStatusLine(value) }
 
+    /** Netty takes any number for a status, with a sign or leading zeros too. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        require(STATUS.matches(initialLine[1])) { "the status is not a number from 100 to 599" }
+        return super.createMessage(initialLine)
+    }
+
     private fun containsStatusLine(text: String): Boolean = text.contains(PROTOCOL) && STATUS_LINE.containsMatchIn(text)
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
@@ -68,6 +74,7 @@
         const val MAXIMUM_CHUNK_BYTES = 65_536
         const val PROTOCOL = "HTTP"
         const val MAJOR_VERSION = 1
+        val STATUS = Regex("[1-5][0-9]{2}")
         val STATUS_LINE = Regex("HTTP/\\d\\.\\d +\\d{3}")
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/UpstreamConnection.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
@@ -41,6 +42,7 @@
     private var reusable = true
     private var failure: String? = null
     private var requestCount = 0
+    private var informationalCount = 0
     private var held = 0L
     private var sentAt = Moment.ORIGIN
 
@@ -66,6 +68,7 @@
         check(this.receiver == null) { "connection already has a request in progress" }
         this.receiver = receiver
         requestCount += 1
+        informationalCount = 0
         sentAt = pool.timer.now()
         decoder.method = request.method()
         decoder.isAwaited = true
@@ -168,6 +171,10 @@
             return
         }
         val informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        if (informational && !isInformationalExpected(head)) {
+            fail("informational answer ${head.status().code()} that no request asked for, or too many of them")
+            return
+        }
         val ownership =
             if (current == null || answering || informational) null else current.ownershipOf(head, requestCount - 1)
         pool.onHead(head, sentAt.takeIf { ownership == AnswerOwnership.OWN })
@@ -178,6 +185,13 @@
         }
     }
 
+    /** No request asks for an upgrade, so that 101 would turn what follows into something other than HTTP. */
+    private fun isInformationalExpected(head: HttpResponse): Boolean {
+        informationalCount += 1
+        return head.status() != HttpResponseStatus.SWITCHING_PROTOCOLS &&
+            informationalCount <= MAXIMUM_INFORMATIONAL
+    }
+
     private fun beginAnswer(
         current: AnswerReceiver,
         head: HttpResponse,
@@ -278,6 +292,9 @@
         /** The server's timeout starts when it sends the answer, and its close reaches this node with a delay. */
         val KEEP_ALIVE_MARGIN = 400.milliseconds
 
+        /** Far above what servers send before an answer, one or two. */
+        const val MAXIMUM_INFORMATIONAL = 32
+
         /** A header of a few bytes takes two strings and an entry. */
         const val MEMORY_OF_HEAD_BYTE = 32L
 
