--- a/relay/src/main/kotlin/plantainturn/relay/http/InternalHttpServer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/InternalHttpServer.kt
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.LogManager
 import plantainturn.connection.http.HeldBytes
 import plantainturn.connection.roster.SocketLocation
+import plantainturn.process.time.ExecutorTimerService
 import plantainturn.process.time.TimerService
 import plantainturn.version.route.CallerLimits
 import kotlin.time.Duration.Companion.seconds
@@ -19,8 +20,8 @@
  */
 public class InternalHttpServer(
     loop: EventLoop,
-    timer: TimerService,
-    held: HeldBytes,
+    timer: TimerService = ExecutorTimerService(loop),
+    held: HeldBytes = HeldBytes(),
 ) {
     private val logger = LogManager.getLogger(InternalHttpServer::class.java)
     private val handlers = HashMap<String, (ByteArray, (InternalHttpResponse) -> Unit) -> Unit>()
