--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -106,6 +106,7 @@
         RelayMetrics(registry).apply {
             gaugeUnansweredOrders { issuer.unansweredOrders().size }
             gaugePaces { links.paces() }
+            gaugeHeldBytes(heldBytes)
         }
     private val store: RecordStore = CountedRecordStore(platform.store, metrics::onStoreCall)
     private val rosterTimes = RosterTimes(settings.drainMilliseconds.milliseconds)
@@ -259,9 +260,9 @@
     private val timeEstimator = EngineTimeEstimator()
     private val repetitionBudget = RepetitionBudget(repetitions(), share::fractionAt)
     private val handler = RelayHandler(context())
-    private val callerServer = CallerServer(eventLoop, timer, configuration, handler)
-    private val peerServer = InternalHttpServer(eventLoop)
-    private val readinessServer = InternalHttpServer(eventLoop)
+    private val callerServer = CallerServer(eventLoop, timer, configuration, handler, heldBytes)
+    private val peerServer = InternalHttpServer(eventLoop, timer, heldBytes)
+    private val readinessServer = InternalHttpServer(eventLoop, timer, heldBytes)
     private val startedAt: Moment = timer.now()
     private var stopping = false
     private var reportCount = 0L
@@ -573,6 +574,7 @@
                 storeEra = maxOf(configurationFollower.end, instanceFollower.end).era,
                 unansweredOrders = unansweredOrders(),
                 accounts = RelayDump.accountsOf(quotaDesk.levels, quotaClient.admitted),
+                heldBytes = heldBytes,
             ).toJson()
 
     private companion object {
