--- a/library/src/main/kotlin/plantainturn/request/quota/NodeAccount.kt
+++ b/library/src/main/kotlin/plantainturn/request/quota/NodeAccount.kt
@@ -48,8 +48,9 @@
     /**
      * Returns the part of the rate that the node may use without a desk.
      *
-     * Callers are spread unevenly, so that equal parts leave some unused while other nodes refuse. The recent use of
-     * all nodes together is at most the quota, so that these parts add up to at most the rate.
+     * Callers are spread unevenly, so that equal parts leave some unused while other nodes refuse. A node with more than
+     * its share keeps most of its recent use, which with that of all nodes is at most the quota; one with less does not
+     * use its share.
      */
     private fun partOf(
         quota: AccountQuota,
@@ -58,7 +59,7 @@
     ): Double {
         if (share <= 0.0) return 0.0
         val used = (recent.perSecond(now) / quota.perSecond).coerceAtMost(1.0)
-        return share * QuotaTiming.EQUAL_PART + used * (1.0 - QuotaTiming.EQUAL_PART)
+        return maxOf(share, share * QuotaTiming.EQUAL_PART + used * (1.0 - QuotaTiming.EQUAL_PART))
     }
 
     private fun decideAlone(
@@ -68,7 +69,8 @@
         now: Moment,
     ): NodeVerdict {
         val bucket = local ?: LocalBucket(random, cost, now).also { local = it }
-        val wait = bucket.take(cost, quota.perSecond * part, quota.burst * part * QuotaTiming.LOCAL_BURST, now)
+        val burst = quota.burst * part * QuotaTiming.LOCAL_BURST
+        val wait = bucket.take(cost, quota.perSecond * part, burst, now)
         return wait?.let { NodeVerdict.Unavailable(it) } ?: admit(cost, now)
     }
 
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -213,7 +213,7 @@
             incarnation,
             lease,
             quotaDesk,
-            NodeQuotas(Random.Default, share::fractionAt),
+            NodeQuotas(Random.Default) { maxOf(share.fractionAt(it), equalShare()) },
             configuration,
             caller,
             timer,
@@ -525,6 +525,10 @@
             admitted = quotaClient.createReport(whole = known.session == null),
         )
 
+    /** An equal share among the nodes last counted, while no issuer confirms one; 0 before the first count. */
+    private fun equalShare(): Double =
+        if (issuerLink.nodes > 1) 1.0 / (issuerLink.nodes + UNCOUNTED_NODES) else 0.0
+
     private fun configurationForIssuer(): KeyedRecord? {
         val issuer = lastIssuerReport ?: return null
         return if (issuer.configurationWanted) {
@@ -583,6 +587,9 @@
         const val UNAVAILABLE = 503
         const val ROUNDING_FACTOR = 1_000.0
 
+        /** Nodes that may have started since the last count. */
+        const val UNCOUNTED_NODES = 2
+
         /** Streams of removed routes may outlive the longest present timeout. */
         val MINIMUM_STREAM_LIFETIME = 15.seconds
 
