--- a/library/src/main/kotlin/plantainturn/request/quota/NodeAccount.kt
+++ b/library/src/main/kotlin/plantainturn/request/quota/NodeAccount.kt
@@ -48,9 +48,9 @@
     /**
      * Returns the part of the rate that the node may use without a desk.
      *
-     * Callers are spread unevenly, so that equal parts leave some unused while other nodes refuse. A node with more than
-     * its share keeps most of its recent use, which with that of all nodes is at most the quota; one with less does not
-     * use its share.
+     * Callers are spread unevenly, so that equal parts leave some unused while other nodes refuse. A node with more
+     * than its share keeps most of its recent use, which with that of all nodes is at most the quota; one with less
+     * does not use its share.
      */
     private fun partOf(
         quota: AccountQuota,
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -526,8 +526,7 @@
         )
 
     /** An equal share among the nodes last counted, while no issuer confirms one; 0 before the first count. */
-    private fun equalShare(): Double =
-        if (issuerLink.nodes > 1) 1.0 / (issuerLink.nodes + UNCOUNTED_NODES) else 0.0
+    private fun equalShare(): Double = if (issuerLink.nodes > 1) 1.0 / (issuerLink.nodes + UNCOUNTED_NODES) else 0.0
 
     private fun configurationForIssuer(): KeyedRecord? {
         val issuer = lastIssuerReport ?: return null
