--- a/relay/src/main/kotlin/plantainturn/relay/http/RequestGate.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/RequestGate.kt
@@ -93,11 +93,8 @@
     private fun costOf(bytes: ByteBuf): Long = bytes.capacity() + BUFFER_OBJECTS
 
     companion object {
-        /**
-         * Holds a few thousand chunks of one byte, or a head at the operators' limit. Usual requests and reports of
-         * nodes fit, as each further turn waits for the other work of the event loop.
-         */
-        const val TURN_BYTES = 16_384
+        /** Holds a few hundred chunks of one byte, or a thousand empty header fields. */
+        const val TURN_BYTES = 4_096
 
         /** A whole head at the operators' limit. */
         private const val MAXIMUM_WAITING = 32_768L
--- a/relay/src/main/kotlin/plantainturn/relay/http/TurnQueue.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/TurnQueue.kt
@@ -38,7 +38,7 @@
     }
 
     private companion object {
-        /** At 16 KiB a turn, some 20 ms of decoding chunks of one byte on the weakest VM. */
-        const val TURNS_PER_ITERATION = 4
+        /** At 4 KiB a turn, some 20 ms of decoding chunks of one byte on the weakest VM. */
+        const val TURNS_PER_ITERATION = 16
     }
 }
