--- a/library/src/main/kotlin/plantainturn/request/quota/QuotaTiming.kt
+++ b/library/src/main/kotlin/plantainturn/request/quota/QuotaTiming.kt
@@ -4,7 +4,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Times that bound what nodes admit before the desk hears of it. */
+/** Times and parts that bound what nodes admit before the desk hears of it. */
 internal object QuotaTiming {
     /**
      * How far a node may be ahead of its part of an open account's rate.
--- a/library/src/main/kotlin/plantainturn/request/relay/InstancePace.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/InstancePace.kt
@@ -11,7 +11,7 @@
  * Learns how long work takes at one run of an instance: the usual time of an answer of a plain service, or for an
  * engine the time to the first event in proportion to the nominal time of its prompt tokens.
  *
- * Load patterns: instances of one service whose speeds differ by a factor of two, and whose machines are slowed for
+ * Load patterns: instances of one service whose speeds differ by a factor of two, and whose VMs are slowed for
  * some hundred milliseconds by others. What an instance states of the moment is taken out of each sample and put into
  * each estimate. Failures give no sample, as an error may be answered faster than any work. Another run of the instance
  * needs another object. Confined to one thread.
@@ -93,7 +93,7 @@
 
         private const val USUAL_PERCENT = 100.0
 
-        /** A machine that is shared with others is slowed a few times at most; more is a freeze or a wrong figure. */
+        /** A VM that is shared with others is slowed a few times at most; more is a freeze or a wrong figure. */
         private const val MOST_STATED = 10.0
         private const val LEAST_STATED = 0.2
 
