Pace exchanges by the issuer's answers, bound parts of quotas, free a node's sockets

Exchanges: an issuer of 0.12 of a core answered nobody for up to 11 s after traffic began, as nodes stopped waiting after 500 ms and sent new reports, every other one to another node. Nodes now wait up to 3 s, use late answers, wait longer between two exchanges while answers take long, and ask other nodes only if the issuer counts as missing.

Quotas: a node kept an equal part of each quota for ever, while the desk granted it to others after 6 s. QuotaWorld now has the product's rule; with it two properties of QuotaWindowTest failed (9,150,110 of 7,535,000 units with half of the nodes cut off). A node's confirmed fraction lasts 20 s for quotas, and the desk leaves it out for 25 s or until another process reports from the address. The bucket of a node without a desk admits a request once it holds a random fraction of its cost; before, each node admitted one large request at once if its first one had been small (416,689 of 397,100 units).

Sockets: RelayNode.close() left all sockets open if the event loop was running tasks just then, as Netty skips closing them without a quiet period.

--- a/library/src/main/kotlin/plantainturn/request/quota/LocalBucket.kt
+++ b/library/src/main/kotlin/plantainturn/request/quota/LocalBucket.kt
@@ -9,18 +9,21 @@
 /**
  * A node's own part of an account's rate while there is no desk to ask.
  *
- * Begins at a random debt of up to the cost of one request, so that many nodes together admit the rate on average and
- * not one request each at once. It is kept while the desk answers again: a slow desk is silent often and for a moment,
- * and a new debt each time would refuse most requests.
+ * Load pattern: many nodes, each of whose parts is small beside one request. If each admitted a request as soon as it
+ * had no debt, all together would admit one large request each at once. A request is therefore admitted when the
+ * bucket holds a random fraction of its cost, and the rest becomes debt, so that nodes together admit the rate on
+ * average. More than the node's part of the burst is saved up only while requests are refused for lack of it.
  */
 internal class LocalBucket(
-    random: Random,
-    cost: Long,
+    private val random: Random,
     private var advancedAt: Moment,
 ) {
-    private var level = -random.nextDouble() * cost
+    private var level = 0.0
+    private var fraction = random.nextDouble()
+    private var wanted = 0.0
+    private var wantedAt = advancedAt
 
-    /** Returns null and subtracts [cost] if there is no debt, otherwise the time until it is paid. */
+    /** Returns null and subtracts [cost] if enough of it is saved up, otherwise the time until it is. */
     fun take(
         cost: Long,
         unitsPerSecond: Double,
@@ -29,12 +32,20 @@
     ): Duration? {
         val refill = unitsPerSecond * (now - advancedAt).toDouble(DurationUnit.SECONDS)
         val lead = unitsPerSecond * QuotaTiming.LOCAL_LEAD.toDouble(DurationUnit.SECONDS)
-        val highest = maxOf(lead, burst)
-        level = maxOf(level, minOf(level + refill, highest))
+        val regular = maxOf(lead, burst)
+        val highest = if (now - wantedAt <= QuotaTiming.RECENT_USE) maxOf(regular, wanted) else regular
+        level = minOf(level + refill, highest)
         advancedAt = now
         if (unitsPerSecond <= 0) return QuotaTiming.WITHOUT_DESK_WAIT
-        if (level < 0) return (-level / unitsPerSecond).seconds.coerceAtMost(QuotaTiming.WITHOUT_DESK_WAIT)
+        val needed = fraction * cost
+        if (level < needed) {
+            wanted = needed
+            wantedAt = now
+            return ((needed - level) / unitsPerSecond).seconds.coerceAtMost(QuotaTiming.WITHOUT_DESK_WAIT)
+        }
         level -= cost
+        // Small requests in between would otherwise give a large one many chances.
+        if (cost > regular) fraction = random.nextDouble()
         return null
     }
 }
--- a/library/src/main/kotlin/plantainturn/request/quota/NodeAccount.kt
+++ b/library/src/main/kotlin/plantainturn/request/quota/NodeAccount.kt
@@ -68,7 +68,7 @@
         part: Double,
         now: Moment,
     ): NodeVerdict {
-        val bucket = local ?: LocalBucket(random, cost, now).also { local = it }
+        val bucket = local ?: LocalBucket(random, advancedAt = heardAt).also { local = it }
         val burst = quota.burst * part * QuotaTiming.LOCAL_BURST
         val wait = bucket.take(cost, quota.perSecond * part, burst, now)
         return wait?.let { NodeVerdict.Unavailable(it) } ?: admit(cost, now)
--- a/library/src/main/kotlin/plantainturn/request/relay/NodeShareAllocator.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/NodeShareAllocator.kt
@@ -46,21 +46,6 @@
         return allocation.granted
     }
 
-    /**
-     * Returns the fractions of the processes that have been silent for longer than [silentAfter] and whose terms may
-     * not have ended.
-     */
-    public fun silentFraction(
-        silentAfter: Duration,
-        now: Moment,
-    ): Double = allocations.values.filter { now - it.lastReportAt in silentAfter..terms.term }.sumOf { it.granted }
-
-    /** Returns the fraction that processes may be using which reported to an earlier holder only. */
-    public fun unknownFraction(now: Moment): Double {
-        val mayBeUsed = now < allocatesFrom - terms.reclaimAfter + terms.term
-        return if (mayBeUsed) (1.0 - allocations.values.sumOf { it.granted }).coerceAtLeast(0.0) else 0.0
-    }
-
     private fun fractionFor(
         allocation: Allocation,
         now: Moment,
--- a/library/src/test/kotlin/plantainturn/request/quota/QuotaWindowTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/quota/QuotaWindowTest.kt
@@ -36,6 +36,29 @@
         assertTrue(world.worstWindow() <= limit, "$scenario: ${world.worstWindow()} of $limit")
     }
 
+    /**
+     * Guards against parts of a quota that the desk grants to others while nodes that it no longer hears use them, for
+     * longer than the nodes' confirmed shares last.
+     */
+    @Property(tries = 40, seed = "20261210", shrinking = ShrinkingMode.OFF)
+    fun `a hot account exceeds no window while half of the nodes are cut off for long`(
+        @ForAll("scenarios") scenario: Scenario,
+        @ForAll withDesk: Boolean,
+    ) {
+        val world = scenario.createWorld()
+        world.run(15.seconds)
+        world.load = HOT_LOAD
+        val order = world.nodes.indices.shuffled(Random(scenario.seed))
+        val half = order.take(world.nodes.size / 2)
+        world.partition(half, withDesk)
+        world.run(if (withDesk) 8.seconds else 40.seconds)
+        world.heal()
+        world.run(10.seconds)
+
+        val limit = QuotaWorld.TERMS.limitOf(world.quota)
+        assertTrue(world.worstWindow() <= limit, "$scenario: ${world.worstWindow()} of $limit")
+    }
+
     /** Guards against a lowered limit that comes into force late, and a raised one that is not used. */
     @Property(tries = 30, seed = "20261207", shrinking = ShrinkingMode.OFF)
     fun `a lowered limit binds the next window and a raised one is used at once`(
--- a/library/src/test/kotlin/plantainturn/request/quota/QuotaWorld.kt
+++ b/library/src/test/kotlin/plantainturn/request/quota/QuotaWorld.kt
@@ -75,7 +75,7 @@
         isolatedDesk = null
     }
 
-    fun restart(indices: Iterable<Int>) = indices.forEach { nodes[it] = Node() }
+    fun restart(indices: Iterable<Int>) = indices.forEach { nodes[it] = Node(nodes[it].address) }
 
     fun addNodes(count: Int) = repeat(count) { nodes += Node() }
 
@@ -140,10 +140,14 @@
         val cost: Long,
     )
 
-    inner class Node {
+    inner class Node(
+        place: String? = null,
+    ) {
         private val name = "node ${started++}"
+        val address = place ?: name
         private val share = NodeShare(SHARE_TERMS)
-        private val quotas = NodeQuotas(Random(started), share::fractionAt)
+        private val quotaShare = QuotaShare()
+        private val quotas = NodeQuotas(Random(started), quotaShare::fractionAt)
         private val waiting = ArrayList<Use>()
         private var nextReportAt = now + PERIODS_START * Random(started).nextDouble()
         private var reports = 0L
@@ -185,12 +189,14 @@
                 val fraction =
                     answering.allocator.takeIf { answering.isExclusive }?.renew(name, maximum, sequence, now)
                 answering.advance()
+                answering.silentParts.onReport(name, address, maxOf(fraction ?: 0.0, maximum), now)
                 answering.ledger.report(name, totals, now)
                 val bound = answering.ledger.bound
                 send(this) {
                     wholeFor = answering
                     heardAt = now
                     fraction?.let { share.confirm(it, sentAt, now) }
+                    fraction?.let { quotaShare.confirm(it, sentAt) }
                     quotas.onReport(totals, bound, setOf(ACCOUNT), sentAt)
                 }
             }
@@ -262,13 +268,15 @@
                 now + if (isFirst) NodeShareAllocator.ABSENT_AFTER else SHARE_TERMS.reclaimAfter,
             )
 
+        val silentParts = SilentParts(now, hasPredecessor = !isFirst)
+
         /** False: the store can't be reached, so that there may be a successor. */
         var isExclusive = true
 
         fun advance() {
             val silentAfter = maxOf(200.milliseconds, 4.milliseconds * nodes.size) + SILENCE_MARGIN
-            val silent = allocator.silentFraction(silentAfter, now)
-            val refill = DeskRefill.of(isExclusive, silent, allocator.unknownFraction(now))
+            val silent = silentParts.fraction(silentAfter, now)
+            val refill = DeskRefill.of(isExclusive, silent, silentParts.unknownFraction(now))
             val account = ClientAccount(ACCOUNT, urgency = null, quota)
             val known = if (configured?.get(ACCOUNT) == account) configured!! else persistentMapOf(ACCOUNT to account)
             configured = known
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -64,6 +64,7 @@
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.quarantine.CrashAttribution
 import plantainturn.request.quota.NodeQuotas
+import plantainturn.request.quota.QuotaShare
 import plantainturn.request.quota.QuotaTerms
 import plantainturn.request.relay.EngineTimeEstimator
 import plantainturn.request.relay.NodeShare
@@ -205,15 +206,17 @@
         TopicFollower(store, CrashEvidenceTopic.NAME, crashEvidence, timer, pace = ::crashEvidenceReadPace)
     private val shareTerms = NodeShareTerms(settings.repetitionWindowSeconds.seconds)
     private val share = NodeShare(shareTerms)
+    private val quotaShare = QuotaShare()
     private val shareDesk = ShareDesk(lease, shareTerms, timer)
     private val quotaDesk =
-        QuotaDesk(lease, shareDesk, configuration, quotaTerms(), timer) { issuerLink.nodes }
+        QuotaDesk(lease, configuration, quotaTerms(), timer) { issuerLink.nodes }
     private val quotaClient: QuotaClient =
         QuotaClient(
             incarnation,
             lease,
             quotaDesk,
-            NodeQuotas(Random.Default) { maxOf(share.fractionAt(it), equalShare()) },
+            NodeQuotas(Random.Default, quotaShare::fractionAt),
+            quotaShare,
             configuration,
             caller,
             timer,
@@ -345,7 +348,7 @@
 
     /** Terminates immediately, as if the process were killed. */
     override fun close() {
-        eventLoopGroup.shutdownGracefully(0, 0, TimeUnit.SECONDS).await()
+        eventLoopGroup.shutdownGracefully(QUIET_MILLISECONDS, CLOSE_MILLISECONDS, TimeUnit.MILLISECONDS).await()
     }
 
     private fun startTasks() {
@@ -525,9 +528,6 @@
             admitted = quotaClient.createReport(whole = known.session == null),
         )
 
-    /** An equal share among the nodes last counted, while no issuer confirms one; 0 before the first count. */
-    private fun equalShare(): Double = if (issuerLink.nodes > 1) 1.0 / (issuerLink.nodes + UNCOUNTED_NODES) else 0.0
-
     private fun configurationForIssuer(): KeyedRecord? {
         val issuer = lastIssuerReport ?: return null
         return if (issuer.configurationWanted) {
@@ -586,8 +586,12 @@
         const val UNAVAILABLE = 503
         const val ROUNDING_FACTOR = 1_000.0
 
-        /** Nodes that may have started since the last count. */
-        const val UNCOUNTED_NODES = 2
+        /**
+         * Without a quiet period, Netty leaves all sockets open, the listening ones too, if the shutdown begins while
+         * the event loop is running tasks.
+         */
+        const val QUIET_MILLISECONDS = 1L
+        const val CLOSE_MILLISECONDS = 1_000L
 
         /** Streams of removed routes may outlive the longest present timeout. */
         val MINIMUM_STREAM_LIFETIME = 15.seconds
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -32,7 +32,7 @@
  * Exchanges reports with the issuer of orders, which may be this node.
  *
  * Everything received is a hint: requests are processed without it, and a node reads the store if its hints are
- * outdated. A node that hears neither the issuer nor the store asks other nodes, each in turn, who the issuer is.
+ * outdated. A node that does not hear the issuer asks other nodes, each in turn, who it is.
  *
  * @param peers other nodes, to ask for the issuer
  * @param createReport returns this node's report, given what it has already received from the issuer
@@ -63,7 +63,9 @@
     private var lastReportAt: Moment? = null
     private var lastNewsAt: Moment? = null
     private val lookUps = HolderLookUpSchedule(StoreLeaseSettings().contenderWait, Random.Default)
-    private var exchanging = false
+    private val pacing = ExchangePacing()
+    private val exchanging = HashSet<SocketLocation>()
+    private var lastSentAt = Moment.ORIGIN
     private var issuerStoreAnsweredAt: Moment? = null
     private var lastStepAt: Moment? = null
     private var hintedHolder: SocketLocation? = null
@@ -75,32 +77,38 @@
         private set
 
     /** Returns whether the issuer has been silent for so long that another node should take over. */
-    fun isIssuerMissing(): Boolean =
-        lastReportAt?.let { timer.now() - it > ExchangeTiming.issuerTimeout(nodes) } ?: true
+    fun isIssuerMissing(): Boolean = lastReportAt?.let { timer.now() - it > pacing.issuerTimeout(nodes) } ?: true
 
     /** Returns whether a holder of the lease informs this node of what it reads, though it may not issue orders yet. */
     fun isInformed(): Boolean =
-        !isIssuerMissing() || lastNewsAt?.let { timer.now() - it < ExchangeTiming.issuerTimeout(nodes) } ?: false
+        !isIssuerMissing() || lastNewsAt?.let { timer.now() - it < pacing.issuerTimeout(nodes) } ?: false
 
     /** Returns how long ago the store last answered the issuer about instances, null if not reported. */
     fun issuerStoreAge(): Duration? = issuerStoreAnsweredAt?.let { timer.now() - it }
 
-    /** Exchanges reports with the issuer if the last exchange has ended and the next one is due. */
+    /** Exchanges reports with the issuer if the next exchange is due and the last one has ended. */
     fun step() {
         val last = lastStepAt
-        if (last != null && timer.now() - last < ExchangeTiming.period(nodes) - STEP_TOLERANCE) return
+        val isIssuer = lease.fence != null
+        val interval = if (isIssuer) ExchangeTiming.period(nodes) else pacing.interval(nodes)
+        if (last != null && timer.now() - last < interval - STEP_TOLERANCE) return
         lastStepAt = timer.now()
-        if (lease.fence != null) {
+        if (isIssuer) {
             val own = createReport(knowledgeOf(SELF))
             applyReport(hub.exchange(own), own, SELF, timer.now())
-            return
+        } else {
+            stepAsNode()
         }
+    }
+
+    private fun stepAsNode() {
         val holder = holderLocation()
         if (holder == null || !isInformed()) lookUpIssuer(lease.holderRecord)
-        if (exchanging) return
-        val location = if (holder == null || askPeerNext) peers.next() ?: holder else holder
-        askPeerNext = false
-        location?.let(::exchangeWith)
+        if (exchanging.size >= MOST_EXCHANGES) return
+        val asksPeer = holder == null || isIssuerMissing() && (askPeerNext || holder in exchanging)
+        val location = if (asksPeer) peers.next() ?: holder else holder
+        if (asksPeer) askPeerNext = false
+        if (location != null && location !in exchanging) exchangeWith(location)
     }
 
     /** Returns where a peer believes the issuer, until the store names another one than before. */
@@ -162,14 +170,15 @@
     }
 
     private fun exchangeWith(location: SocketLocation) {
-        exchanging = true
         val from = location.toString()
         val sentAt = timer.now()
+        exchanging += location
         val sent = createReport(knowledgeOf(from))
         val body = Json.encodeToString(NodeReport.serializer(), sent).toByteArray()
         metrics.onExchangeBytes(sent = true, "report", body.size)
-        caller.call(location, HttpCall(HttpMethod.POST, EXCHANGE_PATH, body), EXCHANGE_TIMEOUT) { result ->
-            exchanging = false
+        caller.call(location, HttpCall(HttpMethod.POST, EXCHANGE_PATH, body), ExchangePacing.ANSWER_TIMEOUT) { result ->
+            exchanging.remove(location)
+            if (location == holderLocation()) pacing.onEnded(timer.now() - sentAt)
             if (result is HttpCallResult.Answered) metrics.onExchangeBytes(sent = false, "answer", result.body.size)
             val report = PeerMessage.decode(result, IssuerReport.serializer())
             when {
@@ -178,6 +187,8 @@
                     onUnhelpful(location)
                     logger.debug("issuer={} event=exchange-failed result={}", location, result)
                 }
+                // A former issuer's late answer comes after those of its successor.
+                report.issuing && sentAt < lastSentAt -> Unit
                 report.issuing -> applyReport(report, sent, from, sentAt)
                 report.informing -> applyNews(report, sentAt)
                 else -> onPeerReport(report, location, sentAt)
@@ -202,6 +213,7 @@
             logger.info("event=nodes-counted issuer={} before={} now={}", from, nodes, report.nodes)
         }
         lastReportAt = now
+        lastSentAt = sentAt
         lookUps.reset()
         nodes = report.nodes
         report.repetitionShare?.let { confirmShare(it, from, sentAt) }
@@ -278,7 +290,8 @@
         const val ADAPTER_PATH = "/peer/adapter"
         private const val SELF = "self"
 
-        private val EXCHANGE_TIMEOUT = 500.milliseconds
+        /** With the issuer, and with another node when the issuer does not answer. */
+        private const val MOST_EXCHANGES = 2
         private val ADAPTER_TIMEOUT = 400.milliseconds
 
         /** The timer calls [step] slightly early or late. */
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -62,10 +62,12 @@
         notices.onPeerLimits(report.limits.associate { it.run to it.toStatement(now) })
         if (aggregatedAt?.let { now - it >= AGGREGATION_PERIOD } != false) updateAggregate(now)
         val known = report.known.takeIf { it.session == session } ?: IssuerKnowledge.NONE
+        val share = shares.shareFor(report)
+        val usableShare = maxOf(share ?: 0.0, report.repetitionShare)
         return IssuerReport(
             issuing = issuer.isActive,
             nodes = received.size,
-            repetitionShare = shares.shareFor(report),
+            repetitionShare = share,
             work = aggregate.workOfOthers(report.node),
             suspects = aggregate.suspects,
             departures = aggregate.departures,
@@ -96,7 +98,7 @@
             latestConfigurationVersion = freshness.latestVersion,
             holder = holder(),
             peers = KnownPeers.forReport(addresses, report.sequence),
-            boundAccounts = quotas.report(report.node, report.admitted),
+            boundAccounts = quotas.report(report.node, report.address, usableShare, report.admitted),
             informing = lease.isExclusive,
         )
     }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/QuotaDesk.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/QuotaDesk.kt
@@ -2,12 +2,16 @@
 
 import plantainturn.connection.engine.FenceNumber
 import plantainturn.process.control.lease.StoreLease
+import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.request.quota.AccountLevel
+import plantainturn.request.quota.DeskRefill
 import plantainturn.request.quota.QuotaLedger
 import plantainturn.request.quota.QuotaTerms
+import plantainturn.request.quota.SilentParts
 import plantainturn.version.route.ClientAccountName
 import plantainturn.version.route.RoutingSource
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Counts the use of the accounts' quotas by all nodes at the issuer of orders.
@@ -18,7 +22,6 @@
  */
 internal class QuotaDesk(
     private val lease: StoreLease,
-    private val shares: ShareDesk,
     private val routing: RoutingSource,
     private val terms: QuotaTerms,
     private val timer: TimerService,
@@ -26,17 +29,26 @@
 ) {
     private var ledger: QuotaLedger? = null
     private var ledgerFence: FenceNumber? = null
+    private var silentParts = SilentParts(Moment.ORIGIN, hasPredecessor = false)
 
     /** The state of each account that has a quota, empty at a node that is not the desk. */
     val levels: Map<ClientAccountName, AccountLevel>
         get() = advance()?.levels.orEmpty()
 
-    /** Records what [node] reports, and returns the accounts for which nodes have to ask, null if this is no desk. */
+    /**
+     * Records what [node] reports, and returns the accounts for which nodes have to ask, null if this is no desk.
+     *
+     * @param address where peers reach the node
+     * @param share the largest share of what all nodes use together that it may be using
+     */
     fun report(
         node: String,
+        address: String,
+        share: Double,
         admitted: AdmittedReport?,
     ): List<String>? {
         val current = advance() ?: return null
+        silentParts.onReport(node, address, share, timer.now())
         admitted?.let { current.report(node, it.decode(), timer.now()) }
         return current.bound.map { it.value }
     }
@@ -59,10 +71,22 @@
             return null
         }
         val now = timer.now()
-        val current = ledger?.takeIf { ledgerFence == fence } ?: QuotaLedger(terms, now)
+        val current = ledger?.takeIf { ledgerFence == fence } ?: start(now)
         ledger = current
         ledgerFence = fence
-        current.advance(accounts, shares.refill(nodes()), now)
+        val silent = silentParts.fraction(ExchangeTiming.period(nodes()) + SILENCE_MARGIN, now)
+        val refill = DeskRefill.of(lease.isExclusive, silent, silentParts.unknownFraction(now))
+        current.advance(accounts, refill, now)
         return current
     }
+
+    private fun start(now: Moment): QuotaLedger {
+        silentParts = SilentParts(now, hasPredecessor = !lease.isFirstHolder)
+        return QuotaLedger(terms, now)
+    }
+
+    private companion object {
+        /** What a report may be late by. After less than that, a silent node admits what the desk has not granted. */
+        val SILENCE_MARGIN = 300.milliseconds
+    }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/ShareDesk.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/ShareDesk.kt
@@ -4,10 +4,8 @@
 import plantainturn.process.control.lease.StoreLease
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
-import plantainturn.request.quota.DeskRefill
 import plantainturn.request.relay.NodeShareAllocator
 import plantainturn.request.relay.NodeShareTerms
-import kotlin.time.Duration.Companion.milliseconds
 
 /** Divides what all nodes may use together among them, at the holder of the lease. */
 internal class ShareDesk(
@@ -28,24 +26,10 @@
         return allocator.renew(report.node, report.repetitionShare, report.sequence, timer.now())
     }
 
-    /** Returns the part of each quota's rate that may be granted here, if [nodes] nodes exchange reports. */
-    fun refill(nodes: Int): Double {
-        val now = timer.now()
-        val isExclusive = lease.isExclusive
-        if (isExclusive) changeLease()
-        val silent = allocator.silentFraction(ExchangeTiming.period(nodes) + SILENCE_MARGIN, now)
-        return DeskRefill.of(isExclusive, silent, allocator.unknownFraction(now))
-    }
-
     private fun changeLease() {
         if (lease.fence == allocatorFence) return
         allocatorFence = lease.fence
         val delay = if (lease.isFirstHolder) NodeShareAllocator.ABSENT_AFTER else terms.reclaimAfter
         allocator = NodeShareAllocator(terms, timer.now() + delay)
     }
-
-    private companion object {
-        /** What a report may be late by. After less than that, a silent node admits what the desk has not granted. */
-        val SILENCE_MARGIN = 300.milliseconds
-    }
 }
--- a/relay/src/test/kotlin/plantainturn/relay/peer/QuotaClientTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/peer/QuotaClientTest.kt
@@ -22,8 +22,8 @@
 import plantainturn.relay.node.InMemoryRecordStore
 import plantainturn.relay.request.QuotaDecision
 import plantainturn.request.quota.NodeQuotas
+import plantainturn.request.quota.QuotaShare
 import plantainturn.request.quota.QuotaTerms
-import plantainturn.request.relay.NodeShareTerms
 import plantainturn.version.configuration.ConfigurationVersion
 import plantainturn.version.route.AccountQuota
 import plantainturn.version.route.CallerLimits
@@ -109,7 +109,7 @@
         routing.current = configuration(accounts = null)
 
         assertNull(otherNode.client.createReport(whole = true))
-        assertNull(deskNode.desk.report("node", admitted = null))
+        assertNull(deskNode.desk.report("node", "", share = 0.0, admitted = null))
         assertEquals(emptyMap(), deskNode.desk.levels)
     }
 
@@ -157,14 +157,14 @@
     ) {
         val lease =
             StoreLease(store, HolderIdentifier(name), address, timer, ::wallClock, StoreLeaseSettings())
-        private val shares = ShareDesk(lease, NodeShareTerms(10.seconds), timer)
-        val desk = QuotaDesk(lease, shares, routing, QuotaTerms(), timer) { 2 }
+        val desk = QuotaDesk(lease, routing, QuotaTerms(), timer) { 2 }
         val client =
             QuotaClient(
                 name,
                 lease,
                 desk,
                 NodeQuotas(Random(1)) { 0.0 },
+                QuotaShare(),
                 routing,
                 HttpClient(loop, ExecutorTimerService(loop)),
                 timer,
@@ -187,7 +187,7 @@
         }
 
         fun report() {
-            deskNode.desk.report(name, client.createReport(whole = false))
+            deskNode.desk.report(name, "", share = 0.0, client.createReport(whole = false))
         }
     }
 
