Make the fair queue generic in what it is fair among

FairTeamQueue becomes FairQueue, keyed by anything, with self-clocked fair queueing in place of start-time fair queueing, so that keys without entries keep no state.

--- a/library/src/main/kotlin/plantainturn/request/admission/PriorityRequestQueue.kt
+++ b/library/src/main/kotlin/plantainturn/request/admission/PriorityRequestQueue.kt
@@ -12,7 +12,7 @@
  * thread-safe.
  */
 public class PriorityRequestQueue<T : Any> {
-    private val queues = RequestPriority.entries.associateWith { FairTeamQueue<T>() }
+    private val queues = RequestPriority.entries.associateWith { FairQueue<TeamName, T>() }
     private var startsSinceBatch = 0
 
     /** The number of waiting requests. */
@@ -36,7 +36,7 @@
         ticket: AdmissionTicket,
         entry: T,
         atFront: Boolean = ticket.resumed,
-    ): Unit = queueOf(ticket.priority).add(ticket.team, ticket.share, entry, atFront)
+    ): Unit = queueOf(ticket.priority).add(ticket.team, entry, ticket.share, atFront)
 
     /** Returns the next entry without removing it, or null if none waits. */
     public fun peek(): T? = queueOf(nextPriority()).peek()
@@ -61,7 +61,7 @@
         return if (interactive == 0 || batchIsDue) RequestPriority.BATCH else RequestPriority.INTERACTIVE
     }
 
-    private fun queueOf(priority: RequestPriority): FairTeamQueue<T> = queues.getValue(priority)
+    private fun queueOf(priority: RequestPriority): FairQueue<TeamName, T> = queues.getValue(priority)
 
     private companion object {
         const val INTERACTIVE_STARTS_PER_BATCH_START = 8
