Serve requests that wait for a model or adapter by account in turn

WaitingRequests tries them again by account in turn, then by urgency and age. An account's turn counts when its request is sent; a request counts for the account with which it began to wait, also if that account is removed meanwhile.

--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -106,6 +106,7 @@
         RelayMetrics(registry).apply {
             gaugeUnansweredOrders { issuer.unansweredOrders().size }
             gaugePaces { links.paces() }
+            gaugeWaiting { waiting.byAccount }
             gaugeHeldBytes(heldBytes)
         }
     private val store: RecordStore = CountedRecordStore(platform.store, metrics::onStoreCall)
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -16,6 +16,7 @@
 import plantainturn.request.relay.ResidenceWaitLimit
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.UpstreamName
+import plantainturn.version.route.ClientAccountName
 import plantainturn.version.route.Route
 import plantainturn.version.route.ServiceDefinition
 import kotlin.time.Duration
@@ -35,7 +36,8 @@
     val account: RequestAccount,
     reply: CallerReply,
     private val onEnd: (RelayExchange) -> Unit,
-) : CallerConnectionListener {
+) : CallerConnectionListener,
+    WaitingRequest {
     private val arrivedAt = request.source.receivedAt
     private val deadline = arrivedAt + minOf(request.callerTimeout ?: route.timeout, route.timeout)
     private val answer = CallerAnswer(reply, route.repetition.streams)
@@ -58,12 +60,13 @@
     private var timer: TimerSubscription? = null
     private var watchdog: TimerSubscription? = null
 
-    /** Urgency rank of the request; 0 is the most urgent. */
-    val urgency: Int
+    override val urgency: Int
         get() = account.urgency
 
-    /** The model that the request waits for, null if it waits for none. */
-    val awaitedModel: ModelName?
+    override val accountName: ClientAccountName?
+        get() = account.account?.name
+
+    override val awaitedModel: ModelName?
         get() = request.demand?.model.takeIf { waitingSince != null && !awaitingIssuer }
 
     /** The memory in bytes of the incomplete event that the answer has so far. */
@@ -89,9 +92,10 @@
         return minOf(timeLeft(), arrivedAt + route.eventTimeout - context.timer.now())
     }
 
-    /** Tries again to dispatch a request that waits for a model or adapter. */
-    fun retryDispatch() {
-        if (!ended && waitingSince != null && !awaitingIssuer) dispatch()
+    override fun retryDispatch(): Boolean {
+        if (ended || waitingSince == null || awaitingIssuer) return false
+        dispatch()
+        return !ended && (waitingSince == null || awaitingIssuer)
     }
 
     /** Ends a request that was not sent yet if the configuration that has come into force lacks its key. */
@@ -109,8 +113,7 @@
         giveUp(code, ResultCode.OUTCOME_UNKNOWN, "$details waited=${timeWaited()}", retryAfter)
     }
 
-    /** Ends a waiting request because this node stops. */
-    fun onStopping(): Unit =
+    override fun onStopping(): Unit =
         giveUp(
             ResultCode.STOPPING,
             ResultCode.OUTCOME_UNKNOWN,
@@ -250,7 +253,7 @@
             )
             return
         }
-        stopWaiting()
+        stopWaiting(sent = true)
         arrivals += 1
         val rank = if (request.demand == null) null else decision.rank
         val parameters = SendParameters(instance.name, timeLeft(), rank, answer.lastEvent ?: request.resumeAfter)
@@ -380,10 +383,10 @@
         context.eventLog.record(request.identifier, "wait", "model=${demand?.model} adapter=${demand?.adapter}")
     }
 
-    private fun stopWaiting() {
+    private fun stopWaiting(sent: Boolean) {
         if (waitingSince == null) return
         waitingSince = null
-        context.waiting.remove(this)
+        context.waiting.remove(this, sent)
     }
 
     private fun timeWaited(): Duration = waitingSince?.let { context.timer.now() - it } ?: Duration.ZERO
@@ -702,7 +705,7 @@
     ) {
         ended = true
         admission.close(mayHaveRun)
-        stopWaiting()
+        stopWaiting(sent = false)
         timer?.cancel()
         watchdog?.cancel()
         answer.release()
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
@@ -11,6 +11,7 @@
 import plantainturn.process.ResultCode
 import plantainturn.request.relay.PaceEstimate
 import plantainturn.version.configuration.UpstreamName
+import plantainturn.version.route.ClientAccountName
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
@@ -91,6 +92,18 @@
             .register(registry)
     }
 
+    /** Registers a gauge of the requests that wait for a model or adapter, of which there are [counts] by account. */
+    internal fun gaugeWaiting(counts: () -> Map<ClientAccountName?, Int>) {
+        GaugeWithCallback
+            .builder()
+            .name("plantainturn_relay_waiting_requests")
+            .help("Requests that wait for a model or adapter, by account; an empty name for those without an account.")
+            .labelNames("account")
+            .callback { gauge ->
+                for ((account, count) in counts()) gauge.call(count.toDouble(), account?.value.orEmpty())
+            }.register(registry)
+    }
+
     /** Registers gauges of how fast instances work, of which [paces] returns the present ones. */
     internal fun gaugePaces(paces: () -> Map<UpstreamName, PaceEstimate>) {
         GaugeWithCallback
--- a/relay/src/test/kotlin/plantainturn/relay/request/RelayMetricsTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/request/RelayMetricsTest.kt
@@ -6,6 +6,7 @@
 import plantainturn.request.relay.PaceEstimate
 import plantainturn.request.relay.PaceReason
 import plantainturn.version.configuration.UpstreamName
+import plantainturn.version.route.ClientAccountName
 import java.io.ByteArrayOutputStream
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
@@ -31,6 +32,21 @@
         assertFalse("instance=\"first\"" in scrape(registry))
     }
 
+    /** Guards against series of accounts whose requests no longer wait, and against an account named "null". */
+    @Test
+    fun `waiting requests are counted by account while any wait`() {
+        val registry = PrometheusRegistry()
+        val counts = linkedMapOf<ClientAccountName?, Int>(ClientAccountName("small") to 2, null to 3)
+        RelayMetrics(registry).gaugeWaiting { counts }
+
+        val before = scrape(registry)
+        assertTrue("plantainturn_relay_waiting_requests{account=\"small\"} 2.0" in before, before)
+        assertTrue("plantainturn_relay_waiting_requests{account=\"\"} 3.0" in before, before)
+
+        counts.clear()
+        assertFalse("plantainturn_relay_waiting_requests{" in scrape(registry))
+    }
+
     private fun estimate(stated: Double) = PaceEstimate(stated, 0.02, 1.0, 0.0, PaceReason.STATED)
 
     private fun scrape(registry: PrometheusRegistry): String {
