--- a/relay/src/test/kotlin/plantainturn/relay/http/CallerServerTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/http/CallerServerTest.kt
@@ -25,7 +25,7 @@
 
     @AfterEach
     fun close() {
-        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await()
+        group.shutdownGracefully(1, 1_000, TimeUnit.MILLISECONDS).await()
     }
 
     /**
--- a/relay/src/test/kotlin/plantainturn/relay/http/EarlyAnswerTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/http/EarlyAnswerTest.kt
@@ -34,7 +34,7 @@
     @AfterEach
     fun close() {
         server.close()
-        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await()
+        group.shutdownGracefully(1, 1_000, TimeUnit.MILLISECONDS).await()
     }
 
     /** Guards against a part of the store's or a peer's answer that is taken for the whole of it. */
--- a/relay/src/test/kotlin/plantainturn/relay/http/EndlessAnswersTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/http/EndlessAnswersTest.kt
@@ -30,7 +30,7 @@
     @AfterEach
     fun close() {
         server.close()
-        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await()
+        group.shutdownGracefully(1, 1_000, TimeUnit.MILLISECONDS).await()
     }
 
     @Test
--- a/relay/src/test/kotlin/plantainturn/relay/http/HttpClientTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/http/HttpClientTest.kt
@@ -25,7 +25,7 @@
     @AfterEach
     fun close() {
         server.close()
-        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await()
+        group.shutdownGracefully(1, 1_000, TimeUnit.MILLISECONDS).await()
     }
 
     /**
--- a/relay/src/test/kotlin/plantainturn/relay/peer/QuotaClientTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/peer/QuotaClientTest.kt
@@ -67,7 +67,7 @@
 
     @AfterEach
     fun close() {
-        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).await()
+        group.shutdownGracefully(1, 1_000, TimeUnit.MILLISECONDS).await()
     }
 
     @Test
