Release the memory of ended requests and of connections that are given up

CrowdOnRouteTest, pipelined heads of empty fields: an OutOfMemoryError ended the event loop or the process. A timer of 1.5 s after each send kept every answered request with its header fields, and a connection that was given up kept its decoder with an incomplete head until it closed; neither is counted in HeldBytes.

--- a/relay/src/main/kotlin/plantainturn/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/CallerConnection.kt
@@ -304,7 +304,7 @@
         headBytes = 0
         body?.release()
         body = null
-        discarding = true
+        discardRest()
         val answer = Reply(keepAlive = false)
         reply = answer
         server.handler.onUnreadable(answer, status.code(), reason)
@@ -328,13 +328,25 @@
         gate.resume()
     }
 
+    /**
+     * Drops all further bytes of the caller.
+     *
+     * The decoder holds an incomplete head, and the connection stays open for a while. With hundreds of connections
+     * given up at the same time, these heads would fill the heap, though they are no longer counted.
+     */
+    private fun discardRest() {
+        if (discarding) return
+        discarding = true
+        val pipeline = context.pipeline()
+        if (pipeline.get(StrictRequestDecoder::class.java) != null) pipeline.remove(StrictRequestDecoder::class.java)
+    }
+
     /**
      * Closes the connection after a delay in which the caller's remaining bytes are read and discarded.
      *
      * Closing a socket with unread bytes sends a reset, which can make the caller lose the answer.
      */
     private fun closeAfterLinger() {
-        discarding = true
         context.executor().schedule({ context.close() }, LINGER_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
 
@@ -432,7 +444,7 @@
             written: ChannelFuture,
         ) {
             if (!keepOpen) {
-                discarding = true
+                discardRest()
                 written.addListener(
                     ChannelFutureListener { if (it.isSuccess) closeAfterLinger() else context.close() },
                 )
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -57,6 +57,7 @@
     private var awaitingIssuer = false
     private var timer: TimerSubscription? = null
     private var watchdog: TimerSubscription? = null
+    private var crashWatch: TimerSubscription? = null
 
     /** Urgency rank of the request; 0 is the most urgent. */
     val urgency: Int
@@ -269,7 +270,8 @@
         )
         newAttempt.begin(maximumIdle(instance.name))
         watchSilence(newAttempt)
-        context.timer.schedule(RequestLimits.CRASH_SUSPICION_SILENCE) { reportIfUnanswered(newAttempt) }
+        crashWatch?.cancel()
+        crashWatch = context.timer.schedule(RequestLimits.CRASH_SUSPICION_SILENCE) { reportIfUnanswered(newAttempt) }
     }
 
     /**
@@ -705,6 +707,8 @@
         stopWaiting()
         timer?.cancel()
         watchdog?.cancel()
+        // A timer that is not cancelled keeps the whole request in memory, which is no longer counted.
+        crashWatch?.cancel()
         answer.release()
         request.source.body.release()
         val elapsed = context.timer.now() - arrivedAt
