--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -59,6 +59,7 @@
     private var awaitingIssuer = false
     private var timer: TimerSubscription? = null
     private var watchdog: TimerSubscription? = null
+    private var crashWatch: TimerSubscription? = null
 
     override val urgency: Int
         get() = account.urgency
@@ -272,7 +273,8 @@
         )
         newAttempt.begin(maximumIdle(instance.name))
         watchSilence(newAttempt)
-        context.timer.schedule(RequestLimits.CRASH_SUSPICION_SILENCE) { reportIfUnanswered(newAttempt) }
+        crashWatch?.cancel()
+        crashWatch = context.timer.schedule(RequestLimits.CRASH_SUSPICION_SILENCE) { reportIfUnanswered(newAttempt) }
     }
 
     /**
@@ -708,6 +710,8 @@
         stopWaiting(sent = false)
         timer?.cancel()
         watchdog?.cancel()
+        // A timer that is not cancelled keeps the whole request in memory, which is no longer counted.
+        crashWatch?.cancel()
         answer.release()
         request.source.body.release()
         val elapsed = context.timer.now() - arrivedAt
