Tell an issuer that the store refuses of instances that left

Nodes that the store answers send the issuer the records that it lacks, on request, and say for how long the store has not been lost to them. A node that the store alone refuses then does not take this for an outage, after which entries that lapsed are kept.

--- a/library/src/main/kotlin/plantainturn/connection/roster/InstanceRoster.kt
+++ b/library/src/main/kotlin/plantainturn/connection/roster/InstanceRoster.kt
@@ -126,6 +126,11 @@
         return expired
     }
 
+    /** Records that the store never stopped answering others, so that entries had no cause to lapse. */
+    public fun onStoreLossRefuted() {
+        storeUnavailable = false
+    }
+
     /** Returns the instances that are not leaving and so may receive requests. */
     public fun serving(): PersistentMap<UpstreamName, UpstreamInstance> =
         instances.filterValues { !it.leaving }.toPersistentMap()
--- a/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
@@ -16,7 +16,8 @@
  * hint, the topic is read anew as a whole. Confined to the thread of the node's event loop.
  *
  * While a peer hands on what it reads, failed reads are retried rarely, and the store counts as lost only if the peer
- * has heard nothing meanwhile either.
+ * has heard nothing meanwhile either. A peer may also say for how long the store has not been lost to it; if that covers
+ * the time for which this node has heard nothing, the store has refused only this node.
  *
  * @param hintPatience how long a hint of a later end may be known before the topic is read anew for it
  * @param retained how many records are kept for [since]
@@ -41,6 +42,8 @@
     private var lostSince: Moment? = null
     private var failingSince: Moment? = null
     private var offeredAt = Moment.ORIGIN
+    private var confirmedAt: Moment? = null
+    private var steadySince: Moment? = null
     private val readBackoff = RetryBackoff(RETRY_PAUSE, random)
     private val catchUpBackoff = RetryBackoff(RETRY_PAUSE, random)
     private var catchUpFrom = Moment.ORIGIN
@@ -58,6 +61,10 @@
     public val end: StorePosition
         get() = known ?: StorePosition.FIRST
 
+    /** For how long the store has not been lost, by this node's reads and by peers; null if it is lost or never answered. */
+    public val steadyFor: Duration?
+        get() = if (lostSince == null) steadySince?.let { timer.now() - it } else null
+
     /** Returns the records from [from] on for a peer that has read up to there, null if too many have come since. */
     public fun since(from: StorePosition): RecordsSince? {
         val next = known ?: return null
@@ -66,18 +73,36 @@
         return RecordsSince(from, recent.filter { it.offset >= from.offset }, next)
     }
 
-    /** Takes over what a peer has read, if it follows what is known here. */
-    public fun offer(offered: RecordsSince) {
+    /**
+     * Takes over what a peer has read, if it follows what is known here.
+     *
+     * @param steadyFor for how long the store has not been lost to the peer, null if it does not say
+     */
+    public fun offer(
+        offered: RecordsSince,
+        steadyFor: Duration? = null,
+    ) {
         val before = known ?: return
         val sameEra = offered.from.era == before.era && offered.next.era == before.era
         if (!sameEra || offered.from > before || offered.next <= before) return
-        // The peer heard nothing for a while either, so the store was away for both.
-        if (failingSince != null && timer.now() - offeredAt > LONGEST_OFFER_GAP) noteOutage(offeredAt)
-        offeredAt = timer.now()
-        if (pace().isInformedByPeer) endOutage()
+        val now = timer.now()
+        val heardUntil = maxOf(offeredAt, heardAt ?: offeredAt)
+        if (steadyFor != null && now - steadyFor <= heardUntil) {
+            refuteLoss()
+        } else if (failingSince != null && now - offeredAt > LONGEST_OFFER_GAP) {
+            // The peer heard nothing for a while either, so the store was away for both.
+            noteOutage(offeredAt)
+        }
+        offeredAt = now
+        if (steadyFor != null) confirmedAt = now
+        if (isInformed()) endOutage()
         take(offered.records, offered.next, before)
     }
 
+    /** Whether a peer that hears the store hands records on, so that failed reads do not mean that the store is away. */
+    private fun isInformed(): Boolean =
+        pace().isInformedByPeer || confirmedAt?.let { timer.now() - it < CONFIRMATION_LIFETIME } ?: false
+
     /** Begins to follow. */
     public fun start(): Unit = readOn(StoreCallKind.FIRST_READING)
 
@@ -178,6 +203,7 @@
         val restored = before != null && before.era < result.next.era
         if (restored && lostSince == null) listener.onRegained()
         regained()
+        if (restored || steadySince == null) steadySince = timer.now()
         known = result.next
         recent.clear()
         recentFrom = result.next
@@ -226,7 +252,7 @@
 
     private fun lost(result: StoreReadResult) {
         if (failingSince == null) failingSince = timer.now()
-        if (!pace().isInformedByPeer) noteOutage(timer.now())
+        if (!isInformed()) noteOutage(timer.now())
         logger.debug("topic={} event=read-failed result={}", topic, result)
         resting = true
         val now = timer.now()
@@ -276,10 +302,18 @@
     private fun endOutage() {
         val since = lostSince ?: return
         lostSince = null
+        steadySince = timer.now()
         logger.info("topic={} event=dependency-regained dependency=store after={}", topic, timer.now() - since)
         listener.onRegained()
     }
 
+    private fun refuteLoss() {
+        val since = lostSince ?: return
+        lostSince = null
+        logger.info("topic={} event=dependency-loss-refuted dependency=store after={}", topic, timer.now() - since)
+        listener.onLossRefuted()
+    }
+
     private companion object {
         /** Several seconds of changes, more than a peer misses between two exchanges. */
         const val RECENT = 128
@@ -298,6 +332,9 @@
         /** Longer than a peer that hears the store takes to read and hand on the entries that are renewed. */
         val LONGEST_OFFER_GAP = 800.milliseconds
 
+        /** Longer than a single reader's rest and one exchange, between which a node hears nothing from it. */
+        val CONFIRMATION_LIFETIME = 1_500.milliseconds
+
         /** Short enough for a configuration to be in force in time after two failures. */
         val LONGEST_CATCH_UP_PAUSE = 1_000.milliseconds
 
--- a/library/src/main/kotlin/plantainturn/connection/store/TopicListener.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicListener.kt
@@ -30,4 +30,10 @@
 
     /** The store answers again; called before the records of that answer are given. */
     public fun onRegained() {}
+
+    /**
+     * The store has not stopped answering, contrary to the last [onLost]: it refused this node and answered others
+     * meanwhile. Called in place of [onRegained], and unless overridden does the same.
+     */
+    public fun onLossRefuted(): Unit = onRegained()
 }
--- a/library/src/test/kotlin/plantainturn/connection/store/RefusedReaderTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/store/RefusedReaderTest.kt
@@ -6,6 +6,7 @@
 import kotlin.random.Random
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -80,13 +81,50 @@
         assertEquals(setOf("a"), heard.toSet())
     }
 
+    /** Otherwise instances that left are kept for seconds as if their entries had lapsed in an outage. */
+    @Test
+    fun `the store was never away to a refused node if it answered a peer all the time`() {
+        isInformed = false
+        val refused = follower(counted, heard, ::pace)
+        timer.advance(5.seconds)
+        store.reaches = { false }
+        timer.advance(2.seconds)
+        assertEquals(listOf("lost"), heard)
+        assertNull(refused.steadyFor)
+        offer(refused, "a", steadyFor = 6.seconds)
+
+        assertEquals(listOf("lost", "refuted", "a"), heard)
+        assertTrue(assertNotNull(refused.steadyFor) > 6.seconds)
+        repeat(10) {
+            timer.advance(1.seconds)
+            offer(refused, "a", steadyFor = 20.seconds)
+        }
+        assertEquals(setOf("a"), heard.drop(2).toSet(), "reads that fail meanwhile tell nothing")
+        timer.advance(3.seconds)
+        assertEquals("lost", heard.last(), "the peer is silent")
+    }
+
+    @Test
+    fun `an outage that a peer noticed too is one to a refused node`() {
+        isInformed = false
+        val refused = follower(counted, heard, ::pace)
+        timer.advance(5.seconds)
+        store.reaches = { false }
+        timer.advance(2.seconds)
+        offer(refused, "a", steadyFor = 1.seconds)
+
+        assertEquals(listOf("lost", "regained", "a"), heard)
+        assertEquals(Duration.ZERO, refused.steadyFor)
+    }
+
     private fun offer(
         follower: TopicFollower,
         key: String,
+        steadyFor: Duration? = null,
     ) {
         val from = follower.end
         write(key)
-        follower.offer(RecordsSince(from, listOf(store.records.last()), from.next()))
+        follower.offer(RecordsSince(from, listOf(store.records.last()), from.next()), steadyFor)
     }
 
     @Test
@@ -176,6 +214,10 @@
                 override fun onRegained() {
                     heard += "regained"
                 }
+
+                override fun onLossRefuted() {
+                    heard += "refuted"
+                }
             }
         return TopicFollower(from, TOPIC, listener, timer, random = Random(1), pace = pace).also { it.start() }
     }
--- a/library/src/test/kotlin/plantainturn/connection/store/TopicFollowerTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/store/TopicFollowerTest.kt
@@ -48,6 +48,52 @@
         assertEquals(position(1), other.end)
     }
 
+    /** A refused issuer hears the same records from many nodes, of which some have read less than others. */
+    @Test
+    fun `an old record of a peer never replaces a newer one`() {
+        write("a")
+        val heard = ArrayList<String>()
+        val reader = follower(ArrayList(), restMilliseconds = 0)
+        val other = follower(heard, restMilliseconds = 60_000)
+        timer.advance(1.seconds)
+        write("b")
+        timer.advance(1.seconds)
+        val start = other.end
+        write("c")
+        timer.advance(1.seconds)
+        val older = assertNotNull(reader.since(start))
+        write("d")
+        timer.advance(1.seconds)
+        val newer = assertNotNull(reader.since(start))
+
+        other.offer(newer, 9.seconds)
+        other.offer(older, 9.seconds)
+        other.offer(newer, 9.seconds)
+        assertEquals(listOf("a", "b", "c", "d"), heard)
+        assertEquals(newer.next, other.end)
+
+        store.restore(2)
+        other.offer(RecordsSince(newer.next, listOf(record("e", 4)), StorePosition(StoreEra(2), LogOffset(5))), 9.seconds)
+        assertEquals(newer.next, other.end, "records of another era don't continue those of this one")
+        timer.advance(70.seconds)
+        heard.clear()
+        other.offer(RecordsSince(newer.next, listOf(record("e", 4)), position(5)), 9.seconds)
+        assertEquals(emptyList(), heard, "records of the time before the restore are lost")
+        assertEquals(StorePosition(StoreEra(2), LogOffset(2)), other.end)
+    }
+
+    @Test
+    fun `records that are too many or too large for one message follow in the next one`() {
+        val all = RecordsSince(position(3), listOf(record("a", 3), record("b", 5), record("c", 9)), position(12))
+
+        assertEquals(all, all.atMost(3, 100))
+        assertEquals(RecordsSince(position(3), all.records.take(2), position(6)), all.atMost(2, 100))
+        assertEquals(RecordsSince(position(3), all.records.take(1), position(4)), all.atMost(3, 3))
+        assertNull(all.atMost(3, 1))
+        val heartbeats = RecordsSince(position(3), emptyList(), position(12))
+        assertEquals(heartbeats, heartbeats.atMost(3, 1))
+    }
+
     /** Found by hamasaki-keg, trouble-3 of snapshot 2127b7ca: a configuration was in force 2.1 s after its writing. */
     @Test
     fun `a hint of a later end is followed while a long read hears nothing`() {
@@ -163,6 +209,11 @@
 
     private fun position(offset: Long) = StorePosition(StoreEra.FIRST, LogOffset(offset))
 
+    private fun record(
+        key: String,
+        offset: Long,
+    ) = KeyedRecord(key, ByteArray(1), LogOffset(offset))
+
     private fun write(key: String) {
         store.records += KeyedRecord(key, ByteArray(1), LogOffset(store.records.size.toLong()))
     }
--- a/relay/src/main/kotlin/plantainturn/relay/node/InstanceWatch.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/InstanceWatch.kt
@@ -80,6 +80,8 @@
         onStoreAnswers()
     }
 
+    override fun onLossRefuted(): Unit = roster.onStoreLossRefuted()
+
     private fun logChange(
         current: UpstreamInstance,
         record: KeyedRecord,
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -234,6 +234,7 @@
             configuration,
             freshness,
             streamOrigins,
+            ::isStoreSilent,
         )
     private val permitDesk = PermitDesk(lease, notices, timer) { issuerLink.nodes }
     private val permitClient: PermitClient =
@@ -393,6 +394,21 @@
         return if (age != null && age < rosterTimes.peerReadTimeout) StoreReader.INFORMED else StoreReader.ALONE
     }
 
+    /** Whether neither the store nor an issuer that it answers has told this node of instances for some time. */
+    private fun isStoreSilent(): Boolean {
+        if (storeReader() == StoreReader.INFORMED) return false
+        val heardAt = instanceFollower.heardAt ?: return false
+        return timer.now() - heardAt >= rosterTimes.peerReadTimeout
+    }
+
+    /** Records that the last answer asked for, as the store refuses the node that gave it and not this one. */
+    private fun instancesForIssuer(): RelayedRecords? {
+        val from = lastIssuerReport?.instancesWantedFrom ?: return null
+        val steadyFor = instanceFollower.steadyFor ?: return null
+        val since = instanceFollower.since(from)?.atMost(RECORDS_PER_REPORT, RECORD_BYTES_PER_REPORT) ?: return null
+        return RelayedRecords.of(since, steadyFor)
+    }
+
     private fun onIssuerReport(
         report: IssuerReport,
         sentAt: Moment,
@@ -401,7 +417,7 @@
         freshness.onVersion(maxOf(report.configurationVersion, report.latestConfigurationVersion))
         report.configuration?.let { configuration.onPeerRecord(it.decode()) }
         report.configurationAge?.let { freshness.onConfirmed(report.configurationVersion, sentAt - it.milliseconds) }
-        report.instances?.let { instanceFollower.offer(it.decode()) }
+        report.instances?.let { instanceFollower.offer(it.decode(), it.steadyFor) }
         report.breaks?.let { crashEvidenceFollower.offer(it.decode()) }
         configurationFollower.catchUp(report.ends.configuration)
         instanceFollower.catchUp(report.ends.instances)
@@ -523,6 +539,8 @@
                 TopicEnds(configurationFollower.end, instanceFollower.end, crashEvidenceFollower.end),
             unansweredOrders = unansweredOrders(except = known.session),
             admitted = quotaClient.createReport(whole = known.session == null),
+            instances = instancesForIssuer(),
+            storeSilent = isStoreSilent(),
         )
 
     /** An equal share among the nodes last counted, while no issuer confirms one; 0 before the first count. */
@@ -599,6 +617,10 @@
         /** Several times the streams that begin at a node between two reports. */
         const val STREAMS_PER_REPORT = 64
 
+        /** Bound what each node sends to an issuer that the store refuses; what is left out follows the next answer. */
+        const val RECORDS_PER_REPORT = 32
+        const val RECORD_BYTES_PER_REPORT = 32_768
+
         /** Longer than usual outages of the store. */
         val OUTAGE_TOLERANCE = 12.seconds
         val CONTROL_PERIOD = 50.milliseconds
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -1,6 +1,7 @@
 package plantainturn.relay.peer
 
 import kotlinx.serialization.Serializable
+import plantainturn.connection.store.StorePosition
 import plantainturn.request.relay.KeptPart
 import plantainturn.request.relay.StreamOrigin
 import plantainturn.request.relay.WorkTotals
@@ -37,6 +38,8 @@
  * @property boundAccounts accounts for which nodes ask before they admit a request, null if the issuer counts none
  * @property informing whether the answering node holds the lease and no other can: it reads the store for the others,
  *   also while it must not issue orders yet
+ * @property instancesWantedFrom up to where the answering node has read the topic of instances, if the store has not
+ *   answered it about them for some time and it asks for records from there on; null otherwise
  * @property arrivals expected milliseconds until each model that is being loaded is resident
  */
 @Serializable
@@ -69,4 +72,5 @@
     val peers: List<String> = emptyList(),
     val boundAccounts: List<String>? = null,
     val informing: Boolean = false,
+    val instancesWantedFrom: StorePosition? = null,
 )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -27,6 +27,9 @@
  * @property configurationWanted whether the node knows of a later configuration that the store has not given it
  * @property address where peers reach the node
  * @property admitted what it has admitted of quotas without asking, null if its configuration has no accounts
+ * @property instances records of the topic of instances that the receiver lacks, if its last answer asked for them
+ * @property storeSilent whether neither the store nor an issuer that it answers has told the node of instances for some
+ *   time, so that it must be told whether the store is away
  * @property prompts shareable parts of prompts that engines have processed for its callers since its last report
  */
 @Serializable
@@ -51,6 +54,8 @@
     val configurationWanted: Boolean = false,
     val address: String = "",
     val admitted: AdmittedReport? = null,
+    val instances: RelayedRecords? = null,
+    val storeSilent: Boolean = false,
 ) {
     /** The demand of the callers of one node for one base model. */
     @Serializable
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -23,6 +23,7 @@
  * Collects the reports of all nodes at the issuer of orders, and returns their aggregate to each node.
  *
  * @param identity identifies this run of the node
+ * @param isStoreSilent returns whether this node has to hear of instances from the nodes that report to it
  */
 internal class PeerHub(
     private val identity: String,
@@ -37,6 +38,7 @@
     private val configuration: ConfigurationWatch,
     private val freshness: ConfigurationFreshness,
     private val streamOrigins: StreamOrigins,
+    private val isStoreSilent: () -> Boolean,
 ) {
     private val received = HashMap<String, ReceivedReport>()
     private val promptAnnouncements = Announcements<KeptPart>(RETAINED_PARTS)
@@ -56,6 +58,7 @@
         streamOrigins.learn(report.streams)
         freshness.onVersion(report.configurationVersion)
         report.configuration?.let { configuration.onPeerRecord(it.decode()) }
+        report.instances?.let { instances.offer(it.decode(), it.steadyFor) }
         if (report.node != identity) {
             issuer.onReportedOrders(report.node, report.unansweredOrders.map { it.toOrder(now) })
         }
@@ -80,7 +83,7 @@
             residenceWhole = known.session == null,
             residence = residenceChanges.since(known.residenceRevision),
             arrivals = issuer.arrivals().map { (model, wait) -> model.value to wait.inWholeMilliseconds }.toMap(),
-            instances = instances.since(report.ends.instances)?.let(RelayedRecords::of),
+            instances = instancesFor(report),
             breaks = breaks.since(report.ends.breaks)?.let(RelayedRecords::of),
             storeAge = instances.heardAt?.let { (now - it).inWholeMilliseconds },
             loadAges = issuer.recentLoads().map { (now - it).inWholeMilliseconds },
@@ -98,9 +101,15 @@
             peers = KnownPeers.forReport(addresses, report.sequence),
             boundAccounts = quotas.report(report.node, report.admitted),
             informing = lease.isExclusive,
+            instancesWantedFrom = instances.end.takeIf { isStoreSilent() },
         )
     }
 
+    private fun instancesFor(report: NodeReport): RelayedRecords? =
+        instances.since(report.ends.instances)?.let { since ->
+            RelayedRecords.of(since, instances.steadyFor.takeIf { report.storeSilent })
+        }
+
     /** A holder that lost the lease and can't read the store does not know its successor. */
     private fun holder(): String? = lease.holderRecord?.takeIf { lease.fence != null || it.holder != identity }?.address
 
--- a/relay/src/main/kotlin/plantainturn/relay/peer/RelayedRecords.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/RelayedRecords.kt
@@ -5,18 +5,23 @@
 import plantainturn.connection.store.KeyedRecord
 import plantainturn.connection.store.RecordsSince
 import plantainturn.connection.store.StorePosition
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Records of a topic that the issuer has read and a node has not, as the issuer sends them to the node.
+ * Records of a topic that one node has and another has not, as a node sends them to the other.
  *
- * @property from the offset up to which the node had read
- * @property next the end of the topic when the issuer read it
+ * @property from the position up to which the other node had read
+ * @property next the position that follows the records
+ * @property steadyMilliseconds for how long the store has not been lost to the sender, null if the other node need not
+ *   know
  */
 @Serializable
 internal data class RelayedRecords(
     val from: StorePosition,
     val next: StorePosition,
     val records: List<RelayedRecord>,
+    val steadyMilliseconds: Long? = null,
 ) {
     /**
      * A record with its offset.
@@ -37,6 +42,10 @@
         }
     }
 
+    /** For how long the store has not been lost to the sender, null if it does not say. */
+    val steadyFor: Duration?
+        get() = steadyMilliseconds?.milliseconds
+
     fun decode(): RecordsSince =
         RecordsSince(
             from,
@@ -45,11 +54,15 @@
         )
 
     companion object {
-        fun of(since: RecordsSince): RelayedRecords =
+        fun of(
+            since: RecordsSince,
+            steadyFor: Duration? = null,
+        ): RelayedRecords =
             RelayedRecords(
                 since.from,
                 since.next,
                 since.records.map(RelayedRecord::of),
+                steadyFor?.inWholeMilliseconds,
             )
     }
 }
