--- a/library/src/main/kotlin/plantainturn/connection/store/RecordsSince.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/RecordsSince.kt
@@ -3,7 +3,7 @@
 /**
  * The records of a topic from [from] on up to [next], without a gap.
  *
- * @property next where the topic ended when they were read
+ * @property next the position that follows the last one read, which may have been of a record that changed nothing
  */
 public data class RecordsSince(
     val from: StorePosition,
@@ -11,8 +11,8 @@
     val next: StorePosition,
 ) {
     /**
-     * Returns the first records of these, at most [count] with values of at most [bytes] together, up to the position
-     * that follows them; null if the first one is too large.
+     * Returns the first records of these, at most [count] with keys and values of at most [bytes] together, up to the
+     * position that follows them; null if the first one is too large.
      */
     public fun atMost(
         count: Int,
--- a/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
@@ -16,8 +16,8 @@
  * hint, the topic is read anew as a whole. Confined to the thread of the node's event loop.
  *
  * While a peer hands on what it reads, failed reads are retried rarely, and the store counts as lost only if the peer
- * has heard nothing meanwhile either. A peer may also say for how long the store has not been lost to it; if that covers
- * the time for which this node has heard nothing, the store has refused only this node.
+ * has heard nothing meanwhile either. A peer may also say for how long the store has not been lost to it; if that
+ * covers the time for which this node has heard nothing, the store has refused only this node.
  *
  * @param hintPatience how long a hint of a later end may be known before the topic is read anew for it
  * @param retained how many records are kept for [since]
@@ -61,7 +61,7 @@
     public val end: StorePosition
         get() = known ?: StorePosition.FIRST
 
-    /** For how long the store has not been lost, by this node's reads and by peers; null if it is lost or never answered. */
+    /** For how long the store has not been lost to this node or its peers, null if it is lost or never answered. */
     public val steadyFor: Duration?
         get() = if (lostSince == null) steadySince?.let { timer.now() - it } else null
 
@@ -99,7 +99,7 @@
         take(offered.records, offered.next, before)
     }
 
-    /** Whether a peer that hears the store hands records on, so that failed reads do not mean that the store is away. */
+    /** Whether a peer that hears the store hands records on, so that failed reads don't mean that the store is away. */
     private fun isInformed(): Boolean =
         pace().isInformedByPeer || confirmedAt?.let { timer.now() - it < CONFIRMATION_LIFETIME } ?: false
 
--- a/library/src/test/kotlin/plantainturn/connection/store/TopicFollowerTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/store/TopicFollowerTest.kt
@@ -73,7 +73,8 @@
         assertEquals(newer.next, other.end)
 
         store.restore(2)
-        other.offer(RecordsSince(newer.next, listOf(record("e", 4)), StorePosition(StoreEra(2), LogOffset(5))), 9.seconds)
+        val laterEra = StorePosition(StoreEra(2), LogOffset(5))
+        other.offer(RecordsSince(newer.next, listOf(record("e", 4)), laterEra), 9.seconds)
         assertEquals(newer.next, other.end, "records of another era don't continue those of this one")
         timer.advance(70.seconds)
         heard.clear()
