--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -398,9 +398,8 @@
         watchdog?.cancel()
         if (!route.repetition.repeatable) return
         val limit = RequestLimits.silenceTimeout(route, watched.isAnswering)
-        val due = watched.heardAt + limit
         watchdog =
-            context.timer.schedule(due - context.timer.now()) {
+            context.timer.schedule(watched.heardAt + limit - context.timer.now()) {
                 if (ended || attempt !== watched) return@schedule
                 val silence = context.timer.now() - watched.heardAt
                 if (silence < limit) watchSilence(watched) else onSilence(watched, silence)
@@ -411,7 +410,13 @@
         watched: RelayAttempt,
         silence: Duration,
     ) {
-        if (!hasOther(watched.instance.name) || runs + 1 >= route.attempts) return
+        val tried = avoided + watched.instance.name
+        if (!placement.hasOther(tried, versionConstraint()) || runs + 1 >= route.attempts) return
+        // Only an engine that holds the model can go on with an answer that has begun; otherwise the silent one may.
+        if (answer.hasBegun && !placement.isHeldElsewhere(tried)) {
+            watchdog = context.timer.schedule(RequestLimits.SILENCE_CHECK_INTERVAL) { watchSilence(watched) }
+            return
+        }
         context.eventLog.record(request.identifier, "silent", "$watched quiet=$silence")
         watched.giveUpAsSilent()
         context.crashes.ended(traits, watched.instance)
@@ -520,18 +525,7 @@
     private fun canTryElsewhere(): Boolean =
         runs < route.attempts &&
             timeLeft() > RequestLimits.MINIMUM_USEFUL_TIME &&
-            hasOther(except = null)
-
-    /** Returns whether an instance other than [except] could take the request now. */
-    private fun hasOther(except: UpstreamName?): Boolean {
-        val constraint = versionConstraint()
-        return context.fleet.instancesOf(service.name).any {
-            it.name != except &&
-                it.name !in avoided &&
-                constraint.permits(it) &&
-                context.links.backoffOf(it, PermitTerms(urgency, Duration.ZERO)) == null
-        }
-    }
+            placement.hasOther(avoided, versionConstraint())
 
     /** Forwards [content] of a streamed answer; of an event stream only complete events are forwarded. */
     fun onStreamContent(
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
@@ -60,6 +60,25 @@
         return decided(context.serviceDispatch.decide(query(times, 0), candidates), candidates)
     }
 
+    /** Returns whether an instance other than [tried] could take the request now, though it may not hold the model. */
+    fun hasOther(
+        tried: Set<UpstreamName>,
+        constraint: VersionConstraint,
+    ): Boolean =
+        context.fleet.instancesOf(service.name).any {
+            it.name !in tried &&
+                constraint.permits(it) &&
+                context.links.backoffOf(it, PermitTerms(account.urgency, Duration.ZERO)) == null
+        }
+
+    /** Returns whether an instance other than [tried] holds the model of the request, if the request has one. */
+    fun isHeldElsewhere(tried: Set<UpstreamName>): Boolean {
+        val model = request.demand?.model
+        return context.fleet.instancesOf(service.name).any {
+            it.name !in tried && (model == null || model in context.fleet.residentsOf(it.name))
+        }
+    }
+
     /** Returns the work that the request causes at [instance]. */
     fun workAt(instance: UpstreamName): RequestWork {
         val demand = request.demand ?: return RequestWork.NONE
--- a/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
@@ -77,6 +77,9 @@
     /** Below the two seconds without an event after which callers abandon a stream. */
     val STREAM_SILENCE_TIMEOUT = 1_500.milliseconds
 
+    /** How often a request whose engine is silent looks for another engine that holds its model. */
+    val SILENCE_CHECK_INTERVAL = 250.milliseconds
+
     /** Longer than an engine needs for an accepted backlog. */
     val MINIMUM_FIRST_EVENT_TIMEOUT = 4.seconds
 
