--- a/library/src/main/kotlin/plantainturn/request/quota/NodeAccount.kt
+++ b/library/src/main/kotlin/plantainturn/request/quota/NodeAccount.kt
@@ -70,13 +70,14 @@
         now: Moment,
     ): NodeVerdict {
         val part = partOf(quota, share, now)
-        val bucket = local ?: LocalBucket(random, advancedAt = heardAt).also { local = it }
-        val burst = quota.burst * part * QuotaTiming.LOCAL_BURST
         if (mayOverdraw(now)) {
-            val repaid = if (part > 0) (cost / (quota.perSecond * part)).seconds else QuotaShare.TERM
-            overdrawnUntil = now + repaid.coerceAtMost(QuotaShare.TERM)
+            val repaid = if (part > 0) (cost / (quota.perSecond * part)).seconds else NodeQuotas.SHARE_TERM
+            overdrawnUntil = now + repaid.coerceAtMost(NodeQuotas.SHARE_TERM)
             return admit(cost, now)
         }
+        // Kept while the desk answers again: a slow desk is silent often and for a moment.
+        val bucket = local ?: LocalBucket(random, advancedAt = heardAt).also { local = it }
+        val burst = quota.burst * part * QuotaTiming.LOCAL_BURST
         val wait = bucket.take(cost, quota.perSecond * part, burst, now)
         return wait?.let { NodeVerdict.Unavailable(it) } ?: admit(cost, now)
     }
--- a/library/src/main/kotlin/plantainturn/request/quota/NodeQuotas.kt
+++ b/library/src/main/kotlin/plantainturn/request/quota/NodeQuotas.kt
@@ -4,6 +4,8 @@
 import plantainturn.version.route.AccountQuota
 import plantainturn.version.route.ClientAccountName
 import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Decides at one node whether requests of accounts are within quotas that all nodes use together.
@@ -88,4 +90,14 @@
     }
 
     private fun stateOf(account: ClientAccountName): NodeAccount = accounts.getOrPut(account) { NodeAccount(random) }
+
+    public companion object {
+        /**
+         * How long a node may use its share of the quotas by itself, which desks leave out for as long ([SilentParts]).
+         *
+         * Longer than busy issuers were seen to answer nobody (11 s), and shorter than the time after which a silent
+         * process's share is given to others.
+         */
+        public val SHARE_TERM: Duration = 20.seconds
+    }
 }
--- a/library/src/main/kotlin/plantainturn/request/quota/SilentParts.kt
+++ b/library/src/main/kotlin/plantainturn/request/quota/SilentParts.kt
@@ -58,6 +58,6 @@
 
     private companion object {
         /** The margin is for nodes whose clock stood still while they were suspended. */
-        val HELD = QuotaShare.TERM + 5.seconds
+        val HELD = NodeQuotas.SHARE_TERM + 5.seconds
     }
 }
--- a/library/src/main/kotlin/plantainturn/request/relay/NodeShare.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/NodeShare.kt
@@ -1,6 +1,7 @@
 package plantainturn.request.relay
 
 import plantainturn.process.time.Moment
+import kotlin.time.Duration
 
 /**
  * Holds the fraction that this node may use of what all nodes may use together: repetitions and quotas of accounts.
@@ -29,7 +30,13 @@
     }
 
     /** Returns the fraction that may be used at [now], from 0 to 1. */
-    public fun fractionAt(now: Moment): Double = if (now < validUntil) confirmed else 0.0
+    public fun fractionAt(now: Moment): Double = fractionAt(now, terms.term)
+
+    /** Returns the fraction that may be used at [now] by a use for which it lapses after [term], from 0 to 1. */
+    public fun fractionAt(
+        now: Moment,
+        term: Duration,
+    ): Double = if (now < validUntil - terms.term + term) confirmed else 0.0
 
     /** Returns the largest fraction that may have been used at [now] or in the window before it. */
     public fun maximumWithinWindow(now: Moment): Double {
--- a/library/src/test/kotlin/plantainturn/request/quota/QuotaWorld.kt
+++ b/library/src/test/kotlin/plantainturn/request/quota/QuotaWorld.kt
@@ -146,8 +146,7 @@
         private val name = "node ${started++}"
         val address = place ?: name
         private val share = NodeShare(SHARE_TERMS)
-        private val quotaShare = QuotaShare()
-        private val quotas = NodeQuotas(Random(started), quotaShare::fractionAt)
+        private val quotas = NodeQuotas(Random(started)) { share.fractionAt(it, NodeQuotas.SHARE_TERM) }
         private val waiting = ArrayList<Use>()
         private var nextReportAt = now + PERIODS_START * Random(started).nextDouble()
         private var reports = 0L
@@ -196,7 +195,6 @@
                     wholeFor = answering
                     heardAt = now
                     fraction?.let { share.confirm(it, sentAt, now) }
-                    fraction?.let { quotaShare.confirm(it, sentAt) }
                     quotas.onReport(totals, bound, setOf(ACCOUNT), sentAt)
                 }
             }
--- a/library/src/test/kotlin/plantainturn/request/quota/SilentPartsTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/quota/SilentPartsTest.kt
@@ -17,8 +17,8 @@
 
         assertEquals(0.0, parts.fraction(SILENT, startedAt + 400.milliseconds))
         assertEquals(0.25, parts.fraction(SILENT, startedAt + 600.milliseconds))
-        assertEquals(0.25, parts.fraction(SILENT, startedAt + QuotaShare.TERM))
-        assertEquals(0.0, parts.fraction(SILENT, startedAt + QuotaShare.TERM + 6.seconds))
+        assertEquals(0.25, parts.fraction(SILENT, startedAt + NodeQuotas.SHARE_TERM))
+        assertEquals(0.0, parts.fraction(SILENT, startedAt + NodeQuotas.SHARE_TERM + 6.seconds))
     }
 
     /** Guards against quotas that are left unused for the time of a term after nodes have restarted. */
@@ -41,8 +41,8 @@
         val parts = SilentParts(startedAt, hasPredecessor = true)
         parts.onReport("a", "1", 0.25, startedAt)
 
-        assertEquals(0.75, parts.unknownFraction(startedAt + QuotaShare.TERM))
-        assertEquals(0.0, parts.unknownFraction(startedAt + QuotaShare.TERM + 6.seconds))
+        assertEquals(0.75, parts.unknownFraction(startedAt + NodeQuotas.SHARE_TERM))
+        assertEquals(0.0, parts.unknownFraction(startedAt + NodeQuotas.SHARE_TERM + 6.seconds))
         assertEquals(0.0, SilentParts(startedAt, hasPredecessor = false).unknownFraction(startedAt))
     }
 
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -64,7 +64,6 @@
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.quarantine.CrashAttribution
 import plantainturn.request.quota.NodeQuotas
-import plantainturn.request.quota.QuotaShare
 import plantainturn.request.quota.QuotaTerms
 import plantainturn.request.relay.EngineTimeEstimator
 import plantainturn.request.relay.NodeShare
@@ -209,7 +208,6 @@
         TopicFollower(store, CrashEvidenceTopic.NAME, crashEvidence, timer, pace = ::crashEvidenceReadPace)
     private val shareTerms = NodeShareTerms(settings.repetitionWindowSeconds.seconds)
     private val share = NodeShare(shareTerms)
-    private val quotaShare = QuotaShare()
     private val shareDesk = ShareDesk(lease, shareTerms, timer)
     private val quotaDesk =
         QuotaDesk(lease, configuration, quotaTerms(), timer) { issuerLink.nodes }
@@ -218,8 +216,7 @@
             incarnation,
             lease,
             quotaDesk,
-            NodeQuotas(Random.Default, quotaShare::fractionAt),
-            quotaShare,
+            NodeQuotas(Random.Default) { share.fractionAt(it, NodeQuotas.SHARE_TERM) },
             configuration,
             caller,
             timer,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/QuotaClient.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/QuotaClient.kt
@@ -15,7 +15,6 @@
 import plantainturn.request.quota.AdmittedTotals
 import plantainturn.request.quota.NodeQuotas
 import plantainturn.request.quota.NodeVerdict
-import plantainturn.request.quota.QuotaShare
 import plantainturn.version.route.AccountQuota
 import plantainturn.version.route.ClientAccount
 import plantainturn.version.route.ClientAccountName
@@ -37,7 +36,6 @@
     private val lease: StoreLease,
     private val desk: QuotaDesk,
     private val quotas: NodeQuotas,
-    private val share: QuotaShare,
     private val routing: RoutingSource,
     private val caller: HttpClient,
     private val timer: TimerService,
@@ -90,7 +88,6 @@
         val accounts = configuration.accounts?.byName ?: return
         if (sent == null || answer.boundAccounts == null) return
         heard()
-        answer.repetitionShare?.let { share.confirm(it, sentAt) }
         // A desk with an earlier configuration does not count accounts or limits that are new.
         val isBehind = answer.configurationVersion < configuration.version.number
         val bound = if (isBehind) accounts.keys else answer.boundAccounts.mapTo(HashSet(), ::ClientAccountName)
--- a/relay/src/test/kotlin/plantainturn/relay/peer/QuotaClientTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/peer/QuotaClientTest.kt
@@ -22,7 +22,6 @@
 import plantainturn.relay.node.InMemoryRecordStore
 import plantainturn.relay.request.QuotaDecision
 import plantainturn.request.quota.NodeQuotas
-import plantainturn.request.quota.QuotaShare
 import plantainturn.request.quota.QuotaTerms
 import plantainturn.version.configuration.ConfigurationVersion
 import plantainturn.version.route.AccountQuota
@@ -164,7 +163,6 @@
                 lease,
                 desk,
                 NodeQuotas(Random(1)) { 0.0 },
-                QuotaShare(),
                 routing,
                 HttpClient(loop, ExecutorTimerService(loop)),
                 timer,
--- a/relay/src/test/kotlin/plantainturn/relay/peer/RelayedRecordsTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/peer/RelayedRecordsTest.kt
@@ -38,7 +38,7 @@
     /** A report's bytes between failure domains are billed. */
     @Test
     fun `a report has no field for records while the store answers`() {
-        val message = Json.encodeToString(NodeReport.serializer(), report())
+        val message = Json.encodeToString(NodeReport.serializer(), SAMPLE_REPORT)
 
         assertFalse("\"instances\":{\"from\"" in message, message)
         assertFalse("storeSilent" in message, message)
@@ -47,33 +47,13 @@
 
     @Test
     fun `a report of a former build is understood`() {
-        val full = report().copy(instances = RelayedRecords.of(since, 1_500.milliseconds), storeSilent = true)
+        val full = SAMPLE_REPORT.copy(instances = RelayedRecords.of(since, 1_500.milliseconds), storeSilent = true)
         val members = Json.encodeToJsonElement(NodeReport.serializer(), full).jsonObject
         val former = JsonObject(members - "instances" - "storeSilent")
 
         val received = PeerMessage.decode(former.toString().toByteArray(), NodeReport.serializer())
 
-        assertEquals(report(), received)
+        assertEquals(SAMPLE_REPORT, received)
         assertNull(received?.instances)
     }
-
-    private fun report() =
-        NodeReport(
-            node = "a",
-            sequence = 0,
-            repetitionShare = 0.0,
-            work = emptyMap(),
-            suspects = emptyMap(),
-            pressure = emptyMap(),
-            adapterUse = emptyList(),
-            known = IssuerKnowledge.NONE,
-            departingRuns = emptyMap(),
-            departures = emptyList(),
-            limits = emptyList(),
-            prompts = emptyList(),
-            streams = emptyList(),
-            configurationVersion = 1,
-            configuration = null,
-            ends = TopicEnds(StorePosition.FIRST, StorePosition.FIRST, StorePosition.FIRST),
-        )
 }
--- a/relay/src/test/kotlin/plantainturn/relay/peer/ReportAggregateTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/peer/ReportAggregateTest.kt
@@ -65,22 +65,5 @@
     private fun report(
         node: String,
         vararg work: Pair<String, WorkTotals>,
-    ) = NodeReport(
-        node = node,
-        sequence = 0,
-        repetitionShare = 0.0,
-        work = work.toMap(),
-        suspects = emptyMap(),
-        pressure = emptyMap(),
-        adapterUse = emptyList(),
-        known = IssuerKnowledge.NONE,
-        departingRuns = emptyMap(),
-        departures = emptyList(),
-        limits = emptyList(),
-        prompts = emptyList(),
-        streams = emptyList(),
-        configurationVersion = 1,
-        configuration = null,
-        ends = ends(0, 0, 0),
-    )
+    ) = SAMPLE_REPORT.copy(node = node, work = work.toMap(), ends = ends(0, 0, 0))
 }
