Send nothing for callers that left while a node was busy

Cause: a busy node acts on what it believed when it last looked. It counted a request's time from when it read the request, 1.3 s after it had come in the record, and so handed servers 1.3 s too much; it wrote requests to servers in a turn of its event loop whose poll of the network was seconds old, with the end of the caller's connection unread in the socket. It also accepted 16 connections in each turn, so that callers of a loop with long turns waited for many turns.

Change: LoopPolls notes when the loop polls the network. What is read after a long turn counts from the poll before. Before a send, a node looks at the caller's connection once more if its last poll is over 200 ms old, and at the time that is left. All connections that wait are accepted in one turn.

--- a/relay/src/main/kotlin/plantainturn/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/CallerConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.nio.AbstractNioChannel.NioUnsafe
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpHeaders
@@ -55,6 +56,11 @@
     private var requestCost = 0L
     private var progressAt = server.timer.now()
     private var unsentBytes = 0L
+    private var openedAtPoll = 0L
+    private var openedAt = Moment.ORIGIN
+
+    /** The earliest moment at which the first bytes of the request that is being read may have arrived. */
+    private var arrivedAt: Moment? = null
 
     /** Passes on the bytes of the connection. */
     val gate = RequestGate(this, server.turns)
@@ -90,6 +96,8 @@
 
     override fun channelActive(context: ChannelHandlerContext) {
         this.context = context
+        openedAtPoll = server.polls.count
+        openedAt = server.polls.earliestArrival()
         server.onOpen(this)
     }
 
@@ -162,6 +170,14 @@
         accept(message)
     }
 
+    /** Notes when bytes arrived, before they go to the decoder. */
+    fun onRead() {
+        if (arrivedAt != null) return
+        // What is read in the turn after the connection was accepted may have arrived together with it.
+        val isFirst = server.polls.count - openedAtPoll <= 1
+        arrivedAt = if (isFirst) openedAt else server.polls.earliestArrival()
+    }
+
     /** Starts the timeout of a request when its first bytes go to the decoder. */
     fun onBytesReceived(count: Int) {
         progressAt = server.timer.now()
@@ -270,7 +286,8 @@
         requestCost = headCost + whole.heldBytes
         val answer = Reply(keepAlive = HttpUtil.isKeepAlive(request))
         reply = answer
-        val caller = CallerRequest(request, whole.toBuffer(), headAt)
+        val caller = CallerRequest(request, whole.toBuffer(), minOf(headAt, arrivedAt ?: headAt))
+        arrivedAt = null
         context.executor().execute { handOver(caller, answer) }
     }
 
@@ -363,6 +380,13 @@
         override val isWritable: Boolean
             get() = context.channel().isWritable
 
+        override fun isAwaited(): Boolean {
+            val channel = context.channel()
+            val unsafe = channel.unsafe()
+            if (server.polls.isOverdue && channel.config().isAutoRead && unsafe is NioUnsafe) unsafe.read()
+            return reply === this && channel.isActive
+        }
+
         override fun send(
             status: Int,
             headers: HttpHeaders,
--- a/relay/src/main/kotlin/plantainturn/relay/http/CallerReply.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/CallerReply.kt
@@ -12,6 +12,14 @@
     /** Whether the connection's write buffer has room. */
     public val isWritable: Boolean
 
+    /**
+     * Returns whether the caller still waits for the answer, as far as anything has arrived from it.
+     *
+     * On an overloaded node, this looks at the connection once more: its close may have arrived without having been
+     * noticed.
+     */
+    public fun isAwaited(): Boolean
+
     /**
      * Sends a complete answer.
      *
--- a/relay/src/main/kotlin/plantainturn/relay/http/CallerRequest.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/CallerRequest.kt
@@ -9,7 +9,7 @@
  *
  * @property head the request line and headers as received
  * @property body the body without its framing; the handler of the request must release it
- * @property receivedAt when the head was received completely
+ * @property receivedAt when the request arrived; on an overloaded node, the earliest moment at which it may have
  */
 public class CallerRequest(
     public val head: HttpRequest,
--- a/relay/src/main/kotlin/plantainturn/relay/http/CallerServer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/CallerServer.kt
@@ -8,12 +8,14 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.ServerChannelRecvByteBufAllocator
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpVersion
 import plantainturn.connection.http.HeldBytes
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.process.time.TimerService
+import plantainturn.relay.loop.LoopPolls
 import plantainturn.version.route.CallerLimits
 import plantainturn.version.route.RoutingSource
 import java.lang.management.ManagementFactory
@@ -24,6 +26,7 @@
  *
  * @param held counts what the connections hold in memory
  * @param versions the versions of HTTP in which requests may come
+ * @param polls when the loop polls the network
  * @param currentLimits returns the limits at present
  */
 public class CallerServer internal constructor(
@@ -32,6 +35,7 @@
     internal val handler: CallerHandler,
     internal val held: HeldBytes,
     internal val versions: Set<HttpVersion>,
+    internal val polls: LoopPolls,
     private val currentLimits: () -> CallerLimits,
 ) {
     private val connections = HashSet<CallerConnection>()
@@ -51,12 +55,14 @@
         configuration: RoutingSource,
         handler: CallerHandler,
         held: HeldBytes = HeldBytes(),
+        polls: LoopPolls = LoopPolls(),
     ) : this(
         loop,
         timer,
         handler,
         held,
         setOf(HttpVersion.HTTP_1_1),
+        polls,
         { configuration.current?.limits ?: CallerLimits.INITIAL },
     )
 
@@ -83,6 +89,7 @@
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, acceptAllAllocator())
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.ALLOCATOR, HeapAllocator)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, readUntilEmptyAllocator())
@@ -134,6 +141,13 @@
             respectMaybeMoreData(false)
         }
 
+    /**
+     * Accepts all connections that wait, as their requests wait with them.
+     *
+     * With Netty's usual number of 16 in each turn, a loop with long turns lets callers wait for many of them.
+     */
+    private fun acceptAllAllocator() = ServerChannelRecvByteBufAllocator().apply { maxMessagesPerRead(BACKLOG) }
+
     private companion object {
         /** Accept queue for callers that connect at the same time; a full queue delays them by seconds. */
         const val BACKLOG = 1_024
--- a/relay/src/main/kotlin/plantainturn/relay/http/InternalHttpServer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/InternalHttpServer.kt
@@ -10,6 +10,7 @@
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.process.time.ExecutorTimerService
 import plantainturn.process.time.TimerService
+import plantainturn.relay.loop.LoopPolls
 import plantainturn.version.route.CallerLimits
 import kotlin.time.Duration.Companion.seconds
 
@@ -25,7 +26,7 @@
 ) {
     private val logger = LogManager.getLogger(InternalHttpServer::class.java)
     private val handlers = HashMap<String, (ByteArray, (InternalHttpResponse) -> Unit) -> Unit>()
-    private val server = CallerServer(loop, timer, Handler(), held, VERSIONS) { LIMITS }
+    private val server = CallerServer(loop, timer, Handler(), held, VERSIONS, LoopPolls()) { LIMITS }
 
     /** Registers [handler] for requests whose method and path are [call], such as `GET /metrics`. */
     public fun on(
--- a/relay/src/main/kotlin/plantainturn/relay/http/RequestGate.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/RequestGate.kt
@@ -38,6 +38,7 @@
             bytes.release()
             return
         }
+        connection.onRead()
         val wasEmpty = waiting.isEmpty()
         waiting.addLast(bytes)
         waitingBytes += costOf(bytes)
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
@@ -25,6 +25,7 @@
  * @property unansweredOrders orders to engines that were not answered and may still be executed
  * @property heldBytes memory of messages that are not complete
  * @property largestHolders the connections that hold most of it, with their bytes
+ * @property longestLoopDelayMilliseconds how late the event loop has been at most since the start
  * @property blockedSeconds how much longer requests with a trait are refused, by its fingerprint
  */
 @Serializable
@@ -44,6 +45,7 @@
     val unansweredOrders: List<RelayedOrder>,
     val heldBytes: Long,
     val largestHolders: Map<String, Long>,
+    val longestLoopDelayMilliseconds: Long,
     val instances: Map<String, InstanceDump>,
     val accounts: Map<String, AccountDump> = emptyMap(),
 ) {
@@ -135,6 +137,7 @@
             unansweredOrders: List<RelayedOrder>,
             accounts: Map<String, AccountDump>,
             heldBytes: HeldBytes,
+            longestLoopDelay: Duration,
         ): RelayDump {
             val work = links.ownTotals()
             val paces = links.paces()
@@ -155,6 +158,7 @@
                 unansweredOrders = unansweredOrders,
                 accounts = accounts,
                 heldBytes = heldBytes.total,
+                longestLoopDelayMilliseconds = longestLoopDelay.inWholeMilliseconds,
                 largestHolders = heldBytes.largest(LARGEST_HOLDERS).associate { (holder, bytes) -> "$holder" to bytes },
                 instances =
                     roster.instances
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -29,6 +29,10 @@
 import plantainturn.relay.http.HttpClient
 import plantainturn.relay.http.InternalHttpResponse
 import plantainturn.relay.http.InternalHttpServer
+import plantainturn.relay.loop.LoopDelay
+import plantainturn.relay.loop.LoopPolls
+import plantainturn.relay.loop.LoopTask
+import plantainturn.relay.loop.LoopWork
 import plantainturn.relay.peer.IssuerKnowledge
 import plantainturn.relay.peer.IssuerLink
 import plantainturn.relay.peer.IssuerReport
@@ -73,6 +77,7 @@
 import plantainturn.request.relay.StreamOrigins
 import plantainturn.version.configuration.FailureDomain
 import java.io.ByteArrayOutputStream
+import java.nio.channels.spi.SelectorProvider
 import java.util.Collections
 import java.util.UUID
 import java.util.concurrent.CountDownLatch
@@ -94,7 +99,10 @@
     connect: (EventLoop, HttpClient, SocketLocation) -> PlatformConnection,
 ) : AutoCloseable {
     private val logger = LogManager.getLogger(RelayNode::class.java)
-    private val eventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val polls = LoopPolls()
+    private val work = LoopWork()
+    private val eventLoopGroup =
+        MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory(SelectorProvider.provider(), polls))
     private val eventLoop = eventLoopGroup.next() as EventLoop
     private val timer = ExecutorTimerService(eventLoop)
     private val incarnation = "${settings.node}/${UUID.randomUUID()}"
@@ -109,6 +117,7 @@
             gaugeWaiting { waiting.byAccount }
             gaugeHeldBytes(heldBytes)
         }
+    private val loopDelay = LoopDelay(timer, work, metrics::onLoopDelay)
     private val store: RecordStore = CountedRecordStore(platform.store, metrics::onStoreCall)
     private val rosterTimes = RosterTimes(settings.drainMilliseconds.milliseconds)
     private val readPaces = StoreReadPaces(rosterTimes)
@@ -264,7 +273,7 @@
     private val timeEstimator = EngineTimeEstimator()
     private val repetitionBudget = RepetitionBudget(repetitions(), share::fractionAt)
     private val handler = RelayHandler(context())
-    private val callerServer = CallerServer(eventLoop, timer, configuration, handler, heldBytes)
+    private val callerServer = CallerServer(eventLoop, timer, configuration, handler, heldBytes, polls)
     private val peerServer = InternalHttpServer(eventLoop, timer, heldBytes)
     private val readinessServer = InternalHttpServer(eventLoop, timer, heldBytes)
     private val startedAt: Moment = timer.now()
@@ -365,19 +374,22 @@
         timer.subscribe(CONTROL_PERIOD) {
             val ready = !stopping && configuration.current != null
             lease.step(mayContend = ready && mayContend())
-            issuer.step()
+            work.measure(LoopTask.ISSUE) { issuer.step() }
         }
-        timer.subscribe(EXCHANGE_PERIOD) { if (!stopping || lease.fence == null) issuerLink.step() }
-        timer.subscribe(RETRY_PERIOD) { waiting.retryAll() }
+        timer.subscribe(EXCHANGE_PERIOD) { if (!stopping || lease.fence == null) work.measure(LoopTask.REPORT) { issuerLink.step() } }
+        timer.subscribe(RETRY_PERIOD) { retryWaiting() }
         timer.subscribe(rosterTimes.sweepPeriod) { instances.expire() }
         timer.subscribe(VERSION_PERIOD) { versionRecords.step() }
         timer.subscribe(CrashEvidenceTopic.SWEEP_PERIOD) { if (lease.isExclusive) crashEvidence.dropExpired() }
         fleet.subscribe {
             links.prompts.retain { engine, model -> model in fleet.residentsOf(engine) }
-            waiting.retryAll()
+            retryWaiting()
         }
+        loopDelay.start()
     }
 
+    private fun retryWaiting(): Unit = work.measure(LoopTask.RETRY) { waiting.retryAll() }
+
     /** Returns whether this node may contend for the lease; VMs with ample resources for the issuer's work go first. */
     private fun mayContend(): Boolean {
         val claimable = !issuerLink.isInformed() || lease.isFree
@@ -429,8 +441,10 @@
         freshness.onVersion(maxOf(report.configurationVersion, report.latestConfigurationVersion))
         report.configuration?.let { configuration.onPeerRecord(it.decode()) }
         report.configurationAge?.let { freshness.onConfirmed(report.configurationVersion, sentAt - it.milliseconds) }
-        report.instances?.let { instanceFollower.offer(it.decode(), it.steadyFor) }
-        report.breaks?.let { crashEvidenceFollower.offer(it.decode()) }
+        report.instances?.let {
+            work.measure(LoopTask.INSTANCES) { instanceFollower.offer(it.decode(), it.steadyFor) }
+        }
+        report.breaks?.let { work.measure(LoopTask.EVIDENCE) { crashEvidenceFollower.offer(it.decode()) } }
         configurationFollower.catchUp(report.ends.configuration)
         instanceFollower.catchUp(report.ends.instances)
         crashEvidenceFollower.catchUp(report.ends.breaks)
@@ -450,7 +464,7 @@
                 ?.maxOfOrNull { it.timeout } ?: Duration.ZERO
         streamLifetime = maxOf(longest, MINIMUM_STREAM_LIFETIME)
         handler.onConfiguration()
-        waiting.retryAll()
+        retryWaiting()
     }
 
     private fun onRoster() {
@@ -492,6 +506,7 @@
                 ),
             quota = quotaClient,
             metrics = metrics,
+            work = work,
             random = Random.Default,
         )
 
@@ -571,7 +586,7 @@
     private fun round(value: Double): Double = Math.round(value * ROUNDING_FACTOR) / ROUNDING_FACTOR
 
     private fun registerEndpoints() {
-        PeerEndpoint(hub, issuer, permitDesk, streamOriginLink, quotaDesk, metrics).registerOn(peerServer)
+        PeerEndpoint(hub, issuer, permitDesk, streamOriginLink, quotaDesk, metrics, work).registerOn(peerServer)
         readinessServer.on(
             platform.readinessCall,
         ) { _, done -> done(InternalHttpResponse(if (isReady()) OK else UNAVAILABLE)) }
@@ -605,6 +620,7 @@
                 unansweredOrders = unansweredOrders(),
                 accounts = RelayDump.accountsOf(quotaDesk.levels, quotaClient.admitted),
                 heldBytes = heldBytes,
+                longestLoopDelay = loopDelay.longest,
             ).toJson()
 
     private companion object {
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerEndpoint.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerEndpoint.kt
@@ -4,6 +4,8 @@
 import kotlinx.serialization.json.Json
 import plantainturn.relay.http.InternalHttpResponse
 import plantainturn.relay.http.InternalHttpServer
+import plantainturn.relay.loop.LoopTask
+import plantainturn.relay.loop.LoopWork
 import plantainturn.relay.request.RelayMetrics
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.version.configuration.ModelName
@@ -18,19 +20,12 @@
     private val streamOrigins: StreamOriginLink,
     private val quotas: QuotaDesk,
     private val metrics: RelayMetrics,
+    private val work: LoopWork,
 ) {
     /** Registers the handlers of peer calls on [server]. */
     fun registerOn(server: InternalHttpServer) {
         server.on("POST ${IssuerLink.EXCHANGE_PATH}") { body, done ->
-            metrics.onExchangeBytes(sent = false, "report", body.size)
-            val report = PeerMessage.decode(body, NodeReport.serializer())
-            if (report == null) {
-                done(InternalHttpResponse(BAD_REQUEST))
-            } else {
-                val answer = answer(IssuerReport.serializer(), hub.exchange(report))
-                metrics.onExchangeBytes(sent = true, "answer", answer.body.size)
-                done(answer)
-            }
+            work.measure(LoopTask.EXCHANGE) { exchange(body, done) }
         }
         server.on("POST ${IssuerLink.ADAPTER_PATH}") { body, done ->
             val wish = PeerMessage.decode(body, AdapterWish.serializer())
@@ -48,6 +43,21 @@
         }
     }
 
+    private fun exchange(
+        body: ByteArray,
+        done: (InternalHttpResponse) -> Unit,
+    ) {
+        metrics.onExchangeBytes(sent = false, "report", body.size)
+        val report = PeerMessage.decode(body, NodeReport.serializer())
+        if (report == null) {
+            done(InternalHttpResponse(BAD_REQUEST))
+        } else {
+            val answer = answer(IssuerReport.serializer(), hub.exchange(report))
+            metrics.onExchangeBytes(sent = true, "answer", answer.body.size)
+            done(answer)
+        }
+    }
+
     private fun answerQuestion(
         body: ByteArray,
         done: (InternalHttpResponse) -> Unit,
--- a/relay/src/main/kotlin/plantainturn/relay/request/CallerAnswer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CallerAnswer.kt
@@ -51,6 +51,9 @@
     val isWritable: Boolean
         get() = reply.isWritable
 
+    /** Returns whether the caller still waits for the answer. */
+    fun isAwaited(): Boolean = reply.isAwaited()
+
     /** Returns the part of [content] that can be sent now, or null if there is none. The caller must release it. */
     fun takeComplete(content: ByteBuf): ByteBuf? = if (isEventStream) splitter.add(content) else content.retainedSlice()
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -104,8 +104,8 @@
     }
 
     private fun write(ready: UpstreamConnection) {
-        if (ended) {
-            ready.abandon()
+        if (ended || !exchange.isStillWanted()) {
+            context.links.pool(instance).onIdle(ready)
             return
         }
         connection = ready
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayContext.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayContext.kt
@@ -1,6 +1,7 @@
 package plantainturn.relay.request
 
 import plantainturn.process.time.TimerService
+import plantainturn.relay.loop.LoopWork
 import plantainturn.request.relay.EngineDispatch
 import plantainturn.request.relay.EngineTimeEstimator
 import plantainturn.request.relay.RepetitionBudget
@@ -25,6 +26,7 @@
     val accounts: AccountCheck,
     val quota: QuotaAdmission,
     val metrics: RelayMetrics,
+    val work: LoopWork,
     val random: Random,
 ) {
     val serviceDispatch: ServiceDispatch = ServiceDispatch()
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -93,6 +93,21 @@
         return minOf(timeLeft(), arrivedAt + route.eventTimeout - context.timer.now())
     }
 
+    /**
+     * Returns whether the request may still be sent, and ends it otherwise: its caller has left, or no time is left.
+     *
+     * The connection to the instance may have been established late, and neither the end of the caller's connection nor
+     * the deadline's timer may have been handled yet.
+     */
+    fun isStillWanted(): Boolean {
+        when {
+            !answer.isAwaited() -> onCallerDisconnected()
+            timeLeft() < RequestLimits.MINIMUM_USEFUL_TIME -> onDeadline()
+            else -> return true
+        }
+        return false
+    }
+
     override fun retryDispatch(): Boolean {
         if (ended || waitingSince == null || awaitingIssuer) return false
         dispatch()
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
@@ -6,6 +6,7 @@
 import plantainturn.relay.http.CallerHandler
 import plantainturn.relay.http.CallerReply
 import plantainturn.relay.http.CallerRequest
+import plantainturn.relay.loop.LoopTask
 import plantainturn.request.RequestIdentifier
 import plantainturn.version.route.Route
 import kotlin.time.Duration
@@ -37,10 +38,12 @@
         request: CallerRequest,
         reply: CallerReply,
     ): CallerConnectionListener =
-        when (val decoded = context.dialect.decode(request)) {
-            is DecodedRequest.Malformed ->
-                refuse(request, reply, decoded.identifier, ResultCode.MALFORMED_REQUEST, decoded.reason)
-            is DecodedRequest.Accepted -> begin(decoded.request, reply)
+        context.work.measure(LoopTask.REQUEST) {
+            when (val decoded = context.dialect.decode(request)) {
+                is DecodedRequest.Malformed ->
+                    refuse(request, reply, decoded.identifier, ResultCode.MALFORMED_REQUEST, decoded.reason)
+                is DecodedRequest.Accepted -> begin(decoded.request, reply)
+            }
         }
 
     private fun begin(
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
@@ -82,6 +82,15 @@
             .classicOnly()
             .register(registry)
 
+    private val loopDelay =
+        Histogram
+            .builder()
+            .name("plantainturn_relay_loop_delay_seconds")
+            .help("How late the event loop runs its timers.")
+            .classicOnly()
+            .classicUpperBounds(0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0)
+            .register(registry)
+
     /** Registers a gauge of the unanswered orders, of which there are [count] at present. */
     internal fun gaugeUnansweredOrders(count: () -> Int) {
         GaugeWithCallback
@@ -207,4 +216,8 @@
     internal fun onFirstByte(elapsed: Duration) {
         firstByte.observe(elapsed.toDouble(DurationUnit.SECONDS))
     }
+
+    internal fun onLoopDelay(delay: Duration) {
+        loopDelay.observe(delay.toDouble(DurationUnit.SECONDS))
+    }
 }
