Deny a path only by a configuration that is confirmed to be present

A 404 ends a request for good: callers never retry after it.

Cause: a denial is a claim about the present, and the node made it from whatever configuration it held. Only the check of access keys asked how old that view was, and it took the time at which an answer of the store was handled for the time of what the answer says; a busy node handles answers seconds late.

Change: ConfigurationCurrency.permitsDenial decides for all denials: 401, 404, and 413 and 431 by the operators' limits. The view must have been confirmed within 2 s, counted from when the reading was sent, and no later version be known; otherwise the answer is 503 (3012) with a time to come back. A node that has known of a later version for a second without getting it refuses requests instead of running them by the old one. A node whose configuration is confirmed denies at once, as before.

--- a/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
+++ b/library/src/main/kotlin/plantainturn/connection/store/TopicFollower.kt
@@ -57,6 +57,14 @@
     public var heardAt: Moment? = null
         private set
 
+    /**
+     * The latest moment as of which this node's own reads have shown all records of the topic, null before the first.
+     *
+     * It counts from when a read was sent: the answer may have waited long before a busy node handled it.
+     */
+    public var currentAt: Moment? = null
+        private set
+
     /** Where the topic ended when it was last read; the first position before the first reading. */
     public val end: StorePosition
         get() = known ?: StorePosition.FIRST
@@ -120,11 +128,12 @@
         if (catchingUp || timer.now() - since < hintPatience || timer.now() < catchUpFrom) return
         catchingUp = true
         logger.info("topic={} event=catch-up known={} hinted={}", topic, before, hinted)
+        val sent = timer.now()
         store.forKind(StoreCallKind.CATCH_UP).readNewest(topic) { result ->
             catchingUp = false
             if (result is StoreReadResult.Records) {
                 catchUpBackoff.reset()
-                takeWhole(result)
+                takeWhole(result, sent)
             } else {
                 catchUpFrom = timer.now() + catchUpBackoff.onFailure(LONGEST_CATCH_UP_PAUSE)
             }
@@ -134,13 +143,13 @@
     private fun readOn(kind: StoreCallKind = StoreCallKind.READING) {
         val from = known
         val number = ++readNumber
+        val sent = timer.now()
         if (from == null || expired) {
-            store.forKind(kind).readNewest(topic) { whole(it) }
+            store.forKind(kind).readNewest(topic) { whole(it, sent) }
         } else {
-            val sent = timer.now()
             val longest = pace().wait
             store.forKind(kind).read(topic, from.offset, longest) {
-                if (number == readNumber) further(it, from, sent + longest)
+                if (number == readNumber) further(it, from, sent, longest)
             }
             watch(number, sent)
         }
@@ -162,8 +171,11 @@
         }
     }
 
-    private fun whole(result: StoreReadResult) {
-        if (result is StoreReadResult.Records && takeWhole(result)) {
+    private fun whole(
+        result: StoreReadResult,
+        sent: Moment,
+    ) {
+        if (result is StoreReadResult.Records && takeWhole(result, sent)) {
             expired = false
             readOn()
         } else {
@@ -194,7 +206,10 @@
     }
 
     /** Takes over [result] unless it is older than what is known, as a reading of a lagging copy may be. */
-    private fun takeWhole(result: StoreReadResult.Records): Boolean {
+    private fun takeWhole(
+        result: StoreReadResult.Records,
+        sent: Moment,
+    ): Boolean {
         val before = known
         if (before != null && result.next < before) {
             logger.info("topic={} event=stale-reading known={} read={}", topic, before, result.next)
@@ -205,6 +220,7 @@
         regained()
         if (restored || steadySince == null) steadySince = timer.now()
         known = result.next
+        noteCurrent(sent)
         recent.clear()
         recentFrom = result.next
         if (restored) {
@@ -216,11 +232,17 @@
         return true
     }
 
+    private fun noteCurrent(asOf: Moment) {
+        currentAt = maxOf(currentAt ?: asOf, asOf)
+    }
+
     private fun further(
         result: StoreReadResult,
         from: StorePosition,
-        due: Moment,
+        sent: Moment,
+        longest: Duration,
     ) {
+        val due = sent + longest
         when (result) {
             is StoreReadResult.Records -> {
                 val current = end.era
@@ -238,7 +260,11 @@
                 if (timer.now() > due + LATE_ANSWER) noteOutage(due)
                 regained()
                 // An answer of an earlier era, or to a read of one, does not continue what is known.
-                if (result.next.era == current && from.era == current) take(result.records, result.next, end)
+                if (result.next.era == current && from.era == current) {
+                    take(result.records, result.next, end)
+                    // A read that heard nothing was answered when its wait was over.
+                    noteCurrent(if (result.records.isEmpty() && timer.now() >= due) due else sent)
+                }
                 rest(timer.now())
             }
             is StoreReadResult.Expired -> {
--- a/library/src/main/kotlin/plantainturn/process/ResultCode.kt
+++ b/library/src/main/kotlin/plantainturn/process/ResultCode.kt
@@ -53,7 +53,7 @@
         Outcome.NOT_RUN,
         "Whether the client account's quota has room cannot be told at present.",
     ),
-    CONFIGURATION_OUTDATED(3012, 503, Outcome.NOT_RUN, "This node can't tell now whether the key is in force."),
+    CONFIGURATION_OUTDATED(3012, 503, Outcome.NOT_RUN, "A later configuration may allow what this node's does not."),
     MEMORY_LIMIT_REACHED(3013, 503, Outcome.NOT_RUN, "This node holds as much for its callers as it may."),
 
     UPSTREAM_FAILED(4000, 502, Outcome.FAILED, "The upstream ran the request and failed."),
--- a/library/src/test/kotlin/plantainturn/connection/store/TopicFollowerTest.kt
+++ b/library/src/test/kotlin/plantainturn/connection/store/TopicFollowerTest.kt
@@ -35,6 +35,20 @@
         assertEquals(listOf("a", "b", "c"), heard, "nothing is heard twice")
     }
 
+    /** Guards against a busy node that takes an answer which has waited for seconds for the present state. */
+    @Test
+    fun `what a reading shows counts from when it was sent`() {
+        store.latency = 3.seconds
+        write("a")
+        val follower = follower(ArrayList(), restMilliseconds = 60_000)
+        val sentAt = timer.now()
+        timer.advance(2.9.seconds)
+        assertNull(follower.currentAt)
+        timer.advance(0.2.seconds)
+
+        assertEquals(sentAt, follower.currentAt)
+    }
+
     @Test
     fun `records after a gap are not taken over`() {
         write("a")
--- a/relay/src/main/kotlin/plantainturn/relay/node/ConfigurationFreshness.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/ConfigurationFreshness.kt
@@ -15,13 +15,13 @@
  * A node reads the store itself or relies on the issuer, which reports its own version and when the store last
  * answered it. A node that the store turns away hears by the same reports that a later version exists.
  *
- * @param heardAt returns when the store last answered this node about the configuration, null if it never did
+ * @param currentAt returns the moment as of which this node has read the store's configuration, null if it never did
  * @param version returns the number of the configuration in force
  * @param era returns the era of the store in which it last answered
  */
 internal class ConfigurationFreshness(
     private val timer: TimerService,
-    private val heardAt: () -> Moment?,
+    private val currentAt: () -> Moment?,
     private val version: () -> Long,
     private val era: () -> StoreEra,
 ) : ConfigurationCurrency {
@@ -37,21 +37,24 @@
     val latestVersion: Long
         get() = maxOf(latestHeard, version())
 
-    /** How long ago the store last answered this node itself about the configuration. */
+    /** How old the store's configuration is that this node itself has read. */
     val storeAge: Duration?
-        get() = heardAt()?.let { timer.now() - it }
+        get() = currentAt()?.let { timer.now() - it }
 
     /** The store may have come back from a copy that lacks a configuration; a node that starts hears of it by peers. */
     override val confirmationAge: Duration?
         get() {
             noteRestore()
-            val own = heardAt()?.takeIf { confirmedByPeerAt != null || timer.now() - startedAt >= PEER_PATIENCE }
+            val own = currentAt()?.takeIf { confirmedByPeerAt != null || timer.now() - startedAt >= PEER_PATIENCE }
             return listOfNotNull(own, confirmedByPeerAt).maxOrNull()?.let { timer.now() - it }
         }
 
     override val isLaterKnown: Boolean
         get() = latestHeard > version()
 
+    override val isSuperseded: Boolean
+        get() = isLaterKnown && laterSince?.let { timer.now() - it >= SUPERSEDED_AFTER } ?: false
+
     /** A store that came back from a copy may lack a configuration, also for a node that has been running. */
     private fun noteRestore() {
         val current = era()
@@ -98,6 +101,9 @@
         /** A node that hears of a later version usually reads it at the same time. */
         val STORE_PATIENCE = 400.milliseconds
 
+        /** The store or a peer gives the later configuration sooner, unless this node is cut off or overloaded. */
+        val SUPERSEDED_AFTER = 1.seconds
+
         /** A node that starts finds the issuer sooner, if there is one. */
         val PEER_PATIENCE = 3.seconds
 
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -138,7 +138,7 @@
         )
     private val configuration = ConfigurationWatch(platform.records, ::onConfiguration)
     private val freshness: ConfigurationFreshness =
-        ConfigurationFreshness(timer, { configurationFollower.heardAt }, configuration::versionNumber) {
+        ConfigurationFreshness(timer, { configurationFollower.currentAt }, configuration::versionNumber) {
             configurationFollower.end.era
         }
     private val instances = InstanceWatch(platform.records, roster, timer, ::onRoster, ::onStoreAnswers)
@@ -499,6 +499,7 @@
             crashes = crashes,
             demand = demand,
             waiting = waiting,
+            currency = freshness,
             accounts =
                 AccountCheck(
                     freshness,
--- a/relay/src/main/kotlin/plantainturn/relay/request/AccountCheck.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/AccountCheck.kt
@@ -4,8 +4,6 @@
 import plantainturn.version.route.AccessKeyDigest
 import plantainturn.version.route.RoutingConfiguration
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Decides to which client account a request belongs, and whether its access key lets it run.
@@ -30,33 +28,25 @@
         val account = key?.let(accounts::find)
         return when {
             isPublic -> AccountDecision.Permitted(account, hasAccounts = true)
-            strictAfter != null && !isConfirmedWithin(strictAfter) -> outdated("strict", key)
+            strictAfter != null && !currency.isConfirmedWithin(strictAfter) -> outdated("strict", key)
             account != null -> AccountDecision.Permitted(account, hasAccounts = true)
-            currency.isLaterKnown || !isConfirmedWithin(MAXIMUM_VIEW_AGE) -> outdated("unknown-key", key)
+            !currency.permitsDenial -> outdated("unknown-key", key)
             else -> AccountDecision.Refused(ResultCode.TEAM_NOT_RECOGNISED, describe("unknown-key", key), null)
         }
     }
 
-    private fun isConfirmedWithin(limit: Duration): Boolean = currency.confirmationAge?.let { it <= limit } ?: false
-
     private fun outdated(
         rule: String,
         key: AccessKeyDigest?,
-    ) = AccountDecision.Refused(ResultCode.CONFIGURATION_OUTDATED, describe(rule, key), OUTDATED_RETRY_AFTER)
+    ) = AccountDecision.Refused(ResultCode.CONFIGURATION_OUTDATED, describe(rule, key), RequestLimits.OUTDATED_RETRY_AFTER)
 
     /** The beginning of the digest lets an operator who has the key find its line. */
     private fun describe(
         rule: String,
         key: AccessKeyDigest?,
-    ) = "rule=$rule keyDigest=${key?.hexadecimal?.take(LOGGED_DIGITS)} " +
-        "confirmed=${currency.confirmationAge} laterKnown=${currency.isLaterKnown}"
+    ) = "rule=$rule keyDigest=${key?.hexadecimal?.take(LOGGED_DIGITS)} ${currency.describe()}"
 
     private companion object {
-        /** A second less than the time within which a configuration must be in force. */
-        val MAXIMUM_VIEW_AGE = 2.seconds
-
-        /** By then the store or a peer has usually been heard. */
-        val OUTDATED_RETRY_AFTER = 300.milliseconds
         const val LOGGED_DIGITS = 12
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayContext.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayContext.kt
@@ -23,6 +23,7 @@
     val crashes: CrashTracker,
     val demand: DemandMeter,
     val waiting: WaitingRequests,
+    val currency: ConfigurationCurrency,
     val accounts: AccountCheck,
     val quota: QuotaAdmission,
     val metrics: RelayMetrics,
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
@@ -58,9 +58,20 @@
             return refuse(request.source, reply, identifier, code, "stopping=$stopping", wait)
         }
         val route = configuration.table.find(request.host, request.path)
-        if (route == null) {
-            val details = "configuration=${configuration.version} host=${request.host} path=${request.path}"
-            return refuse(request.source, reply, identifier, ResultCode.PATH_UNKNOWN, details)
+        if (route == null || context.currency.isSuperseded) {
+            val inputs = "configuration=${configuration.version} host=${request.host} path=${request.path}"
+            val details = "route=${route?.name} $inputs ${context.currency.describe()}"
+            if (route == null && context.currency.permitsDenial) {
+                return refuse(request.source, reply, identifier, ResultCode.PATH_UNKNOWN, details)
+            }
+            return refuse(
+                request.source,
+                reply,
+                identifier,
+                ResultCode.CONFIGURATION_OUTDATED,
+                details,
+                RequestLimits.OUTDATED_RETRY_AFTER,
+            )
         }
         val service = configuration.services[route.destinationFor(randomFor(route))]
         if (service == null) {
@@ -100,14 +111,26 @@
         val code =
             when (status) {
                 REQUEST_TIMEOUT -> ResultCode.REQUEST_TOO_SLOW
-                TOO_LARGE, HEADERS_TOO_LARGE -> ResultCode.REQUEST_TOO_LARGE
+                TOO_LARGE, HEADERS_TOO_LARGE ->
+                    // A later configuration may have higher limits.
+                    if (context.currency.permitsDenial) {
+                        ResultCode.REQUEST_TOO_LARGE
+                    } else {
+                        ResultCode.CONFIGURATION_OUTDATED
+                    }
                 MEMORY_SCARCE -> ResultCode.MEMORY_LIMIT_REACHED
                 else -> ResultCode.MALFORMED_REQUEST
             }
-        val retryAfter = MEMORY_RETRY_AFTER.takeIf { status == MEMORY_SCARCE }
-        reply.send(status, context.dialect.ownHeaders(null, code, retryAfter), Unpooled.EMPTY_BUFFER)
+        val retryAfter =
+            when (code) {
+                ResultCode.MEMORY_LIMIT_REACHED -> MEMORY_RETRY_AFTER
+                ResultCode.CONFIGURATION_OUTDATED -> RequestLimits.OUTDATED_RETRY_AFTER
+                else -> null
+            }
+        val sent = if (code == ResultCode.CONFIGURATION_OUTDATED) code.httpStatus else status
+        reply.send(sent, context.dialect.ownHeaders(null, code, retryAfter), Unpooled.EMPTY_BUFFER)
         context.metrics.onEnd(null, code, Duration.ZERO)
-        context.eventLog.recordEnd(null, code, status, "reason=\"$reason\"")
+        context.eventLog.recordEnd(null, code, sent, "reason=\"$reason\" ${context.currency.describe()}")
     }
 
     private fun randomFor(route: Route): Double = if (route.destinations.size == 1) 0.0 else context.random.nextDouble()
--- a/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
@@ -44,6 +44,9 @@
     /** The shortest suspicion of an instance is over by then. */
     val NO_UPSTREAM_RETRY_AFTER = 300.milliseconds
 
+    /** For a request that a later configuration may allow; by then the store or a peer has usually been heard. */
+    val OUTDATED_RETRY_AFTER = 300.milliseconds
+
     /** For a request whose deadline passed; the queue has moved on by then. */
     val DEADLINE_RETRY_AFTER = 100.milliseconds
 
--- a/relay/src/test/kotlin/plantainturn/relay/node/ConfigurationFreshnessTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/ConfigurationFreshnessTest.kt
@@ -13,10 +13,10 @@
 
 class ConfigurationFreshnessTest {
     private val timer = VirtualTimerService()
-    private var heardAt: Moment? = null
+    private var currentAt: Moment? = null
     private var version = 4L
     private var era = StoreEra(1)
-    private val freshness = ConfigurationFreshness(timer, { heardAt }, { version }, { era })
+    private val freshness = ConfigurationFreshness(timer, { currentAt }, { version }, { era })
 
     /** Guards against a node that takes another configuration's confirmation for its own. */
     @Test
@@ -29,7 +29,7 @@
 
         freshness.onConfirmed(4, early)
         assertEquals(3.seconds, freshness.confirmationAge)
-        heardAt = timer.now()
+        currentAt = timer.now()
         timer.advance(1.seconds)
         freshness.onConfirmed(4, early)
         assertEquals(1.seconds, freshness.confirmationAge)
@@ -38,7 +38,7 @@
     /** Guards against a 401 from a node that starts on a copy of the store which lacks a configuration with the key. */
     @Test
     fun `a node that starts does not rely on its own reading before it has heard a peer or waited for one`() {
-        heardAt = timer.now()
+        currentAt = timer.now()
         timer.advance(2_999.milliseconds)
         assertNull(freshness.confirmationAge)
         timer.advance(1.milliseconds)
@@ -51,7 +51,7 @@
     fun `a node does not rely on its reading of a restored store before it has heard a peer or waited for one`() {
         freshness.onConfirmed(4, timer.now())
         timer.advance(5.seconds)
-        heardAt = timer.now()
+        currentAt = timer.now()
         assertEquals(0.seconds, freshness.confirmationAge)
 
         era = StoreEra(2)
@@ -94,6 +94,33 @@
         assertFalse(freshness.isLaterKnown)
     }
 
+    /** Guards against requests that run by an old configuration at a node that can't get the one it has heard of. */
+    @Test
+    fun `a configuration is superseded once a later one has been known for a second`() {
+        freshness.onVersion(5)
+        timer.advance(999.milliseconds)
+        assertFalse(freshness.isSuperseded)
+        timer.advance(1.milliseconds)
+        assertTrue(freshness.isSuperseded)
+        version = 5
+
+        assertFalse(freshness.isSuperseded)
+    }
+
+    /** Guards against a 404 for a route that was added: neither an old confirmation nor a known lag permits it. */
+    @Test
+    fun `only a configuration that was confirmed just now permits a denial`() {
+        assertFalse(freshness.permitsDenial)
+        freshness.onConfirmed(4, timer.now())
+        timer.advance(2.seconds)
+        assertTrue(freshness.permitsDenial)
+        timer.advance(1.milliseconds)
+        assertFalse(freshness.permitsDenial)
+        freshness.onConfirmed(4, timer.now())
+        freshness.onVersion(5)
+        assertFalse(freshness.permitsDenial)
+    }
+
     /** Guards against a wait that began with an earlier version, which the store had given in time. */
     @Test
     fun `the wait for each later version begins when it is heard of`() {
--- a/relay/src/test/kotlin/plantainturn/relay/request/AccountCheckTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/request/AccountCheckTest.kt
@@ -92,6 +92,7 @@
         object : ConfigurationCurrency {
             override val confirmationAge = age
             override val isLaterKnown = laterKnown
+            override val isSuperseded = false
         },
         strictAfter,
     )
