Hand requests to another node while this one is cut off from a service

Cause: a node that is cut off had no other way. Nothing but reports, permits, quotas and questions went between nodes.

Change: ServiceReach decides without I/O whether this node is cut off from a whole service: two instances have failed, none was heard since, and other nodes hear some, of which nodes tell each other with their work. UpstreamReach tries paths by new connections when nothing is heard for 300 ms, and on until one stays open. While a node is cut off it hands requests to nodes that reach the service, one hop only, with the caller's identifier, time left and account and never its key. The first node checks the account, charges the quota and counts the request and its repetitions; the second sends it and counts what comes of that. What was sent and has no answer stays under "may have run". An issuer that is cut off from engines while others hear them hands the lease over. When the paths are back, connections and suspicions from the cut are forgotten.

Tests: CutOffNodeTest with four kinds of cut and both ends of the hop, ServiceReachTest.

--- a/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
+++ b/library/src/main/kotlin/plantainturn/process/control/lease/StoreLease.kt
@@ -124,6 +124,12 @@
         if (!callInProgress && !isRenewalUnanswered(current)) releaseNow(current)
     }
 
+    /** Releases the lease, if it is held and the store answers; the node may contend for it again. */
+    public fun handOver() {
+        val current = held ?: return
+        if (!callInProgress && !isRenewalUnanswered(current)) releaseNow(current)
+    }
+
     private fun releaseNow(current: Held) {
         lose("released")
         val record = HolderRecord(NO_HOLDER, "", current.fence.value)
--- a/library/src/main/kotlin/plantainturn/request/relay/InstanceHealth.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/InstanceHealth.kt
@@ -62,6 +62,15 @@
         }
     }
 
+    /** Forgets all failures, as they say nothing about the instance. */
+    public fun reset(now: Moment) {
+        score.scale(0.0, now)
+        suspectedUntil = null
+        suspicionPeriod = INITIAL_SUSPICION
+        trialInFlight = false
+        answeredErrors = false
+    }
+
     /** Records that a request ended in a way that says nothing about the instance. */
     public fun onNeutral() {
         trialInFlight = false
--- a/library/src/main/kotlin/plantainturn/request/relay/InstanceStats.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/InstanceStats.kt
@@ -48,10 +48,14 @@
     public var latestHeardAt: Moment? = null
         private set
 
-    /** When the instance last sent anything to this node or another one, null if it has not. */
-    public var latestLifeAt: Moment? = null
+    /** When the instance last sent anything to another node, null if that is not known. */
+    public var heardElsewhereAt: Moment? = null
         private set
 
+    /** When the instance last sent anything to this node or another one, null if it has not. */
+    public val latestLifeAt: Moment?
+        get() = listOfNotNull(latestHeardAt, heardElsewhereAt).maxOrNull()
+
     /** Decaying average of the time for a whole answer; null before the first. */
     public var answerTime: Duration? = null
         private set
@@ -90,12 +94,11 @@
     /** Records that the instance sent something. */
     public fun onHeard(now: Moment) {
         latestHeardAt = now
-        onHeardElsewhere(now)
     }
 
     /** Records that the instance sent something to another node at [moment]. */
     public fun onHeardElsewhere(moment: Moment) {
-        latestLifeAt = maxOf(latestLifeAt ?: moment, moment)
+        heardElsewhereAt = maxOf(heardElsewhereAt ?: moment, moment)
     }
 
     /** Records the load that the instance reported. */
--- a/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/ConnectionPool.kt
@@ -85,11 +85,16 @@
         idle.remove(connection)
     }
 
+    /** Closes idle connections now, which may be dead. */
+    fun dropIdle() {
+        idle.toList().forEach { it.abandon() }
+        idle.clear()
+    }
+
     /** Closes idle connections now, and those in use once they become idle. */
     fun close() {
         closed = true
-        idle.toList().forEach { it.abandon() }
-        idle.clear()
+        dropIdle()
     }
 
     private fun connect(done: (ConnectionResult) -> Unit) {
--- a/relay/src/main/kotlin/plantainturn/relay/http/InternalHttpServer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/InternalHttpServer.kt
@@ -18,15 +18,18 @@
  * Serves internal requests with small bodies: readiness probes of the load balancer, peers, metrics and dumps.
  *
  * @param held counts what the connections hold in memory
+ * @param polls when the loop polls the network
  */
 public class InternalHttpServer(
     loop: EventLoop,
     timer: TimerService = ExecutorTimerService(loop),
     held: HeldBytes = HeldBytes(),
+    polls: LoopPolls = LoopPolls(),
 ) {
     private val logger = LogManager.getLogger(InternalHttpServer::class.java)
     private val handlers = HashMap<String, (ByteArray, (InternalHttpResponse) -> Unit) -> Unit>()
-    private val server = CallerServer(loop, timer, Handler(), held, VERSIONS, LoopPolls()) { LIMITS }
+    private val server = CallerServer(loop, timer, Handler(), held, VERSIONS, polls) { LIMITS }
+    private var marked: Pair<String, CallerHandler>? = null
 
     /** Registers [handler] for requests whose method and path are [call], such as `GET /metrics`. */
     public fun on(
@@ -36,6 +39,14 @@
         handlers[call] = handler
     }
 
+    /** Passes requests that carry the header [name] to [handler]. */
+    internal fun onMarked(
+        name: String,
+        handler: CallerHandler,
+    ) {
+        marked = name to handler
+    }
+
     /** Listens at [location] and calls [done] with null on success or with the failure. */
     public fun listen(
         location: SocketLocation,
@@ -50,6 +61,9 @@
             request: CallerRequest,
             reply: CallerReply,
         ): CallerConnectionListener {
+            marked?.let { (name, marked) ->
+                if (request.head.headers().contains(name)) return marked.handle(request, reply)
+            }
             val call = "${request.head.method()} ${request.head.uri().substringBefore('?')}"
             val body = ByteArray(request.body.readableBytes()).also { request.body.readBytes(it) }
             request.body.release()
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -32,13 +32,13 @@
 import plantainturn.relay.loop.LoopDelay
 import plantainturn.relay.loop.LoopPolls
 import plantainturn.relay.loop.LoopTask
-import plantainturn.relay.loop.LoopWork
 import plantainturn.relay.peer.IssuerKnowledge
 import plantainturn.relay.peer.IssuerLink
 import plantainturn.relay.peer.IssuerReport
 import plantainturn.relay.peer.KnownPeers
 import plantainturn.relay.peer.NodeReport
 import plantainturn.relay.peer.PeerEndpoint
+import plantainturn.relay.peer.PeerForwarder
 import plantainturn.relay.peer.PeerHub
 import plantainturn.relay.peer.PermitClient
 import plantainturn.relay.peer.PermitDesk
@@ -56,14 +56,16 @@
 import plantainturn.relay.request.CrashTracker
 import plantainturn.relay.request.DemandMeter
 import plantainturn.relay.request.FleetView
+import plantainturn.relay.request.ForwardTerms
 import plantainturn.relay.request.InstanceLinks
 import plantainturn.relay.request.InstanceNotices
+import plantainturn.relay.request.PeerAccess
 import plantainturn.relay.request.RelayContext
 import plantainturn.relay.request.RelayHandler
 import plantainturn.relay.request.RelayMetrics
-import plantainturn.relay.request.ResidenceClient
 import plantainturn.relay.request.SendPermits
 import plantainturn.relay.request.StreamVersions
+import plantainturn.relay.request.UpstreamReach
 import plantainturn.relay.request.WaitingRequests
 import plantainturn.relay.residence.ResidenceIssuer
 import plantainturn.request.quarantine.CrashAttribution
@@ -72,10 +74,12 @@
 import plantainturn.request.relay.EngineTimeEstimator
 import plantainturn.request.relay.NodeShare
 import plantainturn.request.relay.NodeShareTerms
+import plantainturn.request.relay.ReachState
 import plantainturn.request.relay.RepetitionBudget
 import plantainturn.request.relay.RepetitionSettings
 import plantainturn.request.relay.StreamOrigins
 import plantainturn.version.configuration.FailureDomain
+import plantainturn.version.configuration.ServiceName
 import java.io.ByteArrayOutputStream
 import java.nio.channels.spi.SelectorProvider
 import java.util.Collections
@@ -100,7 +104,6 @@
 ) : AutoCloseable {
     private val logger = LogManager.getLogger(RelayNode::class.java)
     private val polls = LoopPolls()
-    private val work = LoopWork()
     private val eventLoopGroup =
         MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory(SelectorProvider.provider(), polls))
     private val eventLoop = eventLoopGroup.next() as EventLoop
@@ -116,7 +119,9 @@
             gaugePaces { links.paces() }
             gaugeWaiting { waiting.byAccount }
             gaugeHeldBytes(heldBytes)
+            gaugeCutOff { reach.cutOff.size }
         }
+    private val work = metrics.work
     private val loopDelay = LoopDelay(timer, work, metrics::onLoopDelay)
     private val store: RecordStore = CountedRecordStore(platform.store, metrics::onStoreCall)
     private val rosterTimes = RosterTimes(settings.drainMilliseconds.milliseconds)
@@ -126,6 +131,7 @@
     private val limits = RequestLimitTracker()
     private val notices = InstanceNotices(roster, RetryAfterTracker(), limits, timer, ::onDeparture)
     private val permits = SendPermits(limits, timer) { run, request, done -> permitClient.request(run, request, done) }
+    private val reach: UpstreamReach = UpstreamReach(timer, fleet::instancesOf, { links }, ::onReachChanged)
     private val links: InstanceLinks =
         InstanceLinks(
             eventLoop,
@@ -133,6 +139,7 @@
             FailureDomain(settings.failureDomain),
             notices,
             permits,
+            reach,
             heldBytes,
             platform.dialect::notice,
         )
@@ -252,6 +259,8 @@
     private val permitDesk = PermitDesk(lease, notices, timer) { issuerLink.nodes }
     private val permitClient: PermitClient =
         PermitClient(incarnation, lease, permitDesk, limits, caller, timer) { issuerLink.isIssuerMissing() }
+    private val knownPeers = KnownPeers(settings.advertisedPeers ?: settings.peers)
+    private val forwarder = PeerForwarder(eventLoop, timer, heldBytes, knownPeers)
     private val issuerLink: IssuerLink =
         IssuerLink(
             lease,
@@ -264,7 +273,8 @@
             notices,
             share,
             streamOrigins,
-            KnownPeers(settings.advertisedPeers ?: settings.peers),
+            knownPeers,
+            forwarder,
             quotaClient,
             metrics,
             ::createReport,
@@ -275,7 +285,7 @@
     private val repetitionBudget = RepetitionBudget(repetitions(), share::fractionAt)
     private val handler = RelayHandler(context())
     private val callerServer = CallerServer(eventLoop, timer, configuration, handler, heldBytes, polls)
-    private val peerServer = InternalHttpServer(eventLoop, timer, heldBytes)
+    private val peerServer = InternalHttpServer(eventLoop, timer, heldBytes, polls)
     private val readinessServer = InternalHttpServer(eventLoop, timer, heldBytes)
     private val startedAt: Moment = timer.now()
     private var stopping = false
@@ -374,11 +384,15 @@
     private fun startTasks() {
         timer.subscribe(CONTROL_PERIOD) {
             val ready = !stopping && configuration.current != null
+            if (isCutOffFromEngines()) lease.handOver()
             lease.step(mayContend = ready && mayContend())
             work.measure(LoopTask.ISSUE) { issuer.step() }
         }
         timer.subscribe(EXCHANGE_PERIOD) { if (!stopping || lease.fence == null) work.measure(LoopTask.REPORT) { issuerLink.step() } }
-        timer.subscribe(RETRY_PERIOD) { retryWaiting() }
+        timer.subscribe(RETRY_PERIOD) {
+            reach.step()
+            retryWaiting()
+        }
         timer.subscribe(rosterTimes.sweepPeriod) { instances.expire() }
         timer.subscribe(VERSION_PERIOD) { versionRecords.step() }
         timer.subscribe(CrashEvidenceTopic.SWEEP_PERIOD) { if (lease.isExclusive) crashEvidence.dropExpired() }
@@ -391,8 +405,23 @@
 
     private fun retryWaiting(): Unit = work.measure(LoopTask.RETRY) { waiting.retryAll() }
 
+    private fun onReachChanged(
+        service: ServiceName,
+        isCutOff: Boolean,
+    ) {
+        links.onReachChanged(service, isCutOff)
+        if (isCutOff) handler.onCutOff(service)
+    }
+
+    /** Another node, which reaches engines, can order them. */
+    private fun isCutOffFromEngines(): Boolean =
+        reach.cutOff.any {
+            reach.stateOf(it) == ReachState.CUT_OFF && configuration.current?.services?.get(it)?.engines != null
+        }
+
     /** Returns whether this node may contend for the lease; VMs with ample resources for the issuer's work go first. */
     private fun mayContend(): Boolean {
+        if (isCutOffFromEngines()) return false
         val claimable = !issuerLink.isInformed() || lease.isFree
         if (!claimable) claimableSince = null
         val since = if (claimable) claimableSince ?: timer.now().also { claimableSince = it } else return false
@@ -493,22 +522,19 @@
             dialect = platform.dialect,
             fleet = fleet,
             links = links,
-            residence = issuerLink as ResidenceClient,
+            peers = PeerAccess(issuerLink, quotaClient, forwarder),
             streamVersions = streamVersions,
             timeEstimator = timeEstimator,
             repetitionBudget = repetitionBudget,
             crashes = crashes,
             demand = demand,
             waiting = waiting,
-            currency = freshness,
             accounts =
                 AccountCheck(
                     freshness,
                     strictAfter = settings.revocationMilliseconds.milliseconds.takeIf { settings.strictRevocation },
                 ),
-            quota = quotaClient,
             metrics = metrics,
-            work = work,
             random = Random.Default,
         )
 
@@ -570,6 +596,8 @@
             admitted = quotaClient.createReport(whole = known.session == null),
             instances = instancesForIssuer(),
             storeSilent = isStoreSilent(),
+            cutOff = reach.cutOff.map { it.value },
+            domain = settings.failureDomain,
         )
 
     private fun configurationForIssuer(): KeyedRecord? {
@@ -589,6 +617,7 @@
 
     private fun registerEndpoints() {
         PeerEndpoint(hub, issuer, permitDesk, streamOriginLink, quotaDesk, metrics, work).registerOn(peerServer)
+        peerServer.onMarked(ForwardTerms.HEADER, handler.forwarded)
         readinessServer.on(
             platform.readinessCall,
         ) { _, done -> done(InternalHttpResponse(if (isReady()) OK else UNAVAILABLE)) }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -50,6 +50,7 @@
     private val share: NodeShare,
     private val streamOrigins: StreamOrigins,
     private val peers: KnownPeers,
+    private val forwarder: PeerForwarder,
     private val quotas: QuotaClient,
     private val metrics: RelayMetrics,
     private val createReport: (IssuerKnowledge) -> NodeReport,
@@ -226,6 +227,7 @@
         issuerStoreAnsweredAt = if (report.issuing) report.storeAge?.let { now - it.milliseconds } else null
         onIssuerReport(report, sentAt)
         peers.add(report.peers)
+        forwarder.onReachingPeers(report.reaching)
         quotas.onReport(sent.admitted, report, sentAt)
         if (report.known.session != knowledge.session) streamOrigins.announceAgain()
         streamOrigins.learn(report.streams)
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -40,6 +40,7 @@
  *   also while it must not issue orders yet
  * @property instancesWantedFrom up to where the answering node has read the topic of instances, if the store has not
  *   answered it about them for some time and it asks for records from there on; null otherwise
+ * @property reaching addresses of some nodes that reach all services, if the node does not
  * @property arrivals expected milliseconds until each model that is being loaded is resident
  */
 @Serializable
@@ -73,4 +74,5 @@
     val boundAccounts: List<String>? = null,
     val informing: Boolean = false,
     val instancesWantedFrom: StorePosition? = null,
+    val reaching: List<String> = emptyList(),
 )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/KnownPeers.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/KnownPeers.kt
@@ -20,6 +20,9 @@
         while (addresses.size > MAXIMUM) addresses.removeFirst()
     }
 
+    /** Returns all of them. */
+    fun all(): List<SocketLocation> = addresses.mapNotNull(SocketLocation::parse)
+
     /** Returns the peer to ask next, each in turn, or null if none is known. */
     fun next(): SocketLocation? {
         val address = addresses.removeFirstOrNull() ?: return null
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -30,6 +30,8 @@
  * @property instances records of the topic of instances that the receiver lacks, if its last answer asked for them
  * @property storeSilent whether neither the store nor an issuer that it answers has told the node of instances for some
  *   time, so that it must be told whether the store is away
+ * @property cutOff services of which it reaches no instance
+ * @property domain the failure domain of its VM
  * @property prompts shareable parts of prompts that engines have processed for its callers since its last report
  */
 @Serializable
@@ -56,6 +58,8 @@
     val admitted: AdmittedReport? = null,
     val instances: RelayedRecords? = null,
     val storeSilent: Boolean = false,
+    val cutOff: List<String> = emptyList(),
+    val domain: String = "",
 ) {
     /** The demand of the callers of one node for one base model. */
     @Serializable
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -103,10 +103,13 @@
             peers = KnownPeers.forReport(addresses, report.sequence),
             boundAccounts = quotas.report(report.node, report.address, usableShare, report.admitted),
             informing = lease.isExclusive,
+            reaching = if (report.cutOff.isEmpty()) emptyList() else ReachingNodes.of(report, reports()),
             instancesWantedFrom = instances.end.takeIf { isStoreSilent() },
         )
     }
 
+    private fun reports(): List<NodeReport> = received.values.map { it.report }
+
     private fun instancesFor(report: NodeReport): RelayedRecords? =
         instances.since(report.ends.instances)?.let { since ->
             RelayedRecords.of(since, instances.steadyFor.takeIf { report.storeSilent })
--- a/relay/src/main/kotlin/plantainturn/relay/request/AccountCheck.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/AccountCheck.kt
@@ -11,11 +11,12 @@
  * Clients never retry after [ResultCode.TEAM_NOT_RECOGNISED], so that is returned only if no later configuration can
  * hold the key.
  *
+ * @property currency how far the configuration can be relied on
  * @param strictAfter the age of the last confirmation from which requests that need a key are refused, null to let the
  *   last known state hold
  */
 internal class AccountCheck(
-    private val currency: ConfigurationCurrency,
+    val currency: ConfigurationCurrency,
     private val strictAfter: Duration?,
 ) {
     /** Decides on a request with [key], null if it carries none or several, on a route that [isPublic] or not. */
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -9,14 +9,17 @@
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.relay.http.ConnectionPool
+import plantainturn.relay.http.ConnectionResult
 import plantainturn.request.relay.DispatchCandidate
 import plantainturn.request.relay.GenerationDemand
 import plantainturn.request.relay.InstanceStats
 import plantainturn.request.relay.PaceEstimate
 import plantainturn.request.relay.PromptCacheTracker
+import plantainturn.request.relay.ReachState
 import plantainturn.request.relay.WorkTotals
 import plantainturn.version.configuration.FailureDomain
 import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.ServiceName
 import plantainturn.version.configuration.UpstreamName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -27,6 +30,7 @@
  *
  * @param permits permits for sends to instances that limit their requests
  * @param notices receives the notices that instances attach to answers
+ * @param reach whether this node reaches the services
  * @param held bounds the memory of incomplete answers
  * @param noticeOf decodes a notice from the head of an answer
  */
@@ -36,9 +40,11 @@
     private val ownDomain: FailureDomain,
     private val notices: InstanceNotices,
     internal val permits: SendPermits,
+    internal val reach: UpstreamReach,
     private val held: HeldBytes,
     private val noticeOf: (HttpResponse) -> InstanceNotice,
-) : SignsOfLife {
+) : SignsOfLife,
+    UpstreamPaths {
     private val links = HashMap<UpstreamName, Link>()
 
     private val runs = HashMap<Pair<UpstreamName, ModelName>, Int>()
@@ -140,6 +146,44 @@
         moment: Moment,
     ): Boolean = knownStats(instance)?.latestHeardAt?.let { it > moment } ?: false
 
+    override fun reachOf(instance: UpstreamInstance): ReachState = reach.stateOf(instance.service)
+
+    override fun wasCutOffSince(
+        instance: UpstreamInstance,
+        moment: Moment,
+    ): Boolean = reach.lastCutOffAt(instance.service)?.let { it > moment } ?: false
+
+    override fun heardElsewhereAt(instance: UpstreamInstance): Moment? = knownStats(instance)?.heardElsewhereAt
+
+    override fun connect(
+        instance: UpstreamInstance,
+        done: (Boolean) -> Unit,
+    ) {
+        val pool = pool(instance)
+        pool.acquire(maximumIdle = null) { result ->
+            if (result is ConnectionResult.Ready) {
+                pool.onIdle(result.connection)
+                timer.schedule(RESET_TIME) { done(result.connection.isOpen) }
+            } else {
+                done(false)
+            }
+        }
+    }
+
+    override fun isTriedElsewhere(instance: UpstreamInstance): Boolean =
+        knownStats(instance)?.let { it.others.running > 0 } ?: false
+
+    /** Drops idle connections to [service], from which this node is cut off, or which it reaches again. */
+    internal fun onReachChanged(
+        service: ServiceName,
+        isCutOff: Boolean,
+    ) {
+        val now = timer.now()
+        for (link in links.values.filter { it.service == service }) {
+            if (isCutOff) link.pool.dropIdle() else link.stats.health.reset(now)
+        }
+    }
+
     override fun livedSince(
         instance: UpstreamInstance,
         moment: Moment,
@@ -197,7 +241,15 @@
         val stats: InstanceStats,
         val pool: ConnectionPool,
     ) {
+        val service: ServiceName
+            get() = instance.service
+
         fun isFor(other: UpstreamInstance): Boolean =
             instance.location == other.location && instance.startedAt == other.startedAt
     }
+
+    private companion object {
+        /** A connection that is reset as soon as it is accepted has ended by then. */
+        val RESET_TIME = 100.milliseconds
+    }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -30,7 +30,8 @@
     private val parameters: SendParameters,
     private val work: RequestWork,
     private val decision: DispatchDecision.Send,
-) : AnswerReceiver {
+) : AnswerReceiver,
+    AnswerSource {
     private val stats = context.links.stats(instance)
     private val begunAt = context.timer.now()
     private var connection: UpstreamConnection? = null
@@ -42,10 +43,12 @@
     private var ended = false
     private var crowding = 1.0
 
-    /** When the request was written to the instance, null if it was not. */
-    var sentAt: Moment? = null
+    override var sentAt: Moment? = null
         private set
 
+    override val origin: UpstreamInstance
+        get() = instance
+
     /** Whether the instance has begun to answer. */
     val isAnswering: Boolean
         get() = head != null
@@ -58,8 +61,7 @@
     var isStreaming: Boolean = false
         private set
 
-    /** Whether the end of the answer is marked by its length or by chunks, not only by the end of the connection. */
-    var isDelimited: Boolean = false
+    override var isDelimited: Boolean = false
         private set
 
     override val heldBytes: Long
@@ -99,7 +101,7 @@
         failed(FailureKind.SILENT)
     }
 
-    fun setReading(reading: Boolean) {
+    override fun setReading(reading: Boolean) {
         connection?.setReading(reading)
     }
 
@@ -121,12 +123,16 @@
                 hasAccounts = exchange.account.hasAccounts,
                 account = exchange.account.account?.name,
             )
-        ready.send(context.dialect.upstreamRequest(exchange.request, body, current), this)
+        val message = context.dialect.upstreamRequest(exchange.request, body, current)
+        if (exchange.account.terms != null) message.headers().remove(ForwardTerms.HEADER)
+        context.links.reach.onSent(instance)
+        ready.send(message, this)
     }
 
     private fun unreachable(reason: String) {
         releaseWork()
         failed(FailureKind.UNREACHABLE)
+        context.links.reach.onFailure(instance)
         context.metrics.onSend("unreachable")
         exchange.onNotSent(this, reason)
     }
@@ -160,7 +166,7 @@
         val now = context.timer.now()
         heardAt = now
         sentAt?.let(stats::onAnswerBegun)
-        stats.onHeard(now)
+        onHeard(now)
         this.head = head
         isDelimited = HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head)
         val decoded = context.dialect.answerMetadata(head)
@@ -174,18 +180,23 @@
         if (ended) return
         val now = context.timer.now()
         heardAt = now
-        stats.onHeard(now)
+        onHeard(now)
         onFirstContent(now)
         if (isStreaming) {
             exchange.onStreamContent(this, requireNotNull(head), content)
-        } else if (buffered.readableBytes() + content.readableBytes() <= MAXIMUM_BUFFERED_BYTES) {
+        } else if (buffered.readableBytes() + content.readableBytes() <= RequestLimits.MAXIMUM_BUFFERED_BYTES) {
             if (!buffered.isReadable) buffered = Unpooled.buffer(content.readableBytes())
             buffered.writeBytes(content)
         } else {
-            onBroken("answer exceeds $MAXIMUM_BUFFERED_BYTES bytes and has no Content-Length")
+            onBroken("answer exceeds $RequestLimits.MAXIMUM_BUFFERED_BYTES bytes and has no Content-Length")
         }
     }
 
+    private fun onHeard(now: Moment) {
+        stats.onHeard(now)
+        context.links.reach.onHeard(instance)
+    }
+
     override fun onEnd() {
         if (ended) return
         releaseWork()
@@ -220,6 +231,7 @@
         releaseWork()
         connection?.abandon()
         failed(FailureKind.BROKEN)
+        context.links.reach.onFailure(instance)
         context.metrics.onSend("broken")
         buffered.release()
         exchange.onBroken(this, reason)
@@ -286,14 +298,9 @@
         if (!promptRead) context.links.prompts.onPrefillEnd(instance.name, demand)
     }
 
-    private fun isLong(head: HttpResponse): Boolean = HttpUtil.getContentLength(head, 0L) > MAXIMUM_BUFFERED_BYTES
+    private fun isLong(head: HttpResponse): Boolean = HttpUtil.getContentLength(head, 0L) > RequestLimits.MAXIMUM_BUFFERED_BYTES
 
     override fun toString(): String =
         "instance=${instance.name} version=${instance.softwareVersion} rank=${parameters.rank} " +
             "ahead=${decision.tokensAhead} expected=${decision.expected}"
-
-    private companion object {
-        /** Answers up to this size are received completely and checked before they are forwarded. */
-        const val MAXIMUM_BUFFERED_BYTES = 262_144
-    }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayContext.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayContext.kt
@@ -1,7 +1,6 @@
 package plantainturn.relay.request
 
 import plantainturn.process.time.TimerService
-import plantainturn.relay.loop.LoopWork
 import plantainturn.request.relay.EngineDispatch
 import plantainturn.request.relay.EngineTimeEstimator
 import plantainturn.request.relay.RepetitionBudget
@@ -16,20 +15,20 @@
     val dialect: RelayDialect,
     val fleet: FleetView,
     val links: InstanceLinks,
-    val residence: ResidenceClient,
+    val peers: PeerAccess,
     val streamVersions: StreamVersions,
     val timeEstimator: EngineTimeEstimator,
     val repetitionBudget: RepetitionBudget,
     val crashes: CrashTracker,
     val demand: DemandMeter,
     val waiting: WaitingRequests,
-    val currency: ConfigurationCurrency,
     val accounts: AccountCheck,
-    val quota: QuotaAdmission,
     val metrics: RelayMetrics,
-    val work: LoopWork,
     val random: Random,
 ) {
+    val currency: ConfigurationCurrency
+        get() = accounts.currency
+
     val serviceDispatch: ServiceDispatch = ServiceDispatch()
     val engineDispatch: EngineDispatch = EngineDispatch(timeEstimator)
     val eventLog: RequestEventLog = RequestEventLog()
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayDialect.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayDialect.kt
@@ -22,6 +22,22 @@
         parameters: SendParameters,
     ): FullHttpRequest
 
+    /**
+     * Returns the request to hand to another node, which has checked nothing of it: the caller's request without
+     * hop-by-hop headers.
+     *
+     * @param timeLeft time until the request's deadline
+     * @param resumeAfter identifier of the event after which a stream is resumed, null for a complete stream
+     * @param hasAccounts whether the request is sent without the caller's access key and account
+     */
+    public fun forwardedRequest(
+        request: RelayRequest,
+        body: ByteBuf,
+        timeLeft: Duration,
+        resumeAfter: String?,
+        hasAccounts: Boolean,
+    ): FullHttpRequest
+
     /** Decodes the head of an upstream's answer. */
     public fun answerMetadata(head: HttpResponse): AnswerMetadata
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
+import plantainturn.connection.roster.SocketLocation
 import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.process.Outcome
 import plantainturn.process.ResultCode
@@ -15,6 +16,7 @@
 import plantainturn.request.relay.PermitRequest
 import plantainturn.request.relay.ResidenceWaitLimit
 import plantainturn.version.configuration.ModelName
+import plantainturn.version.configuration.ServiceName
 import plantainturn.version.configuration.UpstreamName
 import plantainturn.version.route.ClientAccountName
 import plantainturn.version.route.Route
@@ -32,7 +34,7 @@
     private val context: RelayContext,
     val request: RelayRequest,
     val route: Route,
-    private val service: ServiceDefinition,
+    val service: ServiceDefinition,
     val account: RequestAccount,
     reply: CallerReply,
     private val onEnd: (RelayExchange) -> Unit,
@@ -48,7 +50,10 @@
     private val avoided = LinkedHashSet<UpstreamName>()
     private val sentTo = HashSet<UpstreamName>()
     private val permitsDenied = HashSet<UpstreamName>()
+    private val attempts = account.terms?.attempts ?: route.attempts
+    private val refusingPeers = LinkedHashSet<SocketLocation>()
     private var attempt: RelayAttempt? = null
+    private var forward: ForwardedSend? = null
     private var arrivals = 0
     private var runs = 0
     private var failedConnections = 0
@@ -77,11 +82,16 @@
     /** Starts the deadline timer and dispatches the request for the first time. */
     fun start() {
         timer = context.timer.schedule(timeLeft()) { onDeadline() }
+        if (account.terms == null) countArrival()
+        dispatch()
+    }
+
+    /** A request that another node has handed over was counted there. */
+    private fun countArrival() {
         context.repetitionBudget.onRequest(service.name, context.timer.now())
         request.demand?.let {
             context.demand.onRequest(it, RequestLimits.REQUEST_WORTH, context.timeEstimator.typicalTime(it))
         }
-        dispatch()
     }
 
     /** Returns the time until the request's deadline. */
@@ -116,7 +126,37 @@
 
     /** Ends a request that was not sent yet if the configuration that has come into force lacks its key. */
     fun onConfiguration() {
-        if (!ended && !mayHaveRun && attempt?.sentAt == null) admission.isKeyInForce()
+        if (!ended && !mayHaveRun && !isSent) admission.isKeyInForce()
+    }
+
+    /** Whether the request is on its way, at an instance or another node, so that it may run. */
+    private val isSent: Boolean
+        get() = attempt?.sentAt != null || forward?.sentAt != null
+
+    /** Ends what is under way, whose result is no longer needed. */
+    private fun cancelAll() {
+        attempt?.let(::cancel)
+        attempt = null
+        forward?.cancel()
+        forward = null
+    }
+
+    /** Goes on by way of another node, as this one reaches no instance of [cutOff]. */
+    fun onCutOff(cutOff: ServiceName) {
+        if (ended || forward != null || cutOff != service.name) return
+        val running = attempt
+        when {
+            running == null -> dispatch()
+            running.sentAt == null -> {
+                running.cancel()
+                onNotSent(running, "cut off")
+            }
+            route.repetition.repeatable && canTryElsewhere() -> {
+                running.giveUpAsSilent()
+                context.crashes.ended(traits, running.instance)
+                continueElsewhere(running, "cut off")
+            }
+        }
     }
 
     private fun refuse(
@@ -124,8 +164,7 @@
         details: String,
         retryAfter: Duration?,
     ) {
-        attempt?.let(::cancel)
-        attempt = null
+        cancelAll()
         giveUp(code, ResultCode.OUTCOME_UNKNOWN, "$details waited=${timeWaited()}", retryAfter)
     }
 
@@ -139,25 +178,25 @@
 
     /** Ends the request because the time of this node ends. */
     fun onEndOfNode() {
-        val running = attempt
-        if (running?.sentAt != null) mayHaveRun = true
-        running?.let(::cancel)
-        attempt = null
+        val sent = isSent
+        if (sent) mayHaveRun = true
+        cancelAll()
         giveUp(
             ResultCode.STOPPING,
             ResultCode.OUTCOME_UNKNOWN,
-            "sent=${running?.sentAt != null}",
+            "sent=$sent",
             RequestLimits.STOPPING_RETRY_AFTER,
         )
     }
 
     private fun dispatch() {
-        if (ended || attempt != null || !admission.isAdmitted(mayHaveRun, ::dispatch)) return
+        if (ended || attempt != null || forward != null || !admission.isAdmitted(mayHaveRun, ::dispatch)) return
         val left = timeLeftToBegin()
         if (left < RequestLimits.MINIMUM_USEFUL_TIME) {
             giveUp(ResultCode.DEADLINE_PASSED_IN_QUEUE, ResultCode.DEADLINE_PASSED, "no time is left")
             return
         }
+        if (context.links.reach.isCutOff(service.name) && goAround()) return
         if (context.crashes.isBlocked(traits)) {
             if (context.crashes.claimTrial(traits) { dispatch() }) return
             val details = context.crashes.describe(traits)
@@ -168,6 +207,109 @@
         if (constraint == VersionConstraint.Unknown) awaitOrigin() else place(constraint, left)
     }
 
+    /**
+     * Hands the request to another node, or gives it up if it can't be. Returns false if this node should try by itself.
+     *
+     * A request that was handed over once is not handed on, so that two nodes that are cut off don't pass it to and fro.
+     */
+    private fun goAround(): Boolean {
+        val forwarder = context.peers.forwarder
+        val continues = answer.hasBegun && versionConstraint() != VersionConstraint.None
+        if (account.terms == null && (continues || !forwarder.hasPeers)) return false
+        val peer = if (account.terms == null) forwarder.choose(refusingPeers) else null
+        if (peer == null || refusingPeers.size >= RequestLimits.MAXIMUM_ARRIVALS) {
+            val state = context.links.reach.stateOf(service.name)
+            giveUp(
+                ResultCode.CUT_OFF,
+                ResultCode.OUTCOME_UNKNOWN,
+                "reach=$state handedOver=${account.terms != null} refusingPeers=$refusingPeers",
+                minOf(RequestLimits.CUT_OFF_RETRY_AFTER, maximumRetryAfter()),
+            )
+        } else if (mayRepeat()) {
+            forwardTo(peer)
+        } else {
+            giveUpRepeating()
+        }
+        return true
+    }
+
+    private fun forwardTo(peer: SocketLocation) {
+        stopWaiting(sent = true)
+        arrivals += 1
+        val terms = ForwardTerms(attempts - runs, account.account?.name?.value, account.hasAccounts)
+        val resumeAfter = answer.lastEvent ?: request.resumeAfter
+        val newForward = ForwardedSend(context, this, peer, terms, resumeAfter)
+        forward = newForward
+        context.eventLog.record(
+            request.identifier,
+            "forward",
+            "route=${route.name} $newForward reach=${context.links.reach.stateOf(service.name)} arrival=$arrivals " +
+                "left=${timeLeft()} after=$resumeAfter",
+        )
+        val repeatable = route.repetition.repeatable
+        newForward.begin(
+            if (repeatable) RequestLimits.MAXIMUM_IDLE_IF_REPEATABLE else RequestLimits.MAXIMUM_IDLE_IF_NOT_REPEATABLE,
+        )
+    }
+
+    /** Handles that [failed] could not be handed over: the other node did not get it, or says that it won't run it. */
+    fun onNotForwarded(
+        failed: ForwardedSend,
+        reason: String,
+    ) {
+        context.eventLog.record(request.identifier, "not-forwarded", "$failed reason=\"$reason\"")
+        forward = null
+        arrivals -= 1
+        refusingPeers += failed.peer
+        dispatch()
+    }
+
+    /** Handles the refusal of another node for a reason that holds at any node. */
+    fun onForwardRefused(
+        refused: ForwardedSend,
+        head: HttpResponse,
+        body: ByteBuf,
+        code: ResultCode,
+    ) {
+        forward = null
+        if (mayHaveRun || answer.continuation != AnswerContinuation.ANY_ANSWER) {
+            body.release()
+            repeatOrGiveUp("$refused code=$code")
+            return
+        }
+        answer.send(BufferedAnswer(head.status().code(), context.dialect.callerHeaders(head), body))
+        end(code, head.status().code(), "$refused")
+    }
+
+    /** Handles a complete answer of an instance that another node has brought. */
+    fun onForwardAnswer(
+        from: ForwardedSend,
+        head: HttpResponse,
+        body: ByteBuf,
+        metadata: AnswerMetadata,
+    ) {
+        forward = null
+        onWholeAnswer("$from", head, body, metadata)
+    }
+
+    /** Handles an answer through another node that broke off; the request may have run. */
+    fun onForwardBroken(
+        broken: ForwardedSend,
+        reason: String,
+    ) {
+        context.eventLog.record(
+            request.identifier,
+            "broken",
+            "$broken reason=\"$reason\" began=${answer.hasBegun} continuation=${answer.continuation}",
+        )
+        forward = null
+        runs += 1
+        mayHaveRun = true
+        refusingPeers += broken.peer
+        answer.discardPartial()
+        if (!ended) repeatOrGiveUp(reason)
+    }
+
     private fun place(
         constraint: VersionConstraint,
         left: Duration,
@@ -261,12 +403,7 @@
         }
         if (instance == null || !mayRepeat() || !context.crashes.tryBegin(traits, instance)) {
             instance?.let(context.links.permits::putBack)
-            giveUp(
-                ResultCode.RETRIES_EXHAUSTED_NOT_RUN,
-                ResultCode.OUTCOME_UNKNOWN,
-                "arrivals=$arrivals runs=$runs",
-                RequestLimits.NO_UPSTREAM_RETRY_AFTER,
-            )
+            giveUpRepeating()
             return
         }
         stopWaiting(sent = true)
@@ -292,6 +429,14 @@
         crashWatch = context.timer.schedule(RequestLimits.CRASH_SUSPICION_SILENCE) { reportIfUnanswered(newAttempt) }
     }
 
+    private fun giveUpRepeating(): Unit =
+        giveUp(
+            ResultCode.RETRIES_EXHAUSTED_NOT_RUN,
+            ResultCode.OUTCOME_UNKNOWN,
+            "arrivals=$arrivals runs=$runs",
+            RequestLimits.NO_UPSTREAM_RETRY_AFTER,
+        )
+
     /**
      * Returns the maximal idle time of the connection to use, or null for a new connection.
      *
@@ -309,7 +454,7 @@
     /** Returns whether the request may be sent once more; each repetition counts against the bound of all nodes. */
     private fun mayRepeat(): Boolean {
         if (arrivals == 0) return true
-        if (runs >= route.attempts || arrivals >= RequestLimits.MAXIMUM_ARRIVALS) return false
+        if (runs >= attempts || arrivals >= RequestLimits.MAXIMUM_ARRIVALS) return false
         val decision = context.repetitionBudget.tryRepeat(service.name, context.timer.now())
         context.metrics.onRepetition(decision.granted)
         context.eventLog.record(request.identifier, "repetition", "service=${service.name} $decision")
@@ -352,7 +497,7 @@
         startWaiting()
         if (awaitingIssuer) return
         awaitingIssuer = true
-        context.residence.wantAdapter(service.name, step.model, step.adapter, step.candidates) { engine ->
+        context.peers.residence.wantAdapter(service.name, step.model, step.adapter, step.candidates) { engine ->
             awaitingIssuer = false
             when {
                 ended -> Unit
@@ -375,7 +520,7 @@
         left: Duration,
     ) {
         startWaiting()
-        val arrival = context.residence.expectedArrival(model)
+        val arrival = context.peers.residence.expectedArrival(model)
         if (waitLimit?.shouldWaitForModel(arrival, left, context.timer.now()) != false) return
         val usual =
             service.engines
@@ -426,7 +571,7 @@
         silence: Duration,
     ) {
         val tried = avoided + watched.instance.name
-        if (!placement.hasOther(tried, versionConstraint()) || runs + 1 >= route.attempts) return
+        if (!placement.hasOther(tried, versionConstraint()) || runs + 1 >= attempts) return
         // Only an engine that holds the model can go on with an answer that has begun; otherwise the silent one may.
         if (answer.hasBegun && !placement.isHeldElsewhere(tried)) {
             watchdog = context.timer.schedule(RequestLimits.SILENCE_CHECK_INTERVAL) { watchSilence(watched) }
@@ -498,12 +643,21 @@
         body: ByteBuf,
         metadata: AnswerMetadata,
     ) {
-        val status = head.status().code()
-        onAnswered(from, successful = status < RequestLimits.FIRST_FAILURE)
+        onAnswered(from, successful = head.status().code() < RequestLimits.FIRST_FAILURE)
         attempt = null
+        avoided += from.instance.name
+        onWholeAnswer("$from", head, body, metadata)
+    }
+
+    private fun onWholeAnswer(
+        from: String,
+        head: HttpResponse,
+        body: ByteBuf,
+        metadata: AnswerMetadata,
+    ) {
+        val status = head.status().code()
         runs += 1
         mayHaveRun = true
-        avoided += from.instance.name
         if (metadata.claimsNotRun) {
             body.release()
             repeatOrGiveUp("status=$status without proof that the request did not run")
@@ -521,7 +675,7 @@
                 context.eventLog.record(request.identifier, "failed", "$from status=$status")
                 dispatch()
             }
-            else -> deliver(buffered, "$from")
+            else -> deliver(buffered, from)
         }
     }
 
@@ -538,13 +692,13 @@
     }
 
     private fun canTryElsewhere(): Boolean =
-        runs < route.attempts &&
+        runs < attempts &&
             timeLeft() > RequestLimits.MINIMUM_USEFUL_TIME &&
-            placement.hasOther(avoided, versionConstraint())
+            (placement.hasOther(avoided, versionConstraint()) || context.links.reach.isCutOff(service.name))
 
     /** Forwards [content] of a streamed answer; of an event stream only complete events are forwarded. */
     fun onStreamContent(
-        from: RelayAttempt,
+        from: AnswerSource,
         head: HttpResponse,
         content: ByteBuf,
     ) {
@@ -559,7 +713,7 @@
             context.metrics.onFirstByte(context.timer.now() - arrivedAt)
             val length = HttpUtil.getContentLength(head, RequestLimits.UNKNOWN_LENGTH).takeIf { it >= 0 }
             answer.begin(head.status().code(), context.dialect.callerHeaders(head), length)
-            context.streamVersions.onFirstEvent(stream, from.instance, from.sentAt ?: arrivedAt)
+            from.origin?.let { context.streamVersions.onFirstEvent(stream, it, from.sentAt ?: arrivedAt) }
             context.eventLog.record(
                 request.identifier,
                 "first-event",
@@ -571,15 +725,16 @@
     }
 
     /** Returns why a streamed answer that the instance has ended is not complete, or null if it is. */
-    fun incompleteness(from: RelayAttempt): String? = answer.incompleteness(from.isDelimited)
+    fun incompleteness(from: AnswerSource): String? = answer.incompleteness(from.isDelimited)
 
     /** Handles the complete end of a streamed answer. */
     fun onStreamEnd(
-        from: RelayAttempt,
+        from: AnswerSource,
         head: HttpResponse,
     ) {
-        onAnswered(from, successful = true)
+        if (from is RelayAttempt) onAnswered(from, successful = true)
         attempt = null
+        forward = null
         mayHaveRun = true
         context.metrics.onSend("answered")
         if (!answer.hasBegun) answer.begin(RequestLimits.OK, context.dialect.callerHeaders(head), null)
@@ -643,10 +798,8 @@
 
     private fun onDeadline() {
         if (ended) return
-        val running = attempt
-        val sent = running?.sentAt != null
-        running?.let(::cancel)
-        attempt = null
+        val sent = isSent
+        cancelAll()
         if (sent) mayHaveRun = true
         giveUp(
             ResultCode.DEADLINE_PASSED_IN_QUEUE,
@@ -699,14 +852,14 @@
 
     override fun onCallerDisconnected() {
         if (ended) return
-        if (attempt?.sentAt != null) mayHaveRun = true
-        attempt?.let(::cancel)
-        attempt = null
+        if (isSent) mayHaveRun = true
+        cancelAll()
         end(ResultCode.CANCELLED, ResultCode.CANCELLED.httpStatus, "arrivals=$arrivals began=${answer.hasBegun}")
     }
 
     override fun onWritabilityChanged(writable: Boolean) {
         attempt?.setReading(writable)
+        forward?.setReading(writable)
     }
 
     private fun end(
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
@@ -8,6 +8,7 @@
 import plantainturn.relay.http.CallerRequest
 import plantainturn.relay.loop.LoopTask
 import plantainturn.request.RequestIdentifier
+import plantainturn.version.configuration.ServiceName
 import plantainturn.version.route.Route
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -38,17 +39,37 @@
         request: CallerRequest,
         reply: CallerReply,
     ): CallerConnectionListener =
-        context.work.measure(LoopTask.REQUEST) {
+        context.metrics.work.measure(LoopTask.REQUEST) {
             when (val decoded = context.dialect.decode(request)) {
                 is DecodedRequest.Malformed ->
                     refuse(request, reply, decoded.identifier, ResultCode.MALFORMED_REQUEST, decoded.reason)
-                is DecodedRequest.Accepted -> begin(decoded.request, reply)
+                is DecodedRequest.Accepted -> begin(decoded.request, reply, terms = null)
             }
         }
 
+    /** Handles the requests that other nodes hand over. */
+    val forwarded: CallerHandler =
+        object : CallerHandler by this {
+            override fun handle(
+                request: CallerRequest,
+                reply: CallerReply,
+            ): CallerConnectionListener {
+                val terms = request.head.headers().get(ForwardTerms.HEADER)?.let(ForwardTerms::decode)
+                val decoded = context.dialect.decode(request)
+                if (decoded is DecodedRequest.Accepted && terms != null) return begin(decoded.request, reply, terms)
+                val identifier = (decoded as? DecodedRequest.Malformed)?.identifier
+                val details = "forwarded=true terms=$terms"
+                return refuse(request, reply, identifier, ResultCode.MALFORMED_REQUEST, details)
+            }
+        }
+
+    /** Lets the requests for [service] go on by way of other nodes. */
+    fun onCutOff(service: ServiceName): Unit = exchanges.toList().forEach { it.onCutOff(service) }
+
     private fun begin(
         request: RelayRequest,
         reply: CallerReply,
+        terms: ForwardTerms?,
     ): CallerConnectionListener {
         val identifier = request.identifier
         val configuration = context.routing.current
@@ -78,7 +99,7 @@
             val details = "route=${route.name} configuration=${configuration.version}"
             return refuse(request.source, reply, identifier, ResultCode.NO_UPSTREAM, details, NOT_READY_RETRY_AFTER)
         }
-        val account = RequestAccount(context, request, route)
+        val account = RequestAccount(context, request, route, terms)
         val refused = account.lookUp()
         return if (refused == null) {
             RelayExchange(context, request, route, service, account, reply, exchanges::remove).also {
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
@@ -9,6 +9,7 @@
 import plantainturn.connection.store.StoreCallKind
 import plantainturn.connection.store.TopicName
 import plantainturn.process.ResultCode
+import plantainturn.relay.loop.LoopWork
 import plantainturn.request.relay.PaceEstimate
 import plantainturn.version.configuration.UpstreamName
 import plantainturn.version.route.ClientAccountName
@@ -82,6 +83,15 @@
             .classicOnly()
             .register(registry)
 
+    /** What the event loop spends its time on. */
+    internal val work: LoopWork = LoopWork()
+    private val forwards =
+        Counter
+            .builder()
+            .name("plantainturn_relay_forwards_total")
+            .help("Requests handed to other nodes while this one was cut off from their service, by outcome.")
+            .labelNames("outcome")
+            .register(registry)
     private val loopDelay =
         Histogram
             .builder()
@@ -146,6 +156,16 @@
             .register(registry)
     }
 
+    /** Registers a gauge of the services from which the node is cut off, of which there are [count] at present. */
+    internal fun gaugeCutOff(count: () -> Int) {
+        GaugeWithCallback
+            .builder()
+            .name("plantainturn_relay_cut_off_services")
+            .help("Services of which this node reaches no instance.")
+            .callback { it.call(count().toDouble()) }
+            .register(registry)
+    }
+
     /** Registers metrics of what [held] counts. */
     internal fun gaugeHeldBytes(held: HeldBytes) {
         GaugeWithCallback
@@ -209,6 +229,10 @@
         exchangeBytes.labelValues(if (sent) "sent" else "received", message).inc(bytes.toDouble())
     }
 
+    internal fun onForward(outcome: String) {
+        forwards.labelValues(outcome).inc()
+    }
+
     internal fun onOtherAnswer() {
         otherAnswers.inc()
     }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RequestAdmission.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestAdmission.kt
@@ -15,7 +15,7 @@
     private val account: RequestAccount,
     private val refuse: (ResultCode, String, Duration?) -> Unit,
 ) {
-    private val charge = QuotaCharge(context.quota, request.declaredTokens)
+    private val charge = QuotaCharge(context.peers.quota, request.declaredTokens)
 
     /** Looks the account up again. Returns whether the request may go on; otherwise it has been refused. */
     fun isKeyInForce(): Boolean {
@@ -30,6 +30,7 @@
         mayHaveRun: Boolean,
         retry: () -> Unit,
     ): Boolean {
+        if (account.terms != null) return true
         if (charge.isPending || (!mayHaveRun && !isKeyInForce())) return false
         val charged = account.account
         if (charged == null || charge.covers(charged)) return true
