Count no breaks of requests at a node that is cut off

Cause: being cut off is a fact about the node. It took its failures for breaks at servers, wrote them to the store at once where requests were alike, and all nodes blocked these.

Change: a break is told to other nodes only once this node hears an instance of the service again, or the others do not hear any either. If it was cut off meanwhile, the break is withdrawn. At a node that is certainly cut off nothing is counted.

--- a/relay/src/main/kotlin/plantainturn/relay/request/CrashTracker.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CrashTracker.kt
@@ -2,12 +2,14 @@
 
 import org.apache.logging.log4j.LogManager
 import plantainturn.connection.roster.UpstreamInstance
+import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.request.quarantine.CrashAttribution
 import plantainturn.request.quarantine.CrashEvidence
 import plantainturn.request.quarantine.RequestBreak
 import plantainturn.request.quarantine.RequestFingerprint
 import plantainturn.request.quarantine.RequestTraits
+import plantainturn.request.relay.ReachState
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -137,12 +139,56 @@
         instance: UpstreamInstance,
         isSilence: Boolean,
     ) {
+        if (signs.reachOf(instance) == ReachState.CUT_OFF) {
+            logger.info("fingerprint={} event=break-ignored reason=\"cut off\" instance={}", traits.request, instance.name)
+            return
+        }
         val isSuspect = attribution.breaksOf(traits.request).isNotEmpty() || !traits.parts.all(attribution::isAnswered)
         val noticed = RequestBreak(traits, evidenceOf(instance), attribution.answeredOf(traits), wallClock())
-        if (!attribution.onBreak(noticed, shared = isSuspect)) return
+        if (!attribution.onBreak(noticed, shared = false)) return
         logger.info("fingerprint={} event=broke {} parts={}", traits.request, noticed.evidence, traits.parts)
-        if (isSuspect) publisher.publish(noticed)
-        awaitLife(noticed, instance, published = isSuspect, isSilence)
+        val publication = Publication(noticed, instance, timer.now())
+        if (isSuspect) publishWhenReached(publication, timer.now() + LONGEST_DOUBT)
+        awaitLife(publication, isSilence)
+    }
+
+    /**
+     * Publishes a break as soon as this node hears any instance of the service. Until then it may be cut off from all of
+     * them, and have learnt nothing of the request.
+     */
+    private fun publishWhenReached(
+        publication: Publication,
+        latest: Moment,
+    ) {
+        val state = signs.reachOf(publication.instance)
+        when {
+            publication.ended || publication.published -> Unit
+            signs.wasCutOffSince(publication.instance, publication.since) -> withdraw(publication, "cut off")
+            state == ReachState.CUT_OFF -> withdraw(publication, "cut off")
+            (state.isCutOff || state == ReachState.DOUBTFUL) && timer.now() < latest ->
+                timer.schedule(REACH_CHECK_PERIOD) { publishWhenReached(publication, latest) }
+            attribution.counts(publication.noticed) -> {
+                publication.published = true
+                attribution.onShared(publication.noticed)
+                publisher.publish(publication.noticed)
+            }
+        }
+    }
+
+    private fun withdraw(
+        publication: Publication,
+        reason: String,
+    ) {
+        val noticed = publication.noticed
+        publication.ended = true
+        logger.info(
+            "fingerprint={} event=survived reason=\"{}\" {}",
+            noticed.traits.request,
+            reason,
+            noticed.evidence,
+        )
+        attribution.onSurvived(noticed.traits, noticed.evidence)
+        if (publication.published) publisher.withdraw(noticed)
     }
 
     /**
@@ -152,21 +198,18 @@
      * does not, as a busy node may report late what an instance sent before it crashed.
      */
     private fun awaitLife(
-        noticed: RequestBreak,
-        instance: UpstreamInstance,
-        published: Boolean,
+        publication: Publication,
         isSilence: Boolean,
     ) {
+        val instance = publication.instance
         val brokenAt = timer.now()
         timer.schedule(if (isSilence) LIFE_TIMEOUT else ANSWER_TIMEOUT) {
             val lived = isSilence && signs.livedSince(instance, brokenAt + REPORT_TOLERANCE)
+            if (publication.ended) return@schedule
             if (lived || signs.answeredSince(instance, brokenAt)) {
-                logger.info("fingerprint={} event=survived {}", noticed.traits.request, noticed.evidence)
-                attribution.onSurvived(noticed.traits, noticed.evidence)
-                if (published) publisher.withdraw(noticed)
-            } else if (!published && attribution.counts(noticed)) {
-                attribution.onShared(noticed)
-                publisher.publish(noticed)
+                withdraw(publication, "heard again")
+            } else if (!publication.published) {
+                publishWhenReached(publication, timer.now() + LONGEST_DOUBT)
             }
         }
     }
@@ -178,7 +221,20 @@
 
     private fun evidenceOf(instance: UpstreamInstance) = CrashEvidence(instance.name, instance.startedAt?.toString())
 
+    private class Publication(
+        val noticed: RequestBreak,
+        val instance: UpstreamInstance,
+        val since: Moment,
+        var published: Boolean = false,
+        var ended: Boolean = false,
+    )
+
     private companion object {
+        val REACH_CHECK_PERIOD = 50.milliseconds
+
+        /** Other nodes are known by then to hear the instances, if any does. */
+        val LONGEST_DOUBT = 3.seconds
+
         /** Shorter than the restart of a server, so that an answer comes from the same run. */
         val ANSWER_TIMEOUT = 1.seconds
 
--- a/relay/src/test/kotlin/plantainturn/relay/request/CrashTrackerTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/request/CrashTrackerTest.kt
@@ -10,6 +10,7 @@
 import plantainturn.request.quarantine.RequestBreak
 import plantainturn.request.quarantine.RequestFingerprint
 import plantainturn.request.quarantine.RequestTraits
+import plantainturn.request.relay.ReachState
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
@@ -22,6 +23,8 @@
     private var answeredSendAt: Moment? = null
     private var heardAt: Moment? = null
     private var livedAt: Moment? = null
+    private var reach = ReachState.REACHED
+    private var cutOffAt: Moment? = null
     private val attribution = CrashAttribution(timer)
     private val tracker = CrashTracker(attribution, Publisher(), timer, Signs()) { 0 }
     private val fingerprint = RequestFingerprint(1)
@@ -118,6 +121,37 @@
         assertFalse(tracker.isBlocked(traitsWithPart(4)))
     }
 
+    /** Guards against false witness: alike requests were blocked by breaks at a node that reached no instance. */
+    @Test
+    fun `a node that is cut off publishes no breaks and blocks nothing`() {
+        reach = ReachState.DOUBTFUL
+        (1..4).forEach { tracker.broke(traits, instance(it)) }
+        timer.advance(0.5.seconds)
+        assertEquals(emptyList(), published, "it may be cut off")
+        reach = ReachState.CUT_OFF
+        timer.advance(0.2.seconds)
+        cutOffAt = timer.now()
+        tracker.broke(traits, instance(5))
+        reach = ReachState.REACHED
+        timer.advance(5.seconds)
+
+        assertEquals(emptyList(), published)
+        assertFalse(tracker.isBlocked(traits))
+    }
+
+    /** Guards against the opposite: a request that ends all instances of a service, which no node hears then. */
+    @Test
+    fun `breaks count if no other node hears the instances either`() {
+        reach = ReachState.PRESUMED_CUT_OFF
+        (1..3).forEach { tracker.broke(traits, instance(it)) }
+        timer.advance(2.seconds)
+        reach = ReachState.UNHEARD_BY_ALL
+        timer.advance(2.seconds)
+
+        assertEquals(listOf("server-1", "server-2", "server-3"), published.sorted())
+        assertTrue(tracker.isBlocked(traits))
+    }
+
     @Test
     fun `an answer that ends with its connection clears a part only if the instance answers again`() {
         repeat(2) { tracker.broke(traitsWithPart(it), instance(it)) }
@@ -164,6 +198,13 @@
             moment: Moment,
         ): Boolean = answeredSendAt?.let { it > moment } ?: false
 
+        override fun wasCutOffSince(
+            instance: UpstreamInstance,
+            moment: Moment,
+        ): Boolean = cutOffAt?.let { it > moment } ?: false
+
+        override fun reachOf(instance: UpstreamInstance): ReachState = reach
+
         override fun livedSince(
             instance: UpstreamInstance,
             moment: Moment,
