Give requests places at brittle servers, of which all nodes use one count

Cause of the class: the bound is over all nodes together, and what each of them believes of a server's room is as old as an exchange of reports. When a place becomes free, or a fallen server is back, all send at once.

Change: while an instance is brittle, each send of a caller's request to it needs a place of the issuer, on the way of the permits for limited instances: first sends, repetitions, resumed streams and trials. Places are the requests that the instance runs at once, less those that the nodes have reported to run there and those granted since. Statements are ordered as those about limits; a new run counts as brittle until it has answered, while others of its service are. A new holder of the lease hands out no place before the nodes have reported to it.

--- a/library/src/main/kotlin/plantainturn/request/relay/PermitRequest.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/PermitRequest.kt
@@ -10,11 +10,17 @@
  * @property urgency rank of the caller's request; 0 is the most urgent
  * @property inTimeUntil until when the permit comes in time for the objective of the caller's request
  * @property latest until when the permit is of use
+ * @property places the number of requests that the instance runs at once, if it is brittle; null for a rate only
+ * @property hold how long the request should take there, unless the nodes' reports show it sooner
+ * @property refusals how many requests the instance has turned away from the node since it last told
  */
 public data class PermitRequest(
     val urgency: Int,
     val inTimeUntil: Moment,
     val latest: Moment,
+    val places: Int? = null,
+    val hold: Duration = Duration.ZERO,
+    val refusals: Int = 0,
 ) {
     public companion object {
         /** Fraction of the caller's time that may pass before the request is sent; the rest is for the answer. */
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -130,7 +130,7 @@
     private val fleet = FleetView(roster, timer)
     private val limits = RequestLimitTracker()
     private val notices = InstanceNotices(roster, RetryAfterTracker(), limits, timer, ::onDeparture)
-    private val permits = SendPermits(limits, timer) { run, request, done -> permitClient.request(run, request, done) }
+    private val permits = SendPermits(limits, timer, notices::isBrittle) { run, request, done -> permitClient.request(run, request, done) }
     private val reach: UpstreamReach = UpstreamReach(timer, fleet::instancesOf, { links }, ::onReachChanged)
     private val links: InstanceLinks =
         InstanceLinks(
@@ -256,7 +256,7 @@
             streamOrigins,
             ::isStoreSilent,
         )
-    private val permitDesk = PermitDesk(lease, notices, timer) { issuerLink.nodes }
+    private val permitDesk = PermitDesk(lease, notices, timer, hub) { issuerLink.nodes }
     private val permitClient: PermitClient =
         PermitClient(incarnation, lease, permitDesk, limits, caller, timer) { issuerLink.isIssuerMissing() }
     private val knownPeers = KnownPeers(settings.advertisedPeers ?: settings.peers)
@@ -579,6 +579,7 @@
                     .groupBy({ it.key.first.value }, { it.key.second.value to it.value })
                     .mapValues { it.value.toMap() },
             known = known,
+            brittleness = notices.brittleness().map { (run, statement) -> RelayedLimit.of(run, statement, timer.now()) },
             departures = roster.departures().map(RelayedDeparture::of),
             limits = notices.limits().map { (run, statement) -> RelayedLimit.of(run, statement, timer.now()) },
             prompts = links.prompts.takeUnannounced(),
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -224,6 +224,7 @@
         links.onSuspicions(report.suspects.map { UpstreamName(it.key) to it.value.milliseconds }.toMap())
         notices.onPeerDepartures(report.departures.map { it.toInstanceRun() })
         notices.onPeerLimits(report.limits.associate { it.run to it.toStatement(now) })
+        notices.onPeerBrittleness(report.brittleness.associate { it.run to it.toStatement(now) })
         issuerStoreAnsweredAt = if (report.issuing) report.storeAge?.let { now - it.milliseconds } else null
         onIssuerReport(report, sentAt)
         peers.add(report.peers)
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -40,6 +40,7 @@
  *   also while it must not issue orders yet
  * @property instancesWantedFrom up to where the answering node has read the topic of instances, if the store has not
  *   answered it about them for some time and it asks for records from there on; null otherwise
+ * @property brittleness what instances that have an entry said about how many requests they may turn away
  * @property reaching addresses of some nodes that reach all services, if the node does not
  * @property arrivals expected milliseconds until each model that is being loaded is resident
  */
@@ -75,4 +76,5 @@
     val informing: Boolean = false,
     val instancesWantedFrom: StorePosition? = null,
     val reaching: List<String> = emptyList(),
+    val brittleness: List<RelayedLimit> = emptyList(),
 )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/NodeReport.kt
@@ -31,6 +31,7 @@
  * @property storeSilent whether neither the store nor an issuer that it answers has told the node of instances for some
  *   time, so that it must be told whether the store is away
  * @property cutOff services of which it reaches no instance
+ * @property brittleness what instances that have an entry said about how many requests they may turn away
  * @property domain the failure domain of its VM
  * @property prompts shareable parts of prompts that engines have processed for its callers since its last report
  */
@@ -60,6 +61,7 @@
     val storeSilent: Boolean = false,
     val cutOff: List<String> = emptyList(),
     val domain: String = "",
+    val brittleness: List<RelayedLimit> = emptyList(),
 ) {
     /** The demand of the callers of one node for one base model. */
     @Serializable
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -39,7 +39,7 @@
     private val freshness: ConfigurationFreshness,
     private val streamOrigins: StreamOrigins,
     private val isStoreSilent: () -> Boolean,
-) {
+) : ReportedWork {
     private val received = HashMap<String, ReceivedReport>()
     private val promptAnnouncements = Announcements<KeptPart>(RETAINED_PARTS)
     private val streamAnnouncements = Announcements<StreamOrigin>(RETAINED_STREAMS)
@@ -49,6 +49,10 @@
     private var addresses: List<String> = emptyList()
     private var aggregatedAt: Moment? = null
 
+    override fun runningAt(instance: UpstreamName): Int = aggregate.runningAt(instance.value)
+
+    override fun reportedAt(node: String): Moment? = received[node]?.at
+
     /** Records [report] and returns the answer to it. */
     fun exchange(report: NodeReport): IssuerReport {
         val now = timer.now()
@@ -63,6 +67,7 @@
             issuer.onReportedOrders(report.node, report.unansweredOrders.map { it.toOrder(now) })
         }
         notices.onPeerLimits(report.limits.associate { it.run to it.toStatement(now) })
+        notices.onPeerBrittleness(report.brittleness.associate { it.run to it.toStatement(now) })
         if (aggregatedAt?.let { now - it >= AGGREGATION_PERIOD } != false) updateAggregate(now)
         val known = report.known.takeIf { it.session == session } ?: IssuerKnowledge.NONE
         val share = shares.shareFor(report)
@@ -75,6 +80,7 @@
             suspects = aggregate.suspects,
             departures = aggregate.departures,
             limits = notices.limits().map { (run, statement) -> RelayedLimit.of(run, statement, now) },
+            brittleness = notices.brittleness().map { (run, statement) -> RelayedLimit.of(run, statement, now) },
             known =
                 IssuerKnowledge(
                     session,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PermitClient.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PermitClient.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
 import plantainturn.connection.roster.InstanceRun
+import plantainturn.connection.roster.LimitStatement
 import plantainturn.connection.roster.RequestLimitTracker
 import plantainturn.process.control.lease.StoreLease
 import plantainturn.process.time.TimerService
@@ -36,7 +37,8 @@
         done: (Duration?) -> Unit,
     ) {
         val now = timer.now()
-        val statement = limits.statements[run] ?: return done(null)
+        val statement =
+            limits.statements[run] ?: LimitStatement(null, now, now).takeIf { request.places != null } ?: return done(null)
         val patience = request.latest - now
         val wish =
             PermitWish(
@@ -45,6 +47,9 @@
                 request.urgency,
                 (request.inTimeUntil - now).inWholeMilliseconds,
                 patience.inWholeMilliseconds,
+                request.places,
+                request.hold.inWholeMilliseconds,
+                request.refusals,
             )
         val answer = { grant: PermitGrant -> done(if (grant.granted) null else grant.wait.milliseconds) }
         if (lease.fence != null) return desk.request(wish, answer)
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PermitDesk.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PermitDesk.kt
@@ -9,6 +9,7 @@
 import plantainturn.relay.request.InstanceNotices
 import plantainturn.request.relay.PermitOutcome
 import plantainturn.request.relay.PermitQueue
+import plantainturn.request.relay.PlaceQueue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -21,18 +22,26 @@
  * that are denied a permit ask again no sooner than they exchange reports, so that many of them don't overload the
  * issuer.
  *
+ * Permits for brittle instances are places there, of which the nodes' reports tell those in use. A new holder of the lease
+ * hands out none before all nodes have reported to it.
+ *
+ * @param reports what the nodes have reported
  * @param nodes returns the number of nodes
  */
 internal class PermitDesk(
     private val lease: StoreLease,
     private val notices: InstanceNotices,
     private val timer: TimerService,
+    private val reports: ReportedWork = ReportedWork.NONE,
     private val nodes: () -> Int,
 ) {
     private val logger = LogManager.getLogger("permit")
     private val queues = HashMap<InstanceRun, PermitQueue<Waiting>>()
     private val wakeUps = HashMap<InstanceRun, Moment>()
+    private val placeQueues = HashMap<InstanceRun, PlaceQueue<Waiting>>()
+    private val placeTimers = HashSet<InstanceRun>()
     private var queuesFence: FenceNumber? = null
+    private var queuesSince = Moment.ORIGIN
 
     /** Passes the answer to [wish] to [done], at the latest when the wish's patience has ended. */
     fun request(
@@ -44,18 +53,51 @@
         notices.onPeerLimits(mapOf(run to wish.limit.toStatement(now)))
         if (lease.fence != queuesFence) changeLease()
         if (queuesFence == null) return done(NO_ISSUER)
+        if (wish.places != null && notices.limitOf(run) == null) return requestPlace(run, wish, wish.places, now, done)
         val queue = queues.getOrPut(run) { PermitQueue(now) }
         queue.add(Waiting(wish, now, done), wish.toRequest(now))
         advance(run, queue)
     }
 
     private fun changeLease() {
-        val abandoned = queues.values.flatMap { it.clear() }
+        val abandoned = queues.values.flatMap { it.clear() } + placeQueues.values.flatMap { it.clear() }
         queues.clear()
+        placeQueues.clear()
         queuesFence = lease.fence
+        queuesSince = timer.now()
         abandoned.forEach { it.done(NO_ISSUER) }
     }
 
+    private fun requestPlace(
+        run: InstanceRun,
+        wish: PermitWish,
+        places: Int,
+        now: Moment,
+        done: (PermitGrant) -> Unit,
+    ) {
+        val queue = placeQueues.getOrPut(run) { PlaceQueue() }
+        queue.add(Waiting(wish, now, done), wish.node, wish.toRequest(now), now)
+        advancePlaces(run, places, queue)
+    }
+
+    private fun advancePlaces(
+        run: InstanceRun,
+        places: Int,
+        queue: PlaceQueue<Waiting>,
+    ) {
+        if (lease.fence != queuesFence) return changeLease()
+        val now = timer.now()
+        val informed = lease.isExclusive && now - queuesSince >= ExchangeTiming.period(nodes()) * PERIODS_TO_REPORT
+        val running = if (informed) reports.runningAt(run.name) else places
+        for (outcome in queue.advance(places, running, now, reports::reportedAt)) answer(run, rate = null, outcome)
+        if (queue.size > 0 && placeTimers.add(run)) {
+            timer.schedule(PLACE_PAUSE) {
+                placeTimers.remove(run)
+                if (placeQueues[run] === queue) advancePlaces(run, places, queue)
+            }
+        }
+    }
+
     private fun advance(
         run: InstanceRun,
         queue: PermitQueue<Waiting>,
@@ -119,5 +161,9 @@
         private val NO_ISSUER = PermitGrant(granted = false, NO_ISSUER_WAIT.inWholeMilliseconds)
         private const val UNCERTAIN_SHARE = 0.5
         private val MINIMUM_PAUSE = 1.milliseconds
+
+        /** How soon a place that became free is handed out. */
+        private val PLACE_PAUSE = 20.milliseconds
+        private const val PERIODS_TO_REPORT = 3
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PermitWish.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PermitWish.kt
@@ -11,6 +11,9 @@
  * @property limit what the node knows of the instance's limit
  * @property inTimeFor milliseconds for which the permit comes in time for the objective of the caller's request
  * @property patience milliseconds for which the permit is of use
+ * @property places the number of requests that the instance runs at once, if it is brittle; null for a rate only
+ * @property hold milliseconds that the request should take there
+ * @property refusals how many requests the instance has turned away from the node since it last told
  */
 @Serializable
 internal data class PermitWish(
@@ -19,7 +22,17 @@
     val urgency: Int,
     val inTimeFor: Long,
     val patience: Long,
+    val places: Int? = null,
+    val hold: Long = 0,
+    val refusals: Int = 0,
 ) {
     fun toRequest(now: Moment): PermitRequest =
-        PermitRequest(urgency, now + inTimeFor.milliseconds, now + patience.milliseconds)
+        PermitRequest(
+            urgency,
+            now + inTimeFor.milliseconds,
+            now + patience.milliseconds,
+            places,
+            hold.milliseconds,
+            refusals,
+        )
 }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/ReportAggregate.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/ReportAggregate.kt
@@ -35,6 +35,9 @@
         suspects = longestSuspicions
     }
 
+    /** Returns how many requests of all nodes run at [instance]. */
+    fun runningAt(instance: String): Int = work[instance]?.running ?: 0
+
     /** Returns the work of all nodes except [node] at each instance. */
     fun workOfOthers(node: String): Map<String, WorkTotals> {
         val own = reports[node]?.work.orEmpty()
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceLinks.kt
@@ -128,6 +128,13 @@
     /** Returns how many requests per second [instance] accepts from all nodes together, null if it has no limit. */
     internal fun limitOf(instance: UpstreamInstance): Double? = notices.limitOf(instance.run)
 
+    /** Returns whether [instance] falls over when it turns too many requests away. */
+    internal fun isBrittle(instance: UpstreamInstance): Boolean = notices.isBrittle(instance)
+
+    /** Returns how many permits a second there are for [instance], about; null if it needs none. */
+    internal fun permitRateOf(instance: UpstreamInstance): Double? =
+        limitOf(instance) ?: PLACES_PER_SECOND.takeIf { isBrittle(instance) }
+
     /**
      * Returns how much longer [instance] must get no request that waits on [terms]; null if it may get one.
      */
@@ -249,6 +256,9 @@
     }
 
     private companion object {
+        /** A waiting request has a place at a busy instance that often, at least. */
+        const val PLACES_PER_SECOND = 5.0
+
         /** A connection that is reset as soon as it is accepted has ended by then. */
         val RESET_TIME = 100.milliseconds
     }
--- a/relay/src/main/kotlin/plantainturn/relay/request/InstanceNotices.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/InstanceNotices.kt
@@ -1,6 +1,7 @@
 package plantainturn.relay.request
 
 import org.apache.logging.log4j.LogManager
+import plantainturn.connection.roster.BrittlenessTracker
 import plantainturn.connection.roster.InstanceNotice
 import plantainturn.connection.roster.InstanceRoster
 import plantainturn.connection.roster.InstanceRun
@@ -25,6 +26,7 @@
     private val onDeparture: (InstanceRun) -> Unit,
 ) {
     private val logger = LogManager.getLogger("roster")
+    private val brittle = BrittlenessTracker()
 
     /**
      * Handles the [notice] of an answer from [instance], whichever request was answered.
@@ -45,6 +47,37 @@
             val statement = LimitStatement(it.requestsPerSecond, askedAt ?: Moment.ORIGIN, timer.now())
             recordLimit(instance.run, statement, from = "answer")
         }
+        notice.brittleness?.let {
+            val statement = LimitStatement(it.requestsPerSecond, askedAt ?: Moment.ORIGIN, timer.now())
+            recordBrittleness(instance.run, statement, from = "answer")
+        }
+    }
+
+    /** Returns whether [instance] falls over when it turns too many requests away, so that each needs a place. */
+    public fun isBrittle(instance: UpstreamInstance): Boolean = brittle.isBrittle(instance, timer.now())
+
+    /** Returns what the runs that have an entry said about how many requests they may turn away. */
+    public fun brittleness(): Map<InstanceRun, LimitStatement> =
+        brittle.statements.filterKeys { roster.instances[it.name]?.run == it }
+
+    /** Handles what instances said about that in answers to peers. */
+    public fun onPeerBrittleness(statements: Map<InstanceRun, LimitStatement>): Unit =
+        statements.forEach { (run, statement) -> recordBrittleness(run, statement, from = "peer") }
+
+    private fun recordBrittleness(
+        run: InstanceRun,
+        statement: LimitStatement,
+        from: String,
+    ) {
+        if (!brittle.record(run, roster.instances[run.name]?.service, statement)) return
+        logger.info(
+            "instance={} event=brittleness-changed now={} startedAt={} from={} age={}",
+            run.name,
+            statement.requestsPerSecond,
+            run.startedAt,
+            from,
+            timer.now() - statement.heardAt,
+        )
     }
 
     /** Returns how many requests per second [run] accepts from all nodes together, null if it has no limit. */
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -470,7 +470,7 @@
         instance: UpstreamInstance,
         mayWait: Boolean,
     ) {
-        val limit = context.links.limitOf(instance) ?: return dispatch()
+        val limit = context.links.permitRateOf(instance) ?: return dispatch()
         val now = context.timer.now()
         val times = timeBudget()
         val patience =
@@ -478,7 +478,12 @@
         awaitingIssuer = true
         context.links.permits.request(
             instance,
-            PermitRequest(urgency, now + times.objectiveLeft, now + patience),
+            PermitRequest(
+                urgency,
+                now + times.objectiveLeft,
+                now + patience,
+                hold = context.links.stats(instance).answerTime?.times(RequestLimits.HOLD_FACTOR) ?: RequestLimits.UNKNOWN_HOLD,
+            ),
         ) { granted ->
             awaitingIssuer = false
             context.metrics.onPermit(granted)
@@ -615,6 +620,7 @@
         evidence: String,
     ) {
         context.crashes.ended(traits, refused.instance)
+        if (!misdirected) context.links.permits.onRefused(refused.instance)
         context.eventLog.record(request.identifier, "refused", "$refused misdirected=$misdirected $evidence")
         attempt = null
         avoided += refused.instance.name
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayPlacement.kt
@@ -159,7 +159,7 @@
         denied: Set<UpstreamName>,
         times: RequestTimeBudget,
     ): Duration {
-        val limit = context.links.limitOf(instance) ?: return Duration.ZERO
+        val limit = context.links.permitRateOf(instance) ?: return Duration.ZERO
         if (instance.name in denied) return Duration.ZERO
         return PermitRequest.patience(times.objectiveLeft, times.timeLeft, limit)
     }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
@@ -53,6 +53,12 @@
     /** For a request that no node could take whose own paths are sound; by then others may be known. */
     val CUT_OFF_RETRY_AFTER = 200.milliseconds
 
+    /** An answer that takes longer than this many times the usual one is shown by the node's report. */
+    const val HOLD_FACTOR = 2
+
+    /** Until the node's report shows the request. */
+    val UNKNOWN_HOLD = 2.seconds
+
     /** For a request whose deadline passed; the queue has moved on by then. */
     val DEADLINE_RETRY_AFTER = 100.milliseconds
 
