--- a/library/src/main/kotlin/plantainturn/process/ResultCode.kt
+++ b/library/src/main/kotlin/plantainturn/process/ResultCode.kt
@@ -55,7 +55,12 @@
     ),
     CONFIGURATION_OUTDATED(3012, 503, Outcome.NOT_RUN, "A later configuration may allow what this node's does not."),
     MEMORY_LIMIT_REACHED(3013, 503, Outcome.NOT_RUN, "This node holds as much for its callers as it may."),
-    CUT_OFF(3014, 503, Outcome.NOT_RUN, "This node reaches no upstream of the service, and no other node took the request."),
+    CUT_OFF(
+        3014,
+        503,
+        Outcome.NOT_RUN,
+        "This node reaches no upstream of the service, and no other node took the request.",
+    ),
 
     UPSTREAM_FAILED(4000, 502, Outcome.FAILED, "The upstream ran the request and failed."),
     STREAM_BROKEN(4001, 502, Outcome.FAILED, "The answer broke off and could not be resumed."),
--- a/library/src/test/kotlin/plantainturn/request/relay/ServiceReachTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/ServiceReachTest.kt
@@ -95,5 +95,6 @@
 
     private fun fail(instance: String): Unit = reach.onFailure(UpstreamName(instance), now)
 
-    private fun update(heardElsewhereAt: Moment? = null): ReachState = reach.update(now, instances = 4, heardElsewhereAt)
+    private fun update(heardElsewhereAt: Moment? = null): ReachState =
+        reach.update(now, instances = 4, heardElsewhereAt)
 }
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -130,7 +130,12 @@
     private val fleet = FleetView(roster, timer)
     private val limits = RequestLimitTracker()
     private val notices = InstanceNotices(roster, RetryAfterTracker(), limits, timer, ::onDeparture)
-    private val permits = SendPermits(limits, timer, notices::isBrittle) { run, request, done -> permitClient.request(run, request, done) }
+    private val permits =
+        SendPermits(
+            limits,
+            timer,
+            notices::isBrittle,
+        ) { run, request, done -> permitClient.request(run, request, done) }
     private val reach: UpstreamReach = UpstreamReach(timer, fleet::instancesOf, { links }, ::onReachChanged)
     private val links: InstanceLinks =
         InstanceLinks(
@@ -388,7 +393,13 @@
             lease.step(mayContend = ready && mayContend())
             work.measure(LoopTask.ISSUE) { issuer.step() }
         }
-        timer.subscribe(EXCHANGE_PERIOD) { if (!stopping || lease.fence == null) work.measure(LoopTask.REPORT) { issuerLink.step() } }
+        timer.subscribe(EXCHANGE_PERIOD) {
+            if (!stopping ||
+                lease.fence == null
+            ) {
+                work.measure(LoopTask.REPORT) { issuerLink.step() }
+            }
+        }
         timer.subscribe(RETRY_PERIOD) {
             reach.step()
             retryWaiting()
@@ -416,7 +427,11 @@
     /** Another node, which reaches engines, can order them. */
     private fun isCutOffFromEngines(): Boolean =
         reach.cutOff.any {
-            reach.stateOf(it) == ReachState.CUT_OFF && configuration.current?.services?.get(it)?.engines != null
+            reach.stateOf(it) == ReachState.CUT_OFF &&
+                configuration.current
+                    ?.services
+                    ?.get(it)
+                    ?.engines != null
         }
 
     /** Returns whether this node may contend for the lease; VMs with ample resources for the issuer's work go first. */
@@ -579,7 +594,10 @@
                     .groupBy({ it.key.first.value }, { it.key.second.value to it.value })
                     .mapValues { it.value.toMap() },
             known = known,
-            brittleness = notices.brittleness().map { (run, statement) -> RelayedLimit.of(run, statement, timer.now()) },
+            brittleness =
+                notices.brittleness().map { (run, statement) ->
+                    RelayedLimit.of(run, statement, timer.now())
+                },
             departures = roster.departures().map(RelayedDeparture::of),
             limits = notices.limits().map { (run, statement) -> RelayedLimit.of(run, statement, timer.now()) },
             prompts = links.prompts.takeUnannounced(),
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PermitClient.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PermitClient.kt
@@ -38,7 +38,8 @@
     ) {
         val now = timer.now()
         val statement =
-            limits.statements[run] ?: LimitStatement(null, now, now).takeIf { request.places != null } ?: return done(null)
+            limits.statements[run] ?: LimitStatement(null, now, now).takeIf { request.places != null }
+                ?: return done(null)
         val patience = request.latest - now
         val wish =
             PermitWish(
--- a/relay/src/main/kotlin/plantainturn/relay/request/AccountCheck.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/AccountCheck.kt
@@ -39,7 +39,11 @@
     private fun outdated(
         rule: String,
         key: AccessKeyDigest?,
-    ) = AccountDecision.Refused(ResultCode.CONFIGURATION_OUTDATED, describe(rule, key), RequestLimits.OUTDATED_RETRY_AFTER)
+    ) = AccountDecision.Refused(
+        ResultCode.CONFIGURATION_OUTDATED,
+        describe(rule, key),
+        RequestLimits.OUTDATED_RETRY_AFTER,
+    )
 
     /** The beginning of the digest lets an operator who has the key find its line. */
     private fun describe(
--- a/relay/src/main/kotlin/plantainturn/relay/request/CrashTracker.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CrashTracker.kt
@@ -130,7 +130,8 @@
         instance: UpstreamInstance,
     ) {
         val now = timer.now()
-        val alive = signs.heardSince(instance, now - LIFE_WINDOW) || signs.livedSince(instance, now - REPORTED_LIFE_WINDOW)
+        val alive =
+            signs.heardSince(instance, now - LIFE_WINDOW) || signs.livedSince(instance, now - REPORTED_LIFE_WINDOW)
         count(if (alive) RequestTraits(traits.request) else traits, instance, isSilence = true)
     }
 
@@ -140,7 +141,11 @@
         isSilence: Boolean,
     ) {
         if (signs.reachOf(instance) == ReachState.CUT_OFF) {
-            logger.info("fingerprint={} event=break-ignored reason=\"cut off\" instance={}", traits.request, instance.name)
+            logger.info(
+                "fingerprint={} event=break-ignored reason=\"cut off\" instance={}",
+                traits.request,
+                instance.name,
+            )
             return
         }
         val isSuspect = attribution.breaksOf(traits.request).isNotEmpty() || !traits.parts.all(attribution::isAnswered)
--- a/relay/src/main/kotlin/plantainturn/relay/request/ForwardTerms.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/ForwardTerms.kt
@@ -22,8 +22,7 @@
     val hasAccounts: Boolean,
 ) {
     /** Returns the value of the header. */
-    fun encode(): String =
-        Base64.getEncoder().encodeToString(Json.encodeToString(serializer(), this).toByteArray())
+    fun encode(): String = Base64.getEncoder().encodeToString(Json.encodeToString(serializer(), this).toByteArray())
 
     companion object {
         /** Only on the address for peers; elsewhere it has no meaning. */
--- a/relay/src/main/kotlin/plantainturn/relay/request/ForwardedSend.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/ForwardedSend.kt
@@ -76,7 +76,9 @@
 
     private fun write(ready: UpstreamConnection) {
         if (ended || !exchange.isStillWanted()) {
-            context.peers.forwarder.pool(peer).onIdle(ready)
+            context.peers.forwarder
+                .pool(peer)
+                .onIdle(ready)
             return
         }
         connection = ready
@@ -85,7 +87,13 @@
             exchange.request.source.body
                 .retainedDuplicate()
         val message =
-            context.dialect.forwardedRequest(exchange.request, body, exchange.timeLeft(), resumeAfter, terms.hasAccounts)
+            context.dialect.forwardedRequest(
+                exchange.request,
+                body,
+                exchange.timeLeft(),
+                resumeAfter,
+                terms.hasAccounts,
+            )
         message.headers().set(ForwardTerms.HEADER, terms.encode())
         ready.send(message, this)
     }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -298,7 +298,8 @@
         if (!promptRead) context.links.prompts.onPrefillEnd(instance.name, demand)
     }
 
-    private fun isLong(head: HttpResponse): Boolean = HttpUtil.getContentLength(head, 0L) > RequestLimits.MAXIMUM_BUFFERED_BYTES
+    private fun isLong(head: HttpResponse): Boolean =
+        HttpUtil.getContentLength(head, 0L) > RequestLimits.MAXIMUM_BUFFERED_BYTES
 
     override fun toString(): String =
         "instance=${instance.name} version=${instance.softwareVersion} rank=${parameters.rank} " +
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -482,7 +482,12 @@
                 urgency,
                 now + times.objectiveLeft,
                 now + patience,
-                hold = context.links.stats(instance).answerTime?.times(RequestLimits.HOLD_FACTOR) ?: RequestLimits.UNKNOWN_HOLD,
+                hold =
+                    context.links
+                        .stats(instance)
+                        .answerTime
+                        ?.times(RequestLimits.HOLD_FACTOR)
+                        ?: RequestLimits.UNKNOWN_HOLD,
             ),
         ) { granted ->
             awaitingIssuer = false
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
@@ -54,7 +54,11 @@
                 request: CallerRequest,
                 reply: CallerReply,
             ): CallerConnectionListener {
-                val terms = request.head.headers().get(ForwardTerms.HEADER)?.let(ForwardTerms::decode)
+                val terms =
+                    request.head
+                        .headers()
+                        .get(ForwardTerms.HEADER)
+                        ?.let(ForwardTerms::decode)
                 val decoded = context.dialect.decode(request)
                 if (decoded is DecodedRequest.Accepted && terms != null) return begin(decoded.request, reply, terms)
                 val identifier = (decoded as? DecodedRequest.Malformed)?.identifier
--- a/relay/src/main/kotlin/plantainturn/relay/request/RequestAccount.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestAccount.kt
@@ -55,6 +55,7 @@
     ) {
         val name = terms.account?.let(::ClientAccountName)
         hasAccounts = terms.hasAccounts
-        account = name?.let { configuration.accounts?.byName?.get(it) ?: ClientAccount(it, route.urgency, quota = null) }
+        account =
+            name?.let { configuration.accounts?.byName?.get(it) ?: ClientAccount(it, route.urgency, quota = null) }
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/UpstreamReach.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/UpstreamReach.kt
@@ -7,7 +7,6 @@
 import plantainturn.request.relay.ReachState
 import plantainturn.request.relay.ServiceReach
 import plantainturn.version.configuration.ServiceName
-import plantainturn.version.configuration.UpstreamName
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -122,7 +121,12 @@
         entry.trials += 1
         paths().connect(instance) { connected ->
             entry.trials -= 1
-            logger.info("instance={} event=path-tried connected={} state={}", instance.name, connected, entry.reach.state)
+            logger.info(
+                "instance={} event=path-tried connected={} state={}",
+                instance.name,
+                connected,
+                entry.reach.state,
+            )
             if (connected) onHeard(instance) else onFailure(instance)
         }
     }
