Let a node confirm the configuration itself while the issuer can't

A node that hears the store now reads it itself once the issuer's confirmation is late.

Test: ConfigurationFreshnessTest, "a node reads by itself once its peers confirm too late".

--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -32,6 +32,7 @@
 import plantainturn.relay.loop.LoopDelay
 import plantainturn.relay.loop.LoopPolls
 import plantainturn.relay.loop.LoopTask
+import plantainturn.relay.peer.ExchangeTiming
 import plantainturn.relay.peer.IssuerKnowledge
 import plantainturn.relay.peer.IssuerLink
 import plantainturn.relay.peer.IssuerReport
@@ -443,16 +444,22 @@
         return timer.now() - since >= IssuerFitness.claimDelay(settings.processorShare, settings.linkMegabits)
     }
 
-    /** The issuer need not hear the store itself to hint at later configurations that others have read. */
+    /**
+     * The issuer need not hear the store itself to hint at later configurations that others have read. It can't confirm
+     * one then; a node that hears the store does that for itself.
+     */
     private fun configurationReadPace(): ReadPace =
         readPaces.configuration(
             when {
                 lease.fence != null -> StoreReader.ISSUER
-                issuerLink.isInformed() -> StoreReader.INFORMED
+                issuerLink.isInformed() && !isConfirmationLate() -> StoreReader.INFORMED
                 else -> StoreReader.ALONE
             },
         )
 
+    private fun isConfirmationLate(): Boolean =
+        freshness.isPeerLate(ExchangeTiming.period(issuerLink.nodes) * PERIODS_TO_CONFIRM)
+
     private fun instanceReadPace(): ReadPace = readPaces.instances(storeReader(), issuerLink.nodes)
 
     private fun crashEvidenceReadPace(): ReadPace = readPaces.crashEvidence(storeReader())
@@ -691,6 +698,9 @@
 
         /** Several times the pause between readings of a node that reads by itself. */
         val MAXIMUM_VIEW_AGE = 3.seconds
+
+        /** An issuer that is slow to answer confirms late, and further reads would not help it. */
+        const val PERIODS_TO_CONFIRM = 4
         val VERSION_PERIOD = 100.milliseconds
 
         /** Several times the streams that begin at a node between two reports. */
--- a/relay/src/test/kotlin/plantainturn/relay/node/ConfigurationFreshnessTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/ConfigurationFreshnessTest.kt
@@ -107,6 +107,18 @@
         assertFalse(freshness.isSuperseded)
     }
 
+    /** Guards against sound nodes that can't deny anything as long as the store refuses the issuer: 20 of 99 on quiet-1. */
+    @Test
+    fun `a node reads by itself once its peers confirm too late`() {
+        assertFalse(freshness.isPeerLate(1.seconds), "no peer is known yet")
+        freshness.onConfirmed(4, timer.now())
+        timer.advance(3.seconds)
+        assertFalse(freshness.isPeerLate(1.seconds))
+        timer.advance(1.milliseconds)
+
+        assertTrue(freshness.isPeerLate(1.seconds))
+    }
+
     /** Guards against a 404 for a route that was added: neither an old confirmation nor a known lag permits it. */
     @Test
     fun `only a configuration that was confirmed just now permits a denial`() {
