Keep a stream with its silent server until its caller would give up

Streams that can be resumed left a server after 1.5 s of silence, whatever time their callers had: they wait for at least four times the objective and eight times the pause objective. The limit is now 0.8 s before the caller gives up, which is what another engine needs, and never below 1.5 s.

SilenceWatch, SilenceLimits, ResidenceWait, SendHistory, DispatchRefusal and RequestDetour are parts of it; their behaviour is unchanged but for the limit.

Test: SilenceLimitsTest.

--- a/library/src/main/kotlin/plantainturn/connection/roster/BrittlenessTracker.kt
+++ b/library/src/main/kotlin/plantainturn/connection/roster/BrittlenessTracker.kt
@@ -19,7 +19,10 @@
     public val statements: Map<InstanceRun, LimitStatement>
         get() = tracker.statements
 
-    /** Records that [run] of [service], if that is known, made [statement], and returns whether that changed anything. */
+    /**
+     * Records that [run] of [service], if that is known, made [statement], and returns whether that changed
+     * anything.
+     */
     public fun record(
         run: InstanceRun,
         service: ServiceName?,
--- a/library/src/main/kotlin/plantainturn/request/relay/PlaceQueue.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/PlaceQueue.kt
@@ -10,10 +10,10 @@
  *
  * Load pattern: a crowd at all nodes wants an instance that is full. Each node knows late what the others have sent, so
  * that together they would send many more than it has room for, above all when a place becomes free or the instance is
- * back. All places therefore come from one queue: no more requests are under way than the instance runs at once. What the
- * nodes report as running counts, and what was granted and is not reported yet. After a refusal fewer places are used for
- * a while. A free place goes to a request in time before a late one, to an urgent one before a less urgent one, and then
- * to the one that waits longest. Confined to one thread.
+ * back. All places therefore come from one queue: no more requests are under way than the instance runs at once. What
+ * the nodes report as running counts, and what was granted and is not reported yet. After a refusal fewer places are
+ * used for a while. A free place goes to a request in time before a late one, to an urgent one before a less urgent
+ * one, and then to the one that waits longest. Confined to one thread.
  *
  * @param T identifies a waiting request
  */
--- a/relay/src/main/kotlin/plantainturn/relay/loop/LoopPolls.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/loop/LoopPolls.kt
@@ -9,9 +9,9 @@
 /**
  * Observes when an event loop polls the network, and so how late it handles what has arrived.
  *
- * What is handled after one poll had not arrived at the poll before. An overloaded loop polls rarely: a request may have
- * waited in its socket for as long as the loop's last turn took, and its caller may have left since. Confined to the
- * loop, but created before it.
+ * What is handled after one poll had not arrived at the poll before. An overloaded loop polls rarely: a request may
+ * have waited in its socket for as long as the loop's last turn took, and its caller may have left since. Confined to
+ * the loop, but created before it.
  */
 public class LoopPolls(
     private val now: () -> Moment = { Moment(System.nanoTime()) },
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerForwarder.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerForwarder.kt
@@ -13,9 +13,9 @@
 /**
  * Chooses the nodes to which requests are handed while this one is cut off from a service.
  *
- * The issuer tells a node that is cut off which others are not. Until then any known node is tried. Of two at random the
- * one with fewer requests of this node takes the next, so that no node gets them all. One that can't take requests is
- * left alone for a while.
+ * The issuer tells a node that is cut off which others are not. Until then any known node is tried. Of two at random
+ * the one with fewer requests of this node takes the next, so that no node gets them all. One that can't take requests
+ * is left alone for a while.
  */
 internal class PeerForwarder(
     private val loop: EventLoop,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PermitDesk.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PermitDesk.kt
@@ -22,8 +22,8 @@
  * that are denied a permit ask again no sooner than they exchange reports, so that many of them don't overload the
  * issuer.
  *
- * Permits for brittle instances are places there, of which the nodes' reports tell those in use. A new holder of the lease
- * hands out none before all nodes have reported to it.
+ * Permits for brittle instances are places there, of which the nodes' reports tell those in use. A new holder of the
+ * lease hands out none before all nodes have reported to it.
  *
  * @param reports what the nodes have reported
  * @param nodes returns the number of nodes
--- a/relay/src/main/kotlin/plantainturn/relay/request/CrashTracker.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CrashTracker.kt
@@ -158,8 +158,8 @@
     }
 
     /**
-     * Publishes a break as soon as this node hears any instance of the service. Until then it may be cut off from all of
-     * them, and have learnt nothing of the request.
+     * Publishes a break as soon as this node hears any instance of the service. Until then it may be cut off from all
+     * of them, and have learnt nothing of the request.
      */
     private fun publishWhenReached(
         publication: Publication,
--- a/relay/src/main/kotlin/plantainturn/relay/request/FleetView.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/FleetView.kt
@@ -10,6 +10,7 @@
 import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
+import plantainturn.request.relay.GenerationDemand
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.ServiceName
 import plantainturn.version.configuration.UpstreamName
@@ -83,6 +84,19 @@
         issuerResidence = issuerResidence.put(engine, residentsOf(engine).remove(model))
     }
 
+    /** Records that [engine] does not hold what [demand] asks for: the adapter if it names one, otherwise the model. */
+    public fun onMisdirected(
+        engine: UpstreamName,
+        demand: GenerationDemand,
+    ) {
+        val adapter = demand.adapter
+        if (adapter == null) {
+            onAbsent(engine, demand.model)
+        } else {
+            onAdapter(engine, demand.model, adapter, false)
+        }
+    }
+
     /** Returns the instances of [service] that may receive requests. */
     public fun instancesOf(service: ServiceName): List<UpstreamInstance> = byService[service].orEmpty()
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/ForwardTerms.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/ForwardTerms.kt
@@ -8,8 +8,8 @@
 /**
  * The terms on which a node hands a request to another one, sent along in the header [HEADER].
  *
- * The first node has checked the caller's account and charged its quota, and counts the request; the second one sends it
- * to instances and counts what comes of that. It never hands the request on.
+ * The first node has checked the caller's account and charged its quota, and counts the request; the second one sends
+ * it to instances and counts what comes of that. It never hands the request on.
  *
  * @property attempts the number of instances that may still run the request
  * @property account the name of the caller's client account, null if it has none
--- a/relay/src/main/kotlin/plantainturn/relay/request/ForwardedSend.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/ForwardedSend.kt
@@ -18,14 +18,14 @@
 /**
  * The handing of one request to another node, and its answer.
  *
- * The [RelayExchange] decides what the result means for the request.
+ * The [RequestDetour] decides what the result means for the request.
  */
 internal class ForwardedSend(
     private val context: RelayContext,
     private val exchange: RelayExchange,
+    private val detour: RequestDetour,
     val peer: SocketLocation,
     private val terms: ForwardTerms,
-    private val resumeAfter: String?,
 ) : AnswerReceiver,
     AnswerSource {
     private var connection: UpstreamConnection? = null
@@ -56,7 +56,7 @@
                 is ConnectionResult.Failed ->
                     if (!ended) {
                         end("unreachable", usable = false)
-                        exchange.onNotForwarded(this, result.reason)
+                        detour.onNotTaken(this, result.reason)
                     }
             }
         }
@@ -91,7 +91,7 @@
                 exchange.request,
                 body,
                 exchange.timeLeft(),
-                resumeAfter,
+                exchange.resumeAfter,
                 terms.hasAccounts,
             )
         message.headers().set(ForwardTerms.HEADER, terms.encode())
@@ -153,7 +153,7 @@
             code in NOT_TAKEN -> notTaken("$code")
             code?.outcome == Outcome.NOT_RUN -> {
                 end("refused", usable = true)
-                exchange.onForwardRefused(this, answer, buffered.retainedSlice(), code)
+                detour.onRefused(this, answer, buffered.retainedSlice(), code)
             }
             status < RequestLimits.FIRST_FAILURE -> broken("successful answer without the signature of an instance")
             else -> broken("status=$status code=$code")
@@ -173,17 +173,17 @@
         metadata: AnswerMetadata,
     ) {
         end("answered", usable = true)
-        exchange.onForwardAnswer(this, answer, buffered.retainedSlice(), metadata)
+        detour.onAnswer(this, answer, buffered.retainedSlice(), metadata)
     }
 
     private fun notTaken(reason: String) {
         end("not-taken", usable = false)
-        exchange.onNotForwarded(this, reason)
+        detour.onNotTaken(this, reason)
     }
 
     private fun broken(reason: String) {
         end("broken", usable = true)
-        exchange.onForwardBroken(this, reason)
+        detour.onBroken(this, reason)
     }
 
     private fun end(
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -4,17 +4,14 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
-import plantainturn.connection.roster.SocketLocation
 import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.process.Outcome
 import plantainturn.process.ResultCode
-import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerSubscription
 import plantainturn.relay.http.CallerConnectionListener
 import plantainturn.relay.http.CallerReply
 import plantainturn.request.relay.DispatchDecision
 import plantainturn.request.relay.PermitRequest
-import plantainturn.request.relay.ResidenceWaitLimit
 import plantainturn.version.configuration.ModelName
 import plantainturn.version.configuration.ServiceName
 import plantainturn.version.configuration.UpstreamName
@@ -48,23 +45,20 @@
     private val placement = RelayPlacement(context, request, service, traits.request, account)
     private val admission = RequestAdmission(context, request, account, ::refuse)
     private val avoided = LinkedHashSet<UpstreamName>()
-    private val sentTo = HashSet<UpstreamName>()
     private val permitsDenied = HashSet<UpstreamName>()
-    private val attempts = account.terms?.attempts ?: route.attempts
-    private val refusingPeers = LinkedHashSet<SocketLocation>()
     private var attempt: RelayAttempt? = null
-    private var forward: ForwardedSend? = null
-    private var arrivals = 0
-    private var runs = 0
+
+    /** The sends of the request so far. */
+    val history = SendHistory(context, this)
+    private val detour = RequestDetour(context, this)
+    private val silenceWatch = SilenceWatch(context, this, traits)
     private var failedConnections = 0
-    private var mayHaveRun = false
     private var ended = false
-    private var waitingSince: Moment? = null
-    private var waitLimit: ResidenceWaitLimit? = null
+
+    /** The time that the request waits for a model or adapter. */
+    val residenceWait = ResidenceWait(context, request, this)
     private var awaitingIssuer = false
     private var timer: TimerSubscription? = null
-    private var watchdog: TimerSubscription? = null
-    private var crashWatch: TimerSubscription? = null
 
     override val urgency: Int
         get() = account.urgency
@@ -73,7 +67,15 @@
         get() = account.account?.name
 
     override val awaitedModel: ModelName?
-        get() = request.demand?.model.takeIf { waitingSince != null && !awaitingIssuer }
+        get() = request.demand?.model.takeIf { residenceWait.isWaiting && !awaitingIssuer }
+
+    /** The event after which a stream is to be continued, null for a complete stream. */
+    val resumeAfter: String?
+        get() = answer.lastEvent ?: request.resumeAfter
+
+    /** Whether only instances of one software version may go on with an answer that has begun. */
+    val isBoundToVersion: Boolean
+        get() = answer.hasBegun && versionConstraint() != VersionConstraint.None
 
     /** The memory in bytes of the incomplete event that the answer has so far. */
     val heldBytes: Long
@@ -119,31 +121,37 @@
     }
 
     override fun retryDispatch(): Boolean {
-        if (ended || waitingSince == null || awaitingIssuer) return false
+        if (ended || !residenceWait.isWaiting || awaitingIssuer) return false
         dispatch()
-        return !ended && (waitingSince == null || awaitingIssuer)
+        return !ended && (!residenceWait.isWaiting || awaitingIssuer)
     }
 
     /** Ends a request that was not sent yet if the configuration that has come into force lacks its key. */
     fun onConfiguration() {
-        if (!ended && !mayHaveRun && !isSent) admission.isKeyInForce()
+        if (!ended && !history.mayHaveRun && !isSent) admission.isKeyInForce()
     }
 
-    /** Whether the request is on its way, at an instance or another node, so that it may run. */
+    /** Whether the request is at an instance or another node, or on its way there. */
+    private val isUnderWay: Boolean
+        get() = attempt != null || detour.isUnderWay
+
+    /** Whether the request was written to an instance or another node, so that it may run. */
     private val isSent: Boolean
-        get() = attempt?.sentAt != null || forward?.sentAt != null
+        get() = attempt?.sentAt != null || detour.isSent
 
-    /** Ends what is under way, whose result is no longer needed. */
-    private fun cancelAll() {
+    /** Ends what is under way, whose result is no longer needed, and returns whether the request may run through it. */
+    private fun cancelAll(): Boolean {
+        val sent = isSent
+        if (sent) history.mayHaveRun = true
         attempt?.let(::cancel)
         attempt = null
-        forward?.cancel()
-        forward = null
+        detour.cancel()
+        return sent
     }
 
     /** Goes on by way of another node, as this one reaches no instance of [cutOff]. */
     fun onCutOff(cutOff: ServiceName) {
-        if (ended || forward != null || cutOff != service.name) return
+        if (ended || detour.isUnderWay || cutOff != service.name) return
         val running = attempt
         when {
             running == null -> dispatch()
@@ -165,156 +173,90 @@
         retryAfter: Duration?,
     ) {
         cancelAll()
-        giveUp(code, ResultCode.OUTCOME_UNKNOWN, "$details waited=${timeWaited()}", retryAfter)
+        giveUp(code, ResultCode.OUTCOME_UNKNOWN, "$details waited=${residenceWait.elapsed}", retryAfter)
     }
 
     override fun onStopping(): Unit =
         giveUp(
             ResultCode.STOPPING,
             ResultCode.OUTCOME_UNKNOWN,
-            "waited=${timeWaited()}",
+            "waited=${residenceWait.elapsed}",
             RequestLimits.STOPPING_RETRY_AFTER,
         )
 
     /** Ends the request because the time of this node ends. */
     fun onEndOfNode() {
-        val sent = isSent
-        if (sent) mayHaveRun = true
-        cancelAll()
-        giveUp(
-            ResultCode.STOPPING,
-            ResultCode.OUTCOME_UNKNOWN,
-            "sent=$sent",
-            RequestLimits.STOPPING_RETRY_AFTER,
-        )
+        val details = "sent=${cancelAll()}"
+        giveUp(ResultCode.STOPPING, ResultCode.OUTCOME_UNKNOWN, details, RequestLimits.STOPPING_RETRY_AFTER)
     }
 
     private fun dispatch() {
-        if (ended || attempt != null || forward != null || !admission.isAdmitted(mayHaveRun, ::dispatch)) return
+        if (ended || isUnderWay || !admission.isAdmitted(history.mayHaveRun, ::dispatch)) return
         val left = timeLeftToBegin()
         if (left < RequestLimits.MINIMUM_USEFUL_TIME) {
             giveUp(ResultCode.DEADLINE_PASSED_IN_QUEUE, ResultCode.DEADLINE_PASSED, "no time is left")
             return
         }
-        if (context.links.reach.isCutOff(service.name) && goAround()) return
+        if (context.links.reach.isCutOff(service.name) && detour.begin()) return
         if (context.crashes.isBlocked(traits)) {
-            if (context.crashes.claimTrial(traits) { dispatch() }) return
-            val details = context.crashes.describe(traits)
-            giveUp(ResultCode.QUARANTINED, ResultCode.OUTCOME_UNKNOWN, details, maximumRetryAfter())
+            onBlocked()
             return
         }
         val constraint = versionConstraint()
         if (constraint == VersionConstraint.Unknown) awaitOrigin() else place(constraint, left)
     }
 
-    /**
-     * Hands the request to another node, or gives it up if it can't be. Returns false if this node should try by itself.
-     *
-     * A request that was handed over once is not handed on, so that two nodes that are cut off don't pass it to and fro.
-     */
-    private fun goAround(): Boolean {
-        val forwarder = context.peers.forwarder
-        val continues = answer.hasBegun && versionConstraint() != VersionConstraint.None
-        if (account.terms == null && (continues || !forwarder.hasPeers)) return false
-        val peer = if (account.terms == null) forwarder.choose(refusingPeers) else null
-        if (peer == null || refusingPeers.size >= RequestLimits.MAXIMUM_ARRIVALS) {
-            val state = context.links.reach.stateOf(service.name)
-            giveUp(
-                ResultCode.CUT_OFF,
-                ResultCode.OUTCOME_UNKNOWN,
-                "reach=$state handedOver=${account.terms != null} refusingPeers=$refusingPeers",
-                minOf(RequestLimits.CUT_OFF_RETRY_AFTER, maximumRetryAfter()),
-            )
-        } else if (mayRepeat()) {
-            forwardTo(peer)
-        } else {
-            giveUpRepeating()
-        }
-        return true
-    }
-
-    private fun forwardTo(peer: SocketLocation) {
-        stopWaiting(sent = true)
-        arrivals += 1
-        val terms = ForwardTerms(attempts - runs, account.account?.name?.value, account.hasAccounts)
-        val resumeAfter = answer.lastEvent ?: request.resumeAfter
-        val newForward = ForwardedSend(context, this, peer, terms, resumeAfter)
-        forward = newForward
-        context.eventLog.record(
-            request.identifier,
-            "forward",
-            "route=${route.name} $newForward reach=${context.links.reach.stateOf(service.name)} arrival=$arrivals " +
-                "left=${timeLeft()} after=$resumeAfter",
-        )
-        val repeatable = route.repetition.repeatable
-        newForward.begin(
-            if (repeatable) RequestLimits.MAXIMUM_IDLE_IF_REPEATABLE else RequestLimits.MAXIMUM_IDLE_IF_NOT_REPEATABLE,
-        )
+    private fun onBlocked() {
+        if (context.crashes.claimTrial(traits) { dispatch() }) return
+        val details = context.crashes.describe(traits)
+        giveUp(ResultCode.QUARANTINED, ResultCode.OUTCOME_UNKNOWN, details, maximumRetryAfter())
     }
 
-    /** Handles that [failed] could not be handed over: the other node did not get it, or says that it won't run it. */
-    fun onNotForwarded(
-        failed: ForwardedSend,
-        reason: String,
-    ) {
-        context.eventLog.record(request.identifier, "not-forwarded", "$failed reason=\"$reason\"")
-        forward = null
-        arrivals -= 1
-        refusingPeers += failed.peer
-        dispatch()
-    }
+    /** Handles that another node would not have the request. */
+    fun onNotForwarded(): Unit = dispatch()
 
-    /** Handles the refusal of another node for a reason that holds at any node. */
+    /** Ends the request with a refusal of another node for a reason that holds at any node. */
     fun onForwardRefused(
-        refused: ForwardedSend,
-        head: HttpResponse,
-        body: ByteBuf,
+        refusal: BufferedAnswer,
         code: ResultCode,
+        details: String,
     ) {
-        forward = null
-        if (mayHaveRun || answer.continuation != AnswerContinuation.ANY_ANSWER) {
-            body.release()
-            repeatOrGiveUp("$refused code=$code")
-            return
+        if (history.mayHaveRun || answer.continuation != AnswerContinuation.ANY_ANSWER) {
+            refusal.body.release()
+            repeatOrGiveUp("$details code=$code")
+        } else {
+            answer.send(refusal)
+            end(code, refusal.status, details)
         }
-        answer.send(BufferedAnswer(head.status().code(), context.dialect.callerHeaders(head), body))
-        end(code, head.status().code(), "$refused")
     }
 
-    /** Handles a complete answer of an instance that another node has brought. */
-    fun onForwardAnswer(
-        from: ForwardedSend,
-        head: HttpResponse,
-        body: ByteBuf,
-        metadata: AnswerMetadata,
+    /** Handles an answer through another node that broke off; the request may have run. */
+    fun onForwardBroken(
+        reason: String,
+        details: String,
     ) {
-        forward = null
-        onWholeAnswer("$from", head, body, metadata)
+        recordBroken(details, reason)
+        if (!ended) repeatOrGiveUp(reason)
     }
 
-    /** Handles an answer through another node that broke off; the request may have run. */
-    fun onForwardBroken(
-        broken: ForwardedSend,
+    private fun recordBroken(
+        source: String,
         reason: String,
     ) {
         context.eventLog.record(
             request.identifier,
             "broken",
-            "$broken reason=\"$reason\" began=${answer.hasBegun} continuation=${answer.continuation}",
+            "$source reason=\"$reason\" began=${answer.hasBegun} continuation=${answer.continuation}",
         )
-        forward = null
-        runs += 1
-        mayHaveRun = true
-        refusingPeers += broken.peer
+        history.onRun()
         answer.discardPartial()
-        if (!ended) repeatOrGiveUp(reason)
     }
 
     private fun place(
         constraint: VersionConstraint,
         left: Duration,
     ) {
-        when (val step = placement.find(avoided, mayHaveRun, permitsDenied, timeBudget(), constraint)) {
+        when (val step = placement.find(avoided, history.mayHaveRun, permitsDenied, timeBudget(), constraint)) {
             is PlacementStep.Decided -> execute(step)
             is PlacementStep.NeedsAdapter -> awaitAdapter(step)
             is PlacementStep.NeedsModel -> awaitModel(step.model, left)
@@ -365,30 +307,12 @@
     }
 
     private fun execute(step: PlacementStep.Decided) {
-        val candidates = step.candidates
-        when (val decision = step.decision) {
-            is DispatchDecision.Send -> send(decision, step)
-            is DispatchDecision.Rejected ->
-                giveUp(
-                    ResultCode.OVERLOADED,
-                    ResultCode.OUTCOME_UNKNOWN,
-                    "expected=${decision.expected} candidates=$candidates",
-                    decision.retryAfter,
-                )
-            is DispatchDecision.AllBackingOff ->
-                giveUp(
-                    ResultCode.UPSTREAMS_RESTING,
-                    ResultCode.OUTCOME_UNKNOWN,
-                    "candidates=$candidates",
-                    decision.retryAfter,
-                )
-            DispatchDecision.NoCandidate ->
-                giveUp(
-                    ResultCode.NO_UPSTREAM,
-                    ResultCode.OUTCOME_UNKNOWN,
-                    "candidates=0 version=${versionConstraint()}",
-                    RequestLimits.NO_UPSTREAM_RETRY_AFTER,
-                )
+        val refusal = DispatchRefusal.of(step, versionConstraint())
+        val decision = step.decision
+        if (decision is DispatchDecision.Send) {
+            send(decision, step)
+        } else if (refusal != null) {
+            giveUp(refusal.code, ResultCode.OUTCOME_UNKNOWN, refusal.details, refusal.retryAfter)
         }
     }
 
@@ -401,15 +325,15 @@
             awaitPermit(instance, mayWait = step.unlimited == 0)
             return
         }
-        if (instance == null || !mayRepeat() || !context.crashes.tryBegin(traits, instance)) {
+        if (instance == null || !history.mayRepeat() || !context.crashes.tryBegin(traits, instance)) {
             instance?.let(context.links.permits::putBack)
             giveUpRepeating()
             return
         }
-        stopWaiting(sent = true)
-        arrivals += 1
+        residenceWait.stop(sent = true)
+        history.arrivals += 1
         val rank = if (request.demand == null) null else decision.rank
-        val parameters = SendParameters(instance.name, timeLeft(), rank, answer.lastEvent ?: request.resumeAfter)
+        val parameters = SendParameters(instance.name, timeLeft(), rank, resumeAfter)
         val work = placement.workAt(instance.name)
         val newAttempt = RelayAttempt(context, this, instance, parameters, work, decision)
         attempt = newAttempt
@@ -417,50 +341,25 @@
             request.identifier,
             "send",
             "route=${route.name} configuration=${context.routing.current?.version} $newAttempt " +
-                "candidates=${step.candidates} arrival=$arrivals model=${request.demand?.model} " +
+                "candidates=${step.candidates} arrival=${history.arrivals} model=${request.demand?.model} " +
                 "adapter=${request.demand?.adapter} limit=${context.links.limitOf(instance)} left=${timeLeft()} " +
                 "fingerprint=${traits.request} parts=${request.demand?.parts?.map { it.identifier }.orEmpty()} " +
                 "partFingerprints=${traits.parts} resumes=${request.resumedStream} " +
-                "after=${answer.lastEvent ?: request.resumeAfter}",
+                "after=$resumeAfter",
         )
-        newAttempt.begin(maximumIdle(instance.name))
-        watchSilence(newAttempt)
-        crashWatch?.cancel()
-        crashWatch = context.timer.schedule(RequestLimits.CRASH_SUSPICION_SILENCE) { reportIfUnanswered(newAttempt) }
+        newAttempt.begin(history.maximumIdle(instance.name, context.crashes.isSuspect(traits)))
+        if (!ended) silenceWatch.start(newAttempt)
     }
 
-    private fun giveUpRepeating(): Unit =
+    /** Ends the request as it may not be sent once more. */
+    fun giveUpRepeating(): Unit =
         giveUp(
             ResultCode.RETRIES_EXHAUSTED_NOT_RUN,
             ResultCode.OUTCOME_UNKNOWN,
-            "arrivals=$arrivals runs=$runs",
+            "arrivals=${history.arrivals} runs=${history.runs}",
             RequestLimits.NO_UPSTREAM_RETRY_AFTER,
         )
 
-    /**
-     * Returns the maximal idle time of the connection to use, or null for a new connection.
-     *
-     * A repeated send to the same instance needs a new connection: on a reused one, a late second answer to the
-     * earlier send could be taken for the answer to this one. So does a request that broke off before: an idle
-     * connection may be dead, which would be taken for another crash.
-     */
-    private fun maximumIdle(instance: UpstreamName): Duration? =
-        when {
-            !sentTo.add(instance) || context.crashes.isSuspect(traits) -> null
-            route.repetition.repeatable -> RequestLimits.MAXIMUM_IDLE_IF_REPEATABLE
-            else -> RequestLimits.MAXIMUM_IDLE_IF_NOT_REPEATABLE
-        }
-
-    /** Returns whether the request may be sent once more; each repetition counts against the bound of all nodes. */
-    private fun mayRepeat(): Boolean {
-        if (arrivals == 0) return true
-        if (runs >= attempts || arrivals >= RequestLimits.MAXIMUM_ARRIVALS) return false
-        val decision = context.repetitionBudget.tryRepeat(service.name, context.timer.now())
-        context.metrics.onRepetition(decision.granted)
-        context.eventLog.record(request.identifier, "repetition", "service=${service.name} $decision")
-        return decision.granted
-    }
-
     /**
      * Requests a permit to send to [instance], which limits its requests, and dispatches again.
      *
@@ -504,7 +403,7 @@
     }
 
     private fun awaitAdapter(step: PlacementStep.NeedsAdapter) {
-        startWaiting()
+        residenceWait.start(timeLeftToBegin())
         if (awaitingIssuer) return
         awaitingIssuer = true
         context.peers.residence.wantAdapter(service.name, step.model, step.adapter, step.candidates) { engine ->
@@ -512,11 +411,11 @@
             when {
                 ended -> Unit
                 engine != null -> dispatch()
-                waitLimit?.shouldWaitForAdapter(context.timer.now()) == false ->
+                !residenceWait.shouldWaitForAdapter() ->
                     giveUp(
                         ResultCode.NO_UPSTREAM,
                         ResultCode.OUTCOME_UNKNOWN,
-                        "adapter=${step.adapter} waited=${timeWaited()}",
+                        "adapter=${step.adapter} waited=${residenceWait.elapsed}",
                         minOf(RequestLimits.ADAPTER_RETRY_AFTER, maximumRetryAfter()),
                     )
                 else -> context.timer.schedule(RequestLimits.ADAPTER_RETRY_INTERVAL) { retryDispatch() }
@@ -529,62 +428,35 @@
         model: ModelName,
         left: Duration,
     ) {
-        startWaiting()
+        residenceWait.start(timeLeftToBegin())
         val arrival = context.peers.residence.expectedArrival(model)
-        if (waitLimit?.shouldWaitForModel(arrival, left, context.timer.now()) != false) return
+        if (residenceWait.shouldWaitForModel(arrival, left)) return
         val usual =
             service.engines
                 ?.models
                 ?.get(model)
                 ?.coldLoad ?: RequestLimits.MODEL_RETRY_AFTER
         val retryAfter = (arrival ?: usual).coerceAtMost(maximumRetryAfter())
-        val details = "model=$model arrival=$arrival waited=${timeWaited()}"
+        val details = "model=$model arrival=$arrival waited=${residenceWait.elapsed}"
         giveUp(ResultCode.NO_UPSTREAM, ResultCode.OUTCOME_UNKNOWN, details, retryAfter)
     }
 
     /** Returns the longest retry delay that a caller is told: a fixed part of the time it has left. */
-    private fun maximumRetryAfter(): Duration = timeLeft() / RequestLimits.RETRY_AFTER_DIVISOR
-
-    private fun startWaiting() {
-        if (waitingSince != null) return
-        val now = context.timer.now()
-        waitingSince = now
-        if (waitLimit == null) waitLimit = ResidenceWaitLimit(now, timeLeftToBegin())
-        context.waiting.add(this)
-        val demand = request.demand
-        context.eventLog.record(request.identifier, "wait", "model=${demand?.model} adapter=${demand?.adapter}")
-    }
-
-    private fun stopWaiting(sent: Boolean) {
-        if (waitingSince == null) return
-        waitingSince = null
-        context.waiting.remove(this, sent)
-    }
-
-    private fun timeWaited(): Duration = waitingSince?.let { context.timer.now() - it } ?: Duration.ZERO
+    fun maximumRetryAfter(): Duration = timeLeft() / RequestLimits.RETRY_AFTER_DIVISOR
 
-    /** Watches for an instance that stops sending; only requests that can be repeated elsewhere are watched. */
-    private fun watchSilence(watched: RelayAttempt) {
-        watchdog?.cancel()
-        if (!route.repetition.repeatable) return
-        val limit = RequestLimits.silenceTimeout(route, watched.isAnswering)
-        watchdog =
-            context.timer.schedule(watched.heardAt + limit - context.timer.now()) {
-                if (ended || attempt !== watched) return@schedule
-                val silence = context.timer.now() - watched.heardAt
-                if (silence < limit) watchSilence(watched) else onSilence(watched, silence)
-            }
-    }
+    /** Returns whether [attempt] is under way. */
+    fun isCurrent(attempt: RelayAttempt): Boolean = !ended && this.attempt === attempt
 
-    private fun onSilence(
+    /** Handles that nothing came from [watched] during [silence]; goes on elsewhere if that can help. */
+    fun onSilence(
         watched: RelayAttempt,
         silence: Duration,
     ) {
         val tried = avoided + watched.instance.name
-        if (!placement.hasOther(tried, versionConstraint()) || runs + 1 >= attempts) return
+        if (!placement.hasOther(tried, versionConstraint()) || history.runs + 1 >= history.attempts) return
         // Only an engine that holds the model can go on with an answer that has begun; otherwise the silent one may.
         if (answer.hasBegun && !placement.isHeldElsewhere(tried)) {
-            watchdog = context.timer.schedule(RequestLimits.SILENCE_CHECK_INTERVAL) { watchSilence(watched) }
+            silenceWatch.checkAgain(watched)
             return
         }
         context.eventLog.record(request.identifier, "silent", "$watched quiet=$silence")
@@ -602,7 +474,7 @@
         context.crashes.notSent(traits, failed.instance)
         context.eventLog.record(request.identifier, "not-sent", "$failed reason=\"$reason\"")
         attempt = null
-        arrivals -= 1
+        history.arrivals -= 1
         context.links.permits.putBack(failed.instance)
         avoided += failed.instance.name
         failedConnections += 1
@@ -630,21 +502,11 @@
         attempt = null
         avoided += refused.instance.name
         val demand = request.demand
-        if (misdirected && demand != null) markAbsent(refused.instance.name, demand.model, demand.adapter)
-        dispatch()
-    }
-
-    private fun markAbsent(
-        engine: UpstreamName,
-        model: ModelName,
-        adapter: ModelName?,
-    ) {
-        if (adapter == null) {
-            context.fleet.onAbsent(engine, model)
-        } else {
-            context.fleet.onAdapter(engine, model, adapter, false)
+        if (misdirected && demand != null) {
+            context.fleet.onMisdirected(refused.instance.name, demand)
+            avoided -= refused.instance.name
         }
-        avoided -= engine
+        dispatch()
     }
 
     /** Handles a complete answer that was not streamed. */
@@ -660,15 +522,15 @@
         onWholeAnswer("$from", head, body, metadata)
     }
 
-    private fun onWholeAnswer(
+    /** Handles a complete answer of an instance, also one that another node has brought. */
+    fun onWholeAnswer(
         from: String,
         head: HttpResponse,
         body: ByteBuf,
         metadata: AnswerMetadata,
     ) {
         val status = head.status().code()
-        runs += 1
-        mayHaveRun = true
+        history.onRun()
         if (metadata.claimsNotRun) {
             body.release()
             repeatOrGiveUp("status=$status without proof that the request did not run")
@@ -703,7 +565,7 @@
     }
 
     private fun canTryElsewhere(): Boolean =
-        runs < attempts &&
+        history.runs < history.attempts &&
             timeLeft() > RequestLimits.MINIMUM_USEFUL_TIME &&
             (placement.hasOther(avoided, versionConstraint()) || context.links.reach.isCutOff(service.name))
 
@@ -745,8 +607,8 @@
     ) {
         if (from is RelayAttempt) onAnswered(from, successful = true)
         attempt = null
-        forward = null
-        mayHaveRun = true
+        detour.onEnd()
+        history.mayHaveRun = true
         context.metrics.onSend("answered")
         if (!answer.hasBegun) answer.begin(RequestLimits.OK, context.dialect.callerHeaders(head), null)
         answer.finish()
@@ -766,16 +628,9 @@
         broken: RelayAttempt,
         reason: String,
     ) {
-        context.eventLog.record(
-            request.identifier,
-            "broken",
-            "$broken reason=\"$reason\" began=${answer.hasBegun} continuation=${answer.continuation}",
-        )
+        recordBroken("$broken", reason)
         attempt = null
-        runs += 1
-        mayHaveRun = true
         avoided += broken.instance.name
-        answer.discardPartial()
         if (!ended) repeatOrGiveUp(reason)
     }
 
@@ -788,15 +643,6 @@
         }
     }
 
-    /** Counts a break early, while the request still waits, if the instance has answered nobody since it was sent. */
-    private fun reportIfUnanswered(silent: RelayAttempt) {
-        val sentAt = silent.sentAt ?: return
-        if (ended || attempt !== silent || silent.isAnswering) return
-        if (context.links.answeredSince(silent.instance, sentAt)) return
-        context.eventLog.record(request.identifier, "unheard", "$silent fingerprint=${traits.request}")
-        context.crashes.silent(traits, silent.instance)
-    }
-
     /** Cancels [running], whose result is no longer needed. A missing answer may mean that the instance crashed. */
     private fun cancel(running: RelayAttempt) {
         val silence = context.timer.now() - running.heardAt
@@ -809,9 +655,7 @@
 
     private fun onDeadline() {
         if (ended) return
-        val sent = isSent
-        cancelAll()
-        if (sent) mayHaveRun = true
+        val sent = cancelAll()
         giveUp(
             ResultCode.DEADLINE_PASSED_IN_QUEUE,
             ResultCode.DEADLINE_PASSED,
@@ -826,7 +670,7 @@
      * Delivers the error answer that was kept for this case, if there is one; otherwise answers with [notRun], or with
      * [otherwise] if the request may have run. A stream that has begun is aborted.
      */
-    private fun giveUp(
+    fun giveUp(
         notRun: ResultCode,
         otherwise: ResultCode,
         details: String,
@@ -838,7 +682,7 @@
             ready != null -> deliver(ready, "kept=true $details")
             answer.hasBegun -> abortAnswer(details)
             else -> {
-                val code = if (mayHaveRun && notRun.outcome == Outcome.NOT_RUN) otherwise else notRun
+                val code = if (history.mayHaveRun && notRun.outcome == Outcome.NOT_RUN) otherwise else notRun
                 val wait = retryAfter.takeIf { code.outcome == Outcome.NOT_RUN }
                 val headers = context.dialect.ownHeaders(request.identifier, code, wait)
                 answer.send(BufferedAnswer(code.httpStatus, headers, Unpooled.EMPTY_BUFFER))
@@ -863,14 +707,17 @@
 
     override fun onCallerDisconnected() {
         if (ended) return
-        if (isSent) mayHaveRun = true
         cancelAll()
-        end(ResultCode.CANCELLED, ResultCode.CANCELLED.httpStatus, "arrivals=$arrivals began=${answer.hasBegun}")
+        end(
+            ResultCode.CANCELLED,
+            ResultCode.CANCELLED.httpStatus,
+            "arrivals=${history.arrivals} began=${answer.hasBegun}",
+        )
     }
 
     override fun onWritabilityChanged(writable: Boolean) {
         attempt?.setReading(writable)
-        forward?.setReading(writable)
+        detour.setReading(writable)
     }
 
     private fun end(
@@ -879,12 +726,10 @@
         details: String,
     ) {
         ended = true
-        admission.close(mayHaveRun)
-        stopWaiting(sent = false)
+        admission.close(history.mayHaveRun)
+        residenceWait.stop(sent = false)
         timer?.cancel()
-        watchdog?.cancel()
-        // A timer that is not cancelled keeps the whole request in memory, which is no longer counted.
-        crashWatch?.cancel()
+        silenceWatch.cancel()
         answer.release()
         request.source.body.release()
         val elapsed = context.timer.now() - arrivedAt
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayHandler.kt
@@ -10,6 +10,7 @@
 import plantainturn.request.RequestIdentifier
 import plantainturn.version.configuration.ServiceName
 import plantainturn.version.route.Route
+import plantainturn.version.route.RoutingConfiguration
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -84,19 +85,7 @@
         }
         val route = configuration.table.find(request.host, request.path)
         if (route == null || context.currency.isSuperseded) {
-            val inputs = "configuration=${configuration.version} host=${request.host} path=${request.path}"
-            val details = "route=${route?.name} $inputs ${context.currency.describe()}"
-            if (route == null && context.currency.permitsDenial) {
-                return refuse(request.source, reply, identifier, ResultCode.PATH_UNKNOWN, details)
-            }
-            return refuse(
-                request.source,
-                reply,
-                identifier,
-                ResultCode.CONFIGURATION_OUTDATED,
-                details,
-                RequestLimits.OUTDATED_RETRY_AFTER,
-            )
+            return refuseByConfiguration(request, reply, route, configuration)
         }
         val service = configuration.services[route.destinationFor(randomFor(route))]
         if (service == null) {
@@ -116,6 +105,25 @@
         }
     }
 
+    /** A later configuration may have the route, or another destination for it. */
+    private fun refuseByConfiguration(
+        request: RelayRequest,
+        reply: CallerReply,
+        route: Route?,
+        configuration: RoutingConfiguration,
+    ): CallerConnectionListener {
+        val isUnknown = route == null && context.currency.permitsDenial
+        return refuse(
+            request.source,
+            reply,
+            request.identifier,
+            if (isUnknown) ResultCode.PATH_UNKNOWN else ResultCode.CONFIGURATION_OUTDATED,
+            "route=${route?.name} configuration=${configuration.version} host=${request.host} path=${request.path} " +
+                context.currency.describe(),
+            RequestLimits.OUTDATED_RETRY_AFTER.takeUnless { isUnknown },
+        )
+    }
+
     override fun onAlreadyDisconnected(request: CallerRequest) {
         val identifier =
             when (val decoded = context.dialect.decode(request)) {
--- a/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
@@ -1,7 +1,5 @@
 package plantainturn.relay.request
 
-import plantainturn.version.route.Route
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -83,33 +81,9 @@
     /** Longer, because a request that can be repeated survives a closed connection. */
     val MAXIMUM_IDLE_IF_REPEATABLE = 20.seconds
 
-    /** A request is repeated elsewhere if its answer takes longer than its objective times this factor. */
-    const val SILENCE_OBJECTIVE_FACTOR = 2.5
-
-    /** An instance of a plain service that is at its limit takes about this long for a request. */
-    val MINIMUM_SILENCE_TIMEOUT = 250.milliseconds
-
-    /** Below the two seconds without an event after which callers abandon a stream. */
-    val STREAM_SILENCE_TIMEOUT = 1_500.milliseconds
-
     /** How often a request whose engine is silent looks for another engine that holds its model. */
     val SILENCE_CHECK_INTERVAL = 250.milliseconds
 
-    /** Longer than an engine needs for an accepted backlog. */
-    val MINIMUM_FIRST_EVENT_TIMEOUT = 4.seconds
-
     /** An instance that answers nobody for this long after a request was sent may have crashed while handling it. */
     val CRASH_SUSPICION_SILENCE = 1_500.milliseconds
-
-    /** Returns how long an instance may be silent before a request of [route] that can be repeated goes elsewhere. */
-    fun silenceTimeout(
-        route: Route,
-        isAnswering: Boolean,
-    ): Duration =
-        when {
-            !route.repetition.streams ->
-                maxOf(route.objective * SILENCE_OBJECTIVE_FACTOR, MINIMUM_SILENCE_TIMEOUT)
-            isAnswering -> STREAM_SILENCE_TIMEOUT
-            else -> maxOf(route.objective, MINIMUM_FIRST_EVENT_TIMEOUT)
-        }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/UpstreamPaths.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/UpstreamPaths.kt
@@ -12,8 +12,8 @@
     public fun isTriedElsewhere(instance: UpstreamInstance): Boolean
 
     /**
-     * Opens a connection to [instance], and passes to [done] whether that succeeded and it stayed open for a moment. The
-     * connection is kept for use.
+     * Opens a connection to [instance], and passes to [done] whether that succeeded and it stayed open for a moment.
+     * The connection is kept for use.
      */
     public fun connect(
         instance: UpstreamInstance,
--- a/relay/src/main/kotlin/plantainturn/relay/request/UpstreamReach.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/UpstreamReach.kt
@@ -91,7 +91,7 @@
         now: ReachState,
     ) {
         if (before == now) return
-        if (before != ReachState.DOUBTFUL && now != ReachState.DOUBTFUL || before.isCutOff || now.isCutOff) {
+        if (setOf(before, now) != EVERYDAY_CHANGE) {
             logger.info("service={} event=reach-changed before={} now={}", service, before, now)
         }
         if (before.isCutOff != now.isCutOff) onChange(service, now.isCutOff)
@@ -142,6 +142,9 @@
     }
 
     private companion object {
+        /** One failure of one instance. */
+        val EVERYDAY_CHANGE = setOf(ReachState.REACHED, ReachState.DOUBTFUL)
+
         /** Two show whether it is the instance or this node. */
         const val PATHS_AT_ONCE = 2
         val FAILING_PAUSE = 300.milliseconds
--- a/relay/src/test/kotlin/plantainturn/relay/http/CallerServerTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/http/CallerServerTest.kt
@@ -105,7 +105,10 @@
         assertEquals(listOf(true, false), awaited)
     }
 
-    /** Guards against callers that wait for many turns of a busy loop, which accepts 16 connections in each by itself. */
+    /**
+     * Guards against callers that wait for many turns of a busy loop, which accepts 16 connections in each by
+     * itself.
+     */
     @Test
     fun `all connections that wait are accepted in one turn`() {
         listen()
