--- a/relay/src/test/kotlin/plantainturn/relay/node/ConfigurationFreshnessTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/ConfigurationFreshnessTest.kt
@@ -107,7 +107,7 @@
         assertFalse(freshness.isSuperseded)
     }
 
-    /** Guards against sound nodes that can't deny anything as long as the store refuses the issuer: 20 of 99 on quiet-1. */
+    /** Guards against sound nodes that can deny nothing while the store refuses the issuer: 20 of 99 on quiet-1. */
     @Test
     fun `a node reads by itself once its peers confirm too late`() {
         assertFalse(freshness.isPeerLate(1.seconds), "no peer is known yet")
