Let a node that starts deny by its own reading of a store that was never restored

A node that had just read the store answered 503 for up to three seconds to paths that no configuration has, unless it had heard a peer (RelayNodeTest, "an unknown path is not found", "a body over the limit is refused"). It waits for a peer because a store that came back from a copy may lack a configuration; such a store has a later era than the first.

The test of that wait now begins in the second era, in which alone it can happen, and is otherwise as it was; a further test holds the first era.

--- a/relay/src/test/kotlin/plantainturn/relay/node/ConfigurationFreshnessTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/node/ConfigurationFreshnessTest.kt
@@ -38,6 +38,7 @@
     /** Guards against a 401 from a node that starts on a copy of the store which lacks a configuration with the key. */
     @Test
     fun `a node that starts does not rely on its own reading before it has heard a peer or waited for one`() {
+        era = StoreEra(2)
         currentAt = timer.now()
         timer.advance(2_999.milliseconds)
         assertNull(freshness.confirmationAge)
@@ -46,6 +47,14 @@
         assertEquals(3.seconds, freshness.confirmationAge)
     }
 
+    /** Guards against a node that starts and can't say at once that nothing is at a path. */
+    @Test
+    fun `a node that starts relies on its own reading of a store that was never restored`() {
+        currentAt = timer.now()
+
+        assertEquals(0.seconds, freshness.confirmationAge)
+    }
+
     /** Guards against a 401 from a running node that reads a store which came back without a configuration. */
     @Test
     fun `a node does not rely on its reading of a restored store before it has heard a peer or waited for one`() {
@@ -103,8 +112,11 @@
         timer.advance(1.milliseconds)
         assertTrue(freshness.isSuperseded)
         version = 5
-
         assertFalse(freshness.isSuperseded)
+        freshness.onVersion(6)
+        timer.advance(6.001.seconds)
+
+        assertFalse(freshness.isSuperseded, "nobody may have it any more")
     }
 
     /** Guards against sound nodes that can deny nothing while the store refuses the issuer: 20 of 99 on quiet-1. */
