--- a/relay/src/main/kotlin/plantainturn/relay/loop/LoopDelay.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/loop/LoopDelay.kt
@@ -8,7 +8,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Measures how late an event loop runs its timers, which is how long everything else waits for it, too.
+ * Measures how late an event loop runs a periodic task, which is how long everything else waits for it, too.
  *
  * A delay beyond a bound is logged with what the loop did meanwhile. Confined to the loop.
  *
@@ -21,22 +21,26 @@
 ) {
     private val logger = LogManager.getLogger("loop")
     private val collectors = ManagementFactory.getGarbageCollectorMXBeans()
-    private var dueAt = Moment.ORIGIN
-    private var collected = 0L
+    private var dueAt: Moment? = null
+    private var collected = collectionMilliseconds()
 
     /** The longest delay since the start. */
     var longest: Duration = Duration.ZERO
         private set
 
-    /** Begins to measure. */
-    fun start() {
-        collected = collectionMilliseconds()
-        dueAt = timer.now() + PERIOD
-        timer.schedule(PERIOD) { measure() }
+    /** Measures the delay of a task that runs [period] after its last run has ended, and runs [task] as its work. */
+    inline fun measure(
+        period: Duration,
+        task: () -> Unit,
+    ) {
+        onBegin()
+        task()
+        onEnd(period)
     }
 
-    private fun measure() {
-        val delay = (timer.now() - dueAt).coerceAtLeast(Duration.ZERO)
+    /** Records that the task begins. */
+    fun onBegin() {
+        val delay = (timer.now() - (dueAt ?: return)).coerceAtLeast(Duration.ZERO)
         observe(delay)
         longest = maxOf(longest, delay)
         if (delay > LOGGED_DELAY) {
@@ -51,16 +55,17 @@
         } else {
             work.clear()
         }
-        dueAt = timer.now() + PERIOD
-        timer.schedule(PERIOD) { measure() }
+    }
+
+    /** Records that the task has ended and is due again after [period]. */
+    fun onEnd(period: Duration) {
+        dueAt = timer.now() + period
     }
 
     /** Time of garbage collection since the start of the process. */
     private fun collectionMilliseconds(): Long = collectors.sumOf { it.collectionTime.coerceAtLeast(0) }
 
     private companion object {
-        val PERIOD = 50.milliseconds
-
         /** Callers of short requests notice this. */
         val LOGGED_DELAY = 250.milliseconds
     }
--- a/relay/src/main/kotlin/plantainturn/relay/loop/LoopPolls.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/loop/LoopPolls.kt
@@ -11,7 +11,7 @@
  *
  * What is handled after one poll had not arrived at the poll before. An overloaded loop polls rarely: a request may
  * have waited in its socket for as long as the loop's last turn took, and its caller may have left since. Confined to
- * the loop, but created before it.
+ * the loop, but created before it. Without a loop it knows of no delay.
  */
 public class LoopPolls(
     private val now: () -> Moment = { Moment(System.nanoTime()) },
@@ -29,12 +29,12 @@
 
     /** Whether more may have arrived by now than is known, because the last poll was long ago. */
     public val isOverdue: Boolean
-        get() = age > TOLERANCE
+        get() = count > 0 && age > TOLERANCE
 
     /** Returns the earliest moment at which something may have arrived that is handled now and was not there before. */
     public fun earliestArrival(): Moment {
         val now = now()
-        return if (now - before > TOLERANCE) before else now
+        return if (count > 0 && now - before > TOLERANCE) before else now
     }
 
     override fun newSelectStrategy(): SelectStrategy =
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -388,12 +388,7 @@
     }
 
     private fun startTasks() {
-        timer.subscribe(CONTROL_PERIOD) {
-            val ready = !stopping && configuration.current != null
-            if (isCutOffFromEngines()) lease.handOver()
-            lease.step(mayContend = ready && mayContend())
-            work.measure(LoopTask.ISSUE) { issuer.step() }
-        }
+        timer.subscribe(CONTROL_PERIOD) { loopDelay.measure(CONTROL_PERIOD, ::control) }
         timer.subscribe(EXCHANGE_PERIOD) {
             if (!stopping ||
                 lease.fence == null
@@ -412,7 +407,13 @@
             links.prompts.retain { engine, model -> model in fleet.residentsOf(engine) }
             retryWaiting()
         }
-        loopDelay.start()
+    }
+
+    private fun control() {
+        val ready = !stopping && configuration.current != null
+        if (isCutOffFromEngines()) lease.handOver()
+        lease.step(mayContend = ready && mayContend())
+        work.measure(LoopTask.ISSUE) { issuer.step() }
     }
 
     private fun retryWaiting(): Unit = work.measure(LoopTask.RETRY) { waiting.retryAll() }
