Leave connections alone that live on while new ones are refused

A cut off node dropped its idle connections and moved what was under way as soon as it presumed the cut, also in the moments between two answers on old connections while new ones were refused. It now does so only after 0.3 s without a byte; new requests go by way of other nodes at once, as before. The change is told to requests by the timer: told within the handling of a failed send, it moved that request twice. A service without instances is no cut.

--- a/library/src/main/kotlin/plantainturn/request/relay/ServiceReach.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/ServiceReach.kt
@@ -76,6 +76,7 @@
         val presumed = presumedAt
         state =
             when {
+                instances == 0 -> ReachState.UNHEARD_BY_ALL
                 failing.size < minOf(LEAST_FAILING, instances) -> ReachState.DOUBTFUL
                 heardElsewhereAt != null && heardElsewhereAt > since + REPORT_TOLERANCE -> ReachState.CUT_OFF
                 presumed != null && now - presumed > CONFIRMATION_TIME && isTriedElsewhere -> ReachState.UNHEARD_BY_ALL
--- a/library/src/test/kotlin/plantainturn/request/relay/ServiceReachTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/ServiceReachTest.kt
@@ -73,6 +73,13 @@
         assertEquals(ReachState.DOUBTFUL, update(), "earlier failures no longer count")
     }
 
+    @Test
+    fun `a service without instances is no reason to go by way of another node`() {
+        fail("a")
+
+        assertFalse(reach.update(now, instances = 0, heardElsewhereAt = null).isCutOff)
+    }
+
     @Test
     fun `the only instance of a service is enough`() {
         fail("a")
--- a/relay/src/main/kotlin/plantainturn/relay/request/UpstreamReach.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/UpstreamReach.kt
@@ -7,6 +7,7 @@
 import plantainturn.request.relay.ReachState
 import plantainturn.request.relay.ServiceReach
 import plantainturn.version.configuration.ServiceName
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -18,7 +19,8 @@
  *
  * @param instancesOf returns the instances of a service that may receive requests
  * @param paths tells what is known of the paths to instances
- * @param onChange called with a service when it is no longer reached, and when it is again
+ * @param onChange called with a service when it has not been reached for a moment, and when it is again; old
+ *   connections may live on while new ones are refused, and are not to be given up then
  */
 public class UpstreamReach(
     private val timer: TimerService,
@@ -94,7 +96,28 @@
         if (setOf(before, now) != EVERYDAY_CHANGE) {
             logger.info("service={} event=reach-changed before={} now={}", service, before, now)
         }
-        if (before.isCutOff != now.isCutOff) onChange(service, now.isCutOff)
+        if (before.isCutOff == now.isCutOff) return
+        val entry = trackedOf(service)
+        entry.changes += 1
+        if (now.isCutOff) {
+            settle(service, entry, entry.changes)
+        } else if (entry.settled) {
+            entry.settled = false
+            timer.schedule(Duration.ZERO) { onChange(service, false) }
+        }
+    }
+
+    private fun settle(
+        service: ServiceName,
+        entry: Tracked,
+        change: Int,
+    ) {
+        timer.schedule(SETTLING_TIME) {
+            if (entry.changes == change && entry.reach.state.isCutOff) {
+                entry.settled = true
+                onChange(service, true)
+            }
+        }
     }
 
     private fun tryPaths(service: ServiceName) {
@@ -139,12 +162,17 @@
         var cutOffAt: Moment? = null
         var heardElsewhereAt: Moment? = null
         var trials = 0
+        var changes = 0
+        var settled = false
     }
 
     private companion object {
         /** One failure of one instance. */
         val EVERYDAY_CHANGE = setOf(ReachState.REACHED, ReachState.DOUBTFUL)
 
+        /** Answers of several requests come on old connections within this time, if these live on. */
+        val SETTLING_TIME = 300.milliseconds
+
         /** Two show whether it is the instance or this node. */
         const val PATHS_AT_ONCE = 2
         val FAILING_PAUSE = 300.milliseconds
