Join what the detour had written again

ShortAnswer holds the bytes of answers that are checked before they are forwarded, for both RelayAttempt and ForwardedSend, which had the same lines. The age up to which a confirmation permits a denial stood twice. LoopDelay showed two parts of one measure. Behaviour and bounds are unchanged: CutOffNodeTest, RelayNodeTest, EndlessBytesTest, EndlessAnswersTest, ConfigurationFreshnessTest and OutdatedConfigurationTest held.

--- a/relay/src/main/kotlin/plantainturn/relay/loop/LoopDelay.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/loop/LoopDelay.kt
@@ -29,17 +29,16 @@
         private set
 
     /** Measures the delay of a task that runs [period] after its last run has ended, and runs [task] as its work. */
-    inline fun measure(
+    fun measure(
         period: Duration,
         task: () -> Unit,
     ) {
         onBegin()
         task()
-        onEnd(period)
+        dueAt = timer.now() + period
     }
 
-    /** Records that the task begins. */
-    fun onBegin() {
+    private fun onBegin() {
         val delay = (timer.now() - (dueAt ?: return)).coerceAtLeast(Duration.ZERO)
         observe(delay)
         longest = maxOf(longest, delay)
@@ -57,11 +56,6 @@
         }
     }
 
-    /** Records that the task has ended and is due again after [period]. */
-    fun onEnd(period: Duration) {
-        dueAt = timer.now() + period
-    }
-
     /** Time of garbage collection since the start of the process. */
     private fun collectionMilliseconds(): Long = collectors.sumOf { it.collectionTime.coerceAtLeast(0) }
 
--- a/relay/src/main/kotlin/plantainturn/relay/node/ConfigurationFreshness.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/ConfigurationFreshness.kt
@@ -47,7 +47,7 @@
      * @param allowance the time that peers may take beyond the age at which a confirmation is of no use
      */
     fun isPeerLate(allowance: Duration): Boolean =
-        confirmedByPeerAt?.let { timer.now() - it > USEFUL_CONFIRMATION_AGE + allowance } ?: false
+        confirmedByPeerAt?.let { timer.now() - it > ConfigurationCurrency.MAXIMUM_DENIAL_AGE + allowance } ?: false
 
     /** The store may have come back from a copy that lacks a configuration; a node that starts hears of it by peers. */
     override val confirmationAge: Duration?
@@ -113,8 +113,6 @@
     }
 
     private companion object {
-        val USEFUL_CONFIRMATION_AGE = 2.seconds
-
         /** A node that hears of a later version usually reads it at the same time. */
         val STORE_PATIENCE = 400.milliseconds
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/ConfigurationCurrency.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/ConfigurationCurrency.kt
@@ -30,7 +30,7 @@
     /** Returns what is known as `name=value` pairs for the log. */
     fun describe(): String = "confirmed=$confirmationAge laterKnown=$isLaterKnown superseded=$isSuperseded"
 
-    private companion object {
+    companion object {
         /** At most the time within which a configuration must be in force. */
         val MAXIMUM_DENIAL_AGE = 2.seconds
     }
--- a/relay/src/main/kotlin/plantainturn/relay/request/ForwardedSend.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/ForwardedSend.kt
@@ -1,7 +1,6 @@
 package plantainturn.relay.request
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import plantainturn.connection.roster.SocketLocation
@@ -31,7 +30,7 @@
     private var connection: UpstreamConnection? = null
     private var head: HttpResponse? = null
     private var metadata: AnswerMetadata? = null
-    private var buffered: ByteBuf = Unpooled.EMPTY_BUFFER
+    private val buffered = ShortAnswer()
     private var ended = false
     private var isStreaming = false
 
@@ -45,7 +44,7 @@
     override val origin: UpstreamInstance? = null
 
     override val heldBytes: Long
-        get() = if (isStreaming) exchange.heldBytes else buffered.capacity().toLong()
+        get() = if (isStreaming) exchange.heldBytes else buffered.capacity.toLong()
 
     /** Hands the request over on a connection that was idle for [reuse] at most. */
     fun begin(reuse: Duration) {
@@ -118,7 +117,7 @@
         metadata = decoded
         if (decoded.signed) context.links.reach.onHeardElsewhere(exchange.service.name)
         val success = head.status().code() < RequestLimits.FIRST_FAILURE && decoded.signed
-        val isLong = HttpUtil.getContentLength(head, 0L) > RequestLimits.MAXIMUM_BUFFERED_BYTES
+        val isLong = HttpUtil.getContentLength(head, 0L) > ShortAnswer.MAXIMUM_BYTES
         isStreaming = success && (exchange.route.repetition.streams || isLong)
     }
 
@@ -126,11 +125,8 @@
         if (ended) return
         if (isStreaming) {
             exchange.onStreamContent(this, requireNotNull(head), content)
-        } else if (buffered.readableBytes() + content.readableBytes() <= RequestLimits.MAXIMUM_BUFFERED_BYTES) {
-            if (!buffered.isReadable) buffered = Unpooled.buffer(content.readableBytes())
-            buffered.writeBytes(content)
         } else {
-            onBroken("answer exceeds ${RequestLimits.MAXIMUM_BUFFERED_BYTES} bytes and has no Content-Length")
+            buffered.add(content)?.let(::onBroken)
         }
     }
 
@@ -153,7 +149,7 @@
             code in NOT_TAKEN -> notTaken("$code")
             code?.outcome == Outcome.NOT_RUN -> {
                 end("refused", usable = true)
-                detour.onRefused(this, answer, buffered.retainedSlice(), code)
+                detour.onRefused(this, answer, buffered.retained(), code)
             }
             status < RequestLimits.FIRST_FAILURE -> broken("successful answer without the signature of an instance")
             else -> broken("status=$status code=$code")
@@ -173,7 +169,7 @@
         metadata: AnswerMetadata,
     ) {
         end("answered", usable = true)
-        detour.onAnswer(this, answer, buffered.retainedSlice(), metadata)
+        detour.onAnswer(this, answer, buffered.retained(), metadata)
     }
 
     private fun notTaken(reason: String) {
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -1,7 +1,6 @@
 package plantainturn.relay.request
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import plantainturn.connection.roster.UpstreamInstance
@@ -37,7 +36,7 @@
     private var connection: UpstreamConnection? = null
     private var head: HttpResponse? = null
     private var metadata: AnswerMetadata? = null
-    private var buffered: ByteBuf = Unpooled.EMPTY_BUFFER
+    private val buffered = ShortAnswer()
     private var promptRead = false
     private var earlierOnConnection = 0
     private var ended = false
@@ -65,7 +64,7 @@
         private set
 
     override val heldBytes: Long
-        get() = if (isStreaming) exchange.heldBytes else buffered.capacity().toLong()
+        get() = if (isStreaming) exchange.heldBytes else buffered.capacity.toLong()
 
     /** Sends the request on a connection that was idle for [reuse] at most, or on a new one if [reuse] is null. */
     fun begin(reuse: Duration?) {
@@ -184,11 +183,8 @@
         onFirstContent(now)
         if (isStreaming) {
             exchange.onStreamContent(this, requireNotNull(head), content)
-        } else if (buffered.readableBytes() + content.readableBytes() <= RequestLimits.MAXIMUM_BUFFERED_BYTES) {
-            if (!buffered.isReadable) buffered = Unpooled.buffer(content.readableBytes())
-            buffered.writeBytes(content)
         } else {
-            onBroken("answer exceeds $RequestLimits.MAXIMUM_BUFFERED_BYTES bytes and has no Content-Length")
+            buffered.add(content)?.let(::onBroken)
         }
     }
 
@@ -254,7 +250,7 @@
     ) {
         if (status >= RequestLimits.FIRST_SERVER_FAILURE) failed(FailureKind.ERROR) else succeeded(now)
         context.metrics.onSend(if (status >= RequestLimits.FIRST_SERVER_FAILURE) "error" else "answered")
-        exchange.onAnswer(this, requireNotNull(head), buffered.retainedSlice(), metadata)
+        exchange.onAnswer(this, requireNotNull(head), buffered.retained(), metadata)
     }
 
     private fun succeeded(now: Moment) {
@@ -298,8 +294,7 @@
         if (!promptRead) context.links.prompts.onPrefillEnd(instance.name, demand)
     }
 
-    private fun isLong(head: HttpResponse): Boolean =
-        HttpUtil.getContentLength(head, 0L) > RequestLimits.MAXIMUM_BUFFERED_BYTES
+    private fun isLong(head: HttpResponse): Boolean = HttpUtil.getContentLength(head, 0L) > ShortAnswer.MAXIMUM_BYTES
 
     override fun toString(): String =
         "instance=${instance.name} version=${instance.softwareVersion} rank=${parameters.rank} " +
--- a/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
@@ -45,9 +45,6 @@
     /** For a request that a later configuration may allow; by then the store or a peer has usually been heard. */
     val OUTDATED_RETRY_AFTER = 300.milliseconds
 
-    /** Answers up to this size are received completely and checked before they are forwarded. */
-    const val MAXIMUM_BUFFERED_BYTES = 262_144
-
     /** For a request that no node could take whose own paths are sound; by then others may be known. */
     val CUT_OFF_RETRY_AFTER = 200.milliseconds
 
