--- a/library/src/main/kotlin/plantainturn/request/relay/PermitQueue.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/PermitQueue.kt
@@ -83,8 +83,7 @@
         return unreachable.map { denied(it, interval, now) }
     }
 
-    private fun order(at: Moment): Comparator<Waiting<T>> =
-        compareBy({ it.request.inTimeUntil < at }, { it.request.urgency })
+    private fun order(at: Moment): Comparator<Waiting<T>> = compareBy(PermitRequest.order(at)) { it.request }
 
     private fun granted(request: Waiting<T>) = PermitOutcome(request.identifier, granted = true, Duration.ZERO)
 
--- a/library/src/main/kotlin/plantainturn/request/relay/PermitRequest.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/PermitRequest.kt
@@ -23,6 +23,9 @@
     val refusals: Int = 0,
 ) {
     public companion object {
+        /** Returns the order of requests at [at]: in time before late, then the urgent ones; equal ones keep theirs. */
+        internal fun order(at: Moment): Comparator<PermitRequest> = compareBy({ it.inTimeUntil < at }, { it.urgency })
+
         /** Fraction of the caller's time that may pass before the request is sent; the rest is for the answer. */
         private const val LATE_SHARE = 0.5
 
--- a/library/src/main/kotlin/plantainturn/request/relay/PlaceQueue.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/PlaceQueue.kt
@@ -84,8 +84,7 @@
     private fun share(now: Moment): Double =
         (usedShare + (now - usedShareAt).toDouble(DurationUnit.SECONDS) * SHARE_REGAINED_PER_SECOND).coerceAtMost(1.0)
 
-    private fun order(at: Moment): Comparator<Waiting<T>> =
-        compareBy({ it.request.inTimeUntil < at }, { it.request.urgency })
+    private fun order(at: Moment): Comparator<Waiting<T>> = compareBy(PermitRequest.order(at)) { it.request }
 
     private fun denied(request: Waiting<T>) = PermitOutcome(request.identifier, granted = false, DENIED_WAIT)
 
