--- a/review/rig-3/src/Rig.java
+++ b/review/rig-3/src/Rig.java
@@ -579,6 +579,8 @@
         volatile int events = 20;
         volatile long eventPause = 60;
         volatile long firstPause;
+        volatile long loadMilliseconds;
+        private boolean busy;
 
         Engine(String id, String service, String zone, String version, int adapterPlaces, String... held) {
             this.id = id;
@@ -629,8 +631,8 @@
                 byte[] report;
                 synchronized (this) {
                     report = """
-                        {"stage":"unified","born":%d,"models":%s,"busy":false,"seq":%d,"queued":0,"active":%d,\
-                        "kv_used":0,"kv_total":300000,"handles":0}""".formatted(born, residents(), sequence,
+                        {"stage":"unified","born":%d,"models":%s,"busy":%s,"seq":%d,"queued":0,"active":%d,\
+                        "kv_used":0,"kv_total":300000,"handles":0}""".formatted(born, residents(), busy, sequence,
                         running.get()).getBytes(StandardCharsets.UTF_8);
                 }
                 headers.put("Content-Type", "application/json");
@@ -670,12 +672,15 @@
                 } else if (expected != null && Long.parseLong(expected) != sequence) {
                     fence = token;
                     status = 409;
+                } else if (adapter == null && busy) {
+                    fence = token;
+                    status = 409;
                 } else if (adapter == null) {
                     fence = token;
                     boolean already = loads == (held != null);
                     if (!already) {
                         sequence++;
-                        if (loads) models.put(model, new ArrayList<>());
+                        if (loads) load(model);
                         else models.remove(model);
                     }
                     status = already ? 200 : 202;
@@ -695,6 +700,23 @@
             return status;
         }
 
+        private void load(String model) {
+            if (loadMilliseconds == 0) {
+                models.put(model, new ArrayList<>());
+                return;
+            }
+            busy = true;
+            thread("load-" + id, () -> {
+                pause(loadMilliseconds);
+                synchronized (this) {
+                    busy = false;
+                    models.put(model, new ArrayList<>());
+                }
+                note("loaded " + model + " at " + id);
+                register("ready");
+            });
+        }
+
         private void stream(Message request, OutputStream out, Map<String, String> headers) throws IOException {
             String after = request.header("Last-Event-Id");
             int first = after == null ? 1 : Integer.parseInt(after) + 1;
