--- a/review/rig-3/src/Rig.java
+++ b/review/rig-3/src/Rig.java
@@ -38,6 +38,7 @@
  */
 final class Rig implements AutoCloseable {
     static final String HOST = "127.0.0.1";
+    private static final int HEARTBEAT_MILLISECONDS = 1_200;
     final Path root = Path.of(System.getProperty("rig.root")).toAbsolutePath();
     final Path work;
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -114,11 +115,18 @@
         }
     }
 
+    private static final Set<Integer> TAKEN = ConcurrentHashMap.newKeySet();
+
+    /** Returns a free port below those that the system gives to outgoing connections, so that a restart finds it free. */
     static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            return socket.getLocalPort();
-        } catch (IOException exception) {
-            throw new IllegalStateException(exception);
+        while (true) {
+            int port = 20_000 + java.util.concurrent.ThreadLocalRandom.current().nextInt(10_000);
+            if (!TAKEN.add(port)) continue;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
+                return socket.getLocalPort();
+            } catch (IOException exception) {
+                // It is in use; the next one may be free.
+            }
         }
     }
 
@@ -575,7 +583,6 @@
         private final java.util.concurrent.atomic.AtomicInteger running = new java.util.concurrent.atomic.AtomicInteger();
         private long sequence;
         private long fence = -1;
-        volatile ServerProxy proxy;
         volatile int events = 20;
         volatile long eventPause = 60;
         volatile long firstPause;
@@ -592,14 +599,24 @@
             open.add(this);
         }
 
-        /** Writes the entry of this server into the store. */
+        /** Writes the entry of this server into the store, and again at each heartbeat. */
         void register(String state) {
             note("entry " + id + " version=" + version + " state=" + state);
+            write(state, 1);
+            thread("heartbeat-" + id, () -> {
+                for (int beat = 2; ; beat++) {
+                    pause(HEARTBEAT_MILLISECONDS);
+                    write(state, beat);
+                }
+            });
+        }
+
+        private void write(String state, int beat) {
             store.put("keyed.servers", id, """
                 {"service":"%s","address":"%s","zone":"%s","version":"%s","slots":64,"state":"%s","cold_left_ms":0,\
-                "seq":1,"stage":"unified","born":%d,"models":%s}""".formatted(service,
-                proxy == null ? address() : HOST + ":" + proxy.port, zone, version, state,
-                born, residents()));
+                "seq":%d,"stage":"unified","born":%d,"models":%s}""".formatted(service,
+                address(), zone, version, state,
+                beat, born, residents()));
         }
 
         private synchronized String residents() {
@@ -713,7 +730,6 @@
                     models.put(model, new ArrayList<>());
                 }
                 note("loaded " + model + " at " + id);
-                register("ready");
             });
         }
 
@@ -748,69 +764,10 @@
         }
     }
 
-    /** A server of the plain service. It can refuse, or run a request and lose its answer, in the given shares. */
-    final class Plain extends Server {
-        final String id;
-        private final String zone;
-        private final long born = System.currentTimeMillis();
-        volatile ServerProxy proxy;
-        volatile long work = 20;
-        volatile double refusing;
-        volatile double losing;
-        volatile double failing;
-        final Map<String, Integer> runs = new ConcurrentHashMap<>();
-
-        Plain(String id, String zone) {
-            this.id = id;
-            this.zone = zone;
-            open.add(this);
-        }
-
-        void register(String state) {
-            note("entry " + id + " state=" + state);
-            store.put("keyed.servers", id, """
-                {"service":"shop","address":"%s","zone":"%s","version":"v1","slots":6,"state":"%s","cold_left_ms":0,\
-                "seq":1,"born":%d}""".formatted(proxy == null ? address() : HOST + ":" + proxy.port, zone, state, born));
-        }
-
-        @Override
-        boolean handle(Message request, OutputStream out, Socket socket) throws IOException {
-            Map<String, String> headers = new LinkedHashMap<>();
-            headers.put("Instance-Id", id);
-            String identifier = request.header("Attempt-Id");
-            if (identifier != null) headers.put("Attempt-Id", identifier);
-            String expected = request.header("Expect-Instance");
-            if (expected != null && !expected.equals(id)) {
-                answer(out, 421, headers, new byte[0]);
-                return true;
-            }
-            double draw = Math.random();
-            if (draw < refusing) {
-                headers.put("Not-Executed", "1");
-                answer(out, 503, headers, new byte[0]);
-                return true;
-            }
-            note("run " + identifier + " at " + id + " " + request.method + " " + request.target);
-            runs.merge(identifier, 1, Integer::sum);
-            pause(work);
-            if (draw < refusing + losing) {
-                socket.setSoLinger(true, 0);
-                socket.close();
-                return false;
-            }
-            headers.put("Server-Stamp", "stamp-" + id);
-            headers.put("Server-Load", "1,0,6");
-            int status = draw < refusing + losing + failing ? 500 : 200;
-            answer(out, status, headers, (id + " ran " + identifier).getBytes(StandardCharsets.UTF_8));
-            return true;
-        }
-    }
-
-    /** Forwards TCP connections to a port. A silenced proxy holds up all bytes; a cut one resets and refuses. */
+    /** Forwards TCP connections to a port. */
     final class Proxy implements AutoCloseable {
         final int port = freePort();
         private final int target;
-        private volatile boolean silent;
         private volatile ServerSocket listening;
         private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
@@ -841,7 +798,6 @@
 
         private void begin(Socket near) {
             try {
-                hold();
                 Socket far = new Socket(HOST, target);
                 sockets.add(far);
                 near.setTcpNoDelay(true);
@@ -853,21 +809,15 @@
             }
         }
 
-        private void hold() {
-            while (silent) pause(5);
-        }
-
         private void copy(Socket from, Socket to) {
             byte[] buffer = new byte[16_384];
             try {
                 InputStream in = from.getInputStream();
                 OutputStream out = to.getOutputStream();
                 for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
-                    hold();
-                    out.write(buffer, 0, count);
+                        out.write(buffer, 0, count);
                     out.flush();
                 }
-                hold();
             } catch (IOException exception) {
                 // One of both sides has ended.
             } finally {
@@ -878,13 +828,8 @@
             }
         }
 
-        void setSilent(boolean value) {
-            silent = value;
-        }
-
         @Override
         public void close() throws IOException {
-            silent = false;
             listening.close();
             sockets.forEach(Rig::closeQuietly);
         }
@@ -898,129 +843,6 @@
         }
     }
 
-    /** Returns the relay process that owns the connection from [port], null if it is none of them. */
-    Relay ownerOf(int port) {
-        String inode = null;
-        for (String table : List.of("/proc/net/tcp6", "/proc/net/tcp")) {
-            try {
-                for (String line : Files.readAllLines(Path.of(table))) {
-                    String[] fields = line.trim().split("\\s+");
-                    if (fields.length > 9 && fields[1].endsWith(String.format(":%04X", port))
-                        && !fields[9].equals("0")) {
-                        inode = fields[9];
-                    }
-                }
-            } catch (IOException exception) {
-                note("connections can't be listed: " + exception);
-            }
-            if (inode != null) break;
-        }
-        if (inode == null) return null;
-        String link = "socket:[" + inode + "]";
-        for (Relay relay : relays) {
-            try (var files = Files.list(Path.of("/proc/" + relay.pid() + "/fd"))) {
-                for (Path file : (Iterable<Path>) files::iterator) {
-                    try {
-                        if (Files.readSymbolicLink(file).toString().equals(link)) return relay;
-                    } catch (IOException exception) {
-                        // It was closed meanwhile.
-                    }
-                }
-            } catch (IOException exception) {
-                note("descriptors of " + relay.name + " can't be listed: " + exception);
-            }
-        }
-        return null;
-    }
-
-    /** The machines that are partitioned from all servers: their connections there are reset, new ones too. */
-    final Set<Relay> cutFromServers = ConcurrentHashMap.newKeySet();
-
-    /** Stands before a server, and knows from which relay each connection comes. */
-    final class ServerProxy implements AutoCloseable {
-        final int port = freePort();
-        private final int target;
-        private final ServerSocket listening = new ServerSocket();
-        private final Map<Socket, Relay> owners = new ConcurrentHashMap<>();
-
-        ServerProxy(int target) throws IOException {
-            this.target = target;
-            listening.setReuseAddress(true);
-            listening.bind(new InetSocketAddress(HOST, port), 1_024);
-            open.add(this);
-            thread("server-proxy-" + port, this::accept);
-        }
-
-        private void accept() {
-            while (!listening.isClosed()) {
-                try {
-                    Socket near = listening.accept();
-                    thread("server-proxy-open-" + port, () -> begin(near));
-                } catch (IOException exception) {
-                    return;
-                }
-            }
-        }
-
-        private void begin(Socket near) {
-            try {
-                Relay owner = ownerOf(near.getPort());
-                if (owner != null) owners.put(near, owner);
-                if (owner != null && cutFromServers.contains(owner)) {
-                    reset(near);
-                    return;
-                }
-                Socket far = new Socket(HOST, target);
-                near.setTcpNoDelay(true);
-                far.setTcpNoDelay(true);
-                thread("server-proxy-in-" + port, () -> copy(near, far));
-                copy(far, near);
-            } catch (IOException exception) {
-                reset(near);
-            } finally {
-                owners.remove(near);
-            }
-        }
-
-        private void copy(Socket from, Socket to) {
-            byte[] buffer = new byte[16_384];
-            try {
-                InputStream in = from.getInputStream();
-                OutputStream out = to.getOutputStream();
-                for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
-                    out.write(buffer, 0, count);
-                    out.flush();
-                }
-                to.shutdownOutput();
-            } catch (IOException exception) {
-                reset(from);
-                reset(to);
-            }
-        }
-
-        /** Resets the connections of [relay]. */
-        void resetAll(Relay relay) {
-            owners.forEach((socket, owner) -> {
-                if (owner == relay) reset(socket);
-            });
-        }
-
-        private void reset(Socket socket) {
-            try {
-                socket.setSoLinger(true, 0);
-                socket.close();
-            } catch (IOException exception) {
-                // It is closed already.
-            }
-        }
-
-        @Override
-        public void close() throws IOException {
-            listening.close();
-            owners.keySet().forEach(this::reset);
-        }
-    }
-
     /** A client's connection. */
     static final class Client implements AutoCloseable {
         private final Socket socket = new Socket();
--- a/review/rig-3/src/Stream.java
+++ b/review/rig-3/src/Stream.java
@@ -13,7 +13,7 @@
 /** One client's stream over all its tries: it is taken up again at another relay after a broken channel. */
 final class Stream {
     private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: (\\S+) (\\S+)\n\n");
-    private static final int TIMEOUT = 4_000;
+    private static final int TIMEOUT = 15_000;
     private final Rig rig;
     final String name;
     private final int events;
