Let another node know what began a stream before its caller gets an event

What callers saw: while two software versions of a service served, a node was killed, and the streams that it had just begun could not be resumed at the others.

Cause: what binds a stream, the version that began it, was known to one process from its first event until its next report to the issuer, and for the issuer's own streams until each other node's next exchange. The nodes asked the new holder of the lease nine and ten times for each of the others (event=origin-asked version=null): nobody alive knew. So the rule was missing that what a caller has been shown, and may come back with, is known to a second process.

Change: while several versions serve, the first event of a resumable stream waits until one of two other nodes, which the stream's name chooses, has acknowledged its origin, 40 ms at most. A node that is asked to resume a stream asks the five nodes that the name would choose, and the issuer, so that the issuer need not be alive. The issuer tells the list of nodes, by changes, and only while versions are mixed. Origins are told again when a keeper ends or starts again, when a second version begins to serve, and when a version is corrected; a corrected version can't be replaced by the first one any more. If all nodes that could know have answered or ended, twice, the caller is told so at once and not after 0.7 s.

Measured: KilledNodeStreamsTest, the holder, another node, two at once, and the holder and then its successor: 4 of 4 failed on (0, 0, 0 and 6 of 16 streams went on), 4 of 4 hold. OriginReplicationTest replays kills at each half millisecond without I/O.

StreamOriginsTest now expects the number of the correction too. ResidenceChanges became KeyedChanges, as the list of nodes is told in the same way.

--- a/library/src/main/kotlin/plantainturn/connection/roster/VersionHistory.kt
+++ b/library/src/main/kotlin/plantainturn/connection/roster/VersionHistory.kt
@@ -55,6 +55,10 @@
         lifetime: Duration,
     ): Boolean = recent(service, lifetime).size > 1
 
+    /** Returns the services for which [isMixed] holds. */
+    public fun mixedServices(lifetime: Duration): Set<ServiceName> =
+        (present.keys + departed.keys.map { it.first }).filterTo(LinkedHashSet()) { isMixed(it, lifetime) }
+
     private fun present(instances: Collection<UpstreamInstance>): Map<ServiceName, Set<SoftwareVersion>> =
         instances.groupBy({ it.service }, { it.softwareVersion }).mapValues { it.value.toSet() }
 }
--- a/library/src/main/kotlin/plantainturn/connection/upstream/PollingUpstreamDirectory.kt
+++ b/library/src/main/kotlin/plantainturn/connection/upstream/PollingUpstreamDirectory.kt
@@ -5,9 +5,9 @@
 import kotlinx.collections.immutable.toPersistentMap
 import plantainturn.connection.engine.EngineReportResult
 import plantainturn.connection.upstream.internal.LeavingVms
-import plantainturn.connection.upstream.internal.RendezvousHash
 import plantainturn.connection.upstream.internal.UpstreamRecord
 import plantainturn.connection.vm.VmList
+import plantainturn.process.membership.RendezvousHash
 import plantainturn.process.time.Moment
 import plantainturn.process.time.TimerService
 import plantainturn.process.time.TimerSubscription
--- a/library/src/main/kotlin/plantainturn/connection/upstream/internal/RendezvousHash.kt
+++ b/library/src/main/kotlin/plantainturn/process/membership/RendezvousHash.kt
@@ -1,4 +1,4 @@
-package plantainturn.connection.upstream.internal
+package plantainturn.process.membership
 
 /** Gives each key its nodes such that few keys move when a node comes or goes, and all nodes agree without talking. */
 internal object RendezvousHash {
@@ -15,7 +15,14 @@
         key: String,
         nodes: List<String>,
         count: Int,
-    ): List<String> = if (count >= nodes.size) nodes else nodes.sortedByDescending { weight(key, it) }.take(count)
+    ): List<String> {
+        if (count >= nodes.size) return nodes
+        return nodes
+            .map { it to weight(key, it) }
+            .sortedByDescending { it.second }
+            .take(count)
+            .map { it.first }
+    }
 
     private fun weight(
         key: String,
--- a/library/src/main/kotlin/plantainturn/request/relay/StreamOrigins.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/StreamOrigins.kt
@@ -22,7 +22,7 @@
     private val timer: TimerService,
     private val capacity: Int = DEFAULT_CAPACITY,
 ) {
-    private val known = LinkedHashMap<RequestIdentifier, SoftwareVersion>()
+    private val known = LinkedHashMap<RequestIdentifier, StreamOrigin>()
     private val own = LinkedHashMap<RequestIdentifier, OwnStream>()
     private val unannounced = LinkedHashSet<RequestIdentifier>()
     private var runs: Map<UpstreamName, InstanceRun> = emptyMap()
@@ -31,29 +31,52 @@
     public val size: Int
         get() = known.size
 
+    /** How often versions of this node's streams have been corrected. */
+    public var corrections: Long = 0
+        private set
+
     /** Returns the version that began [stream], null if it is not known. */
-    public fun versionOf(stream: RequestIdentifier): SoftwareVersion? = known[stream]
+    public fun versionOf(stream: RequestIdentifier): SoftwareVersion? = known[stream]?.version
+
+    /** Returns the origin of [stream], null if it is not known. */
+    public fun originOf(stream: RequestIdentifier): StreamOrigin? = known[stream]
+
+    /** Returns this node's streams of [services] that began within [lifetime]. */
+    public fun ownSince(
+        lifetime: Duration,
+        services: Set<ServiceName>,
+    ): List<RequestIdentifier> {
+        val oldest = timer.now() - lifetime
+        return own.filterValues { it.at >= oldest && it.service in services }.keys.toList()
+    }
 
     /**
      * Records that [instance] brought events of [stream], which was sent to it at [sentAt].
      *
+     * Returns whether nothing was known of the origin before, so that no other node knows it either.
+     *
      * @param sentAt Unix milliseconds
      */
     public fun onEvent(
         stream: RequestIdentifier,
         instance: UpstreamInstance,
         sentAt: Long,
-    ) {
+    ): Boolean {
+        val before = known[stream]
         own.remove(stream)
         own[stream] = OwnStream(instance.service, instance.run, sentAt, timer.now())
         if (own.size > capacity) forget(own.keys.first())
-        remember(stream, instance.softwareVersion)
+        remember(StreamOrigin(stream, instance.softwareVersion, before?.correction ?: 0))
         unannounced += stream
+        return before == null
     }
 
     /** Takes over what another node tells. */
     public fun learn(origins: List<StreamOrigin>) {
-        for (origin in origins) if (origin.stream !in own) remember(origin.stream, origin.version)
+        for (origin in origins) {
+            val isOutdated = known[origin.stream]?.let { it.correction > origin.correction } ?: false
+            if (origin.stream !in own && !isOutdated) remember(origin)
+        }
     }
 
     /**
@@ -69,7 +92,9 @@
             val startedAt = instance.startedAt ?: continue
             val later = own.filterValues { it.isOfLaterRun(instance.run, startedAt) }.keys
             for (stream in later) {
-                remember(stream, instance.softwareVersion)
+                val correction = (known[stream]?.correction ?: 0) + 1
+                remember(StreamOrigin(stream, instance.softwareVersion, correction))
+                corrections++
                 unannounced += stream
             }
         }
@@ -85,7 +110,7 @@
         unannounced.removeIf { own[it]?.let { stream -> stream.at < oldest } ?: true }
         val wanted = unannounced.filter { isWanted(own.getValue(it).service) }.take(maximum)
         unannounced -= wanted.toSet()
-        return wanted.map { StreamOrigin(it, known.getValue(it)) }
+        return wanted.map(known::getValue)
     }
 
     /** Lets all origins be told again, as what was told may have been lost. */
@@ -93,12 +118,9 @@
         unannounced += own.keys
     }
 
-    private fun remember(
-        stream: RequestIdentifier,
-        version: SoftwareVersion,
-    ) {
-        known.remove(stream)
-        known[stream] = version
+    private fun remember(origin: StreamOrigin) {
+        known.remove(origin.stream)
+        known[origin.stream] = origin
         if (known.size > capacity) forget(known.keys.first())
     }
 
--- a/library/src/test/kotlin/plantainturn/request/relay/StreamOriginsTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/StreamOriginsTest.kt
@@ -55,7 +55,7 @@
         assertEquals(V1, origins.versionOf(RequestIdentifier("before")))
         assertEquals(V2, origins.versionOf(RequestIdentifier("after")))
         assertEquals(
-            listOf(StreamOrigin(RequestIdentifier("after"), V2)),
+            listOf(StreamOrigin(RequestIdentifier("after"), V2, correction = 1)),
             origins.takeUnannounced(9, LIFETIME) { true },
         )
     }
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -75,6 +75,8 @@
 import plantainturn.request.relay.EngineTimeEstimator
 import plantainturn.request.relay.NodeShare
 import plantainturn.request.relay.NodeShareTerms
+import plantainturn.request.relay.OriginKeepers
+import plantainturn.request.relay.OriginReplication
 import plantainturn.request.relay.ReachState
 import plantainturn.request.relay.RepetitionBudget
 import plantainturn.request.relay.RepetitionSettings
@@ -195,11 +197,24 @@
     private val versionRecords =
         VersionRecords(store, versionHistory, timer, System::currentTimeMillis) { lease.isExclusive }
     private val streamOriginLink: StreamOriginLink =
-        StreamOriginLink(streamOrigins, lease, caller) { issuerLink.isIssuerMissing() }
+        StreamOriginLink(
+            streamOrigins,
+            lease,
+            caller,
+            timer,
+            { issuerLink.isIssuerMissing() },
+        ) { stopping }
+    private val knownPeers = KnownPeers(settings.advertisedPeers ?: settings.peers)
+    private val originKeepers =
+        OriginKeepers(settings.advertisedPeers ?: settings.peers, timer) { knownPeers.all().map { "$it" } }
+    private val originReplication =
+        OriginReplication(streamOrigins, originKeepers, streamOriginLink, timer, { streamLifetime }) {
+            versionHistory.mixedServices(streamLifetime)
+        }
     private val streamVersions =
         StreamVersions(
             streamOrigins,
-            streamOriginLink,
+            originReplication,
             versionHistory,
             timer,
             { streamLifetime },
@@ -261,11 +276,10 @@
             freshness,
             streamOrigins,
             ::isStoreSilent,
-        )
+        ) { versionHistory.mixedServices(streamLifetime).isNotEmpty() }
     private val permitDesk = PermitDesk(lease, notices, timer, hub) { issuerLink.nodes }
     private val permitClient: PermitClient =
         PermitClient(incarnation, lease, permitDesk, limits, caller, timer) { issuerLink.isIssuerMissing() }
-    private val knownPeers = KnownPeers(settings.advertisedPeers ?: settings.peers)
     private val forwarder = PeerForwarder(eventLoop, timer, heldBytes, knownPeers)
     private val issuerLink: IssuerLink =
         IssuerLink(
@@ -402,6 +416,7 @@
         }
         timer.subscribe(rosterTimes.sweepPeriod) { instances.expire() }
         timer.subscribe(VERSION_PERIOD) { versionRecords.step() }
+        timer.subscribe(EXCHANGE_PERIOD) { originReplication.step() }
         timer.subscribe(CrashEvidenceTopic.SWEEP_PERIOD) { if (lease.isExclusive) crashEvidence.dropExpired() }
         fleet.subscribe {
             links.prompts.retain { engine, model -> model in fleet.residentsOf(engine) }
@@ -498,6 +513,7 @@
             work.measure(LoopTask.INSTANCES) { instanceFollower.offer(it.decode(), it.steadyFor) }
         }
         report.breaks?.let { work.measure(LoopTask.EVIDENCE) { crashEvidenceFollower.offer(it.decode()) } }
+        originKeepers.onNodes(report.nodeRuns, report.nodeRunsWhole)
         configurationFollower.catchUp(report.ends.configuration)
         instanceFollower.catchUp(report.ends.instances)
         crashEvidenceFollower.catchUp(report.ends.breaks)
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerKnowledge.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerKnowledge.kt
@@ -9,6 +9,7 @@
  * @property residenceRevision the newest revision of the residence
  * @property prompts the number of cached prompt parts announced so far
  * @property streams the number of origins of streams announced so far
+ * @property nodesRevision the newest revision of the list of nodes, -1 if none was received
  */
 @Serializable
 internal data class IssuerKnowledge(
@@ -16,6 +17,7 @@
     val residenceRevision: Long,
     val prompts: Long,
     val streams: Long,
+    val nodesRevision: Long = -1,
 ) {
     companion object {
         /** Nothing received yet. */
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -42,6 +42,9 @@
  *   answered it about them for some time and it asks for records from there on; null otherwise
  * @property brittleness what instances that have an entry said about how many requests they may turn away
  * @property reaching addresses of some nodes that reach all services, if the node does not
+ * @property nodeRuns which run of a node is at each address, as far as the node has not received it; null for a removed
+ *   node; empty unless several software versions serve
+ * @property nodeRunsWhole whether [nodeRuns] contains all nodes
  * @property arrivals expected milliseconds until each model that is being loaded is resident
  */
 @Serializable
@@ -77,4 +80,6 @@
     val instancesWantedFrom: StorePosition? = null,
     val reaching: List<String> = emptyList(),
     val brittleness: List<RelayedLimit> = emptyList(),
+    val nodeRuns: Map<String, String?> = emptyMap(),
+    val nodeRunsWhole: Boolean = false,
 )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerEndpoint.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerEndpoint.kt
@@ -31,7 +31,11 @@
             val wish = PeerMessage.decode(body, AdapterWish.serializer())
             if (wish == null) done(InternalHttpResponse(BAD_REQUEST)) else grant(wish, done)
         }
-        server.on("POST ${StreamOriginLink.PATH}", ::answerQuestion)
+        server.on("POST ${StreamOriginLink.ASK_PATH}", ::answerQuestion)
+        server.on("POST ${StreamOriginLink.KEEP_PATH}") { body, done ->
+            val request = PeerMessage.decode(body, StreamOriginLink.KeepRequest.serializer())
+            done(InternalHttpResponse(if (request == null) BAD_REQUEST else streamOrigins.keep(request)))
+        }
         server.on("POST ${QuotaClient.PATH}", ::answerQuota)
         server.on("POST ${PermitClient.PATH}") { body, done ->
             val wish = PeerMessage.decode(body, PermitWish.serializer())
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -24,6 +24,7 @@
  *
  * @param identity identifies this run of the node
  * @param isStoreSilent returns whether this node has to hear of instances from the nodes that report to it
+ * @param listsNodes returns whether each node has to know which other nodes there are
  */
 internal class PeerHub(
     private val identity: String,
@@ -39,11 +40,13 @@
     private val freshness: ConfigurationFreshness,
     private val streamOrigins: StreamOrigins,
     private val isStoreSilent: () -> Boolean,
+    private val listsNodes: () -> Boolean,
 ) : ReportedWork {
     private val received = HashMap<String, ReceivedReport>()
     private val promptAnnouncements = Announcements<KeptPart>(RETAINED_PARTS)
     private val streamAnnouncements = Announcements<StreamOrigin>(RETAINED_STREAMS)
-    private var residenceChanges = ResidenceChanges()
+    private var residenceChanges = KeyedChanges<UpstreamName, Map<ModelName, Set<ModelName>>>()
+    private val nodeList = NodeList()
     private var session: String? = null
     private var aggregate = ReportAggregate(emptyMap())
     private var addresses: List<String> = emptyList()
@@ -56,6 +59,15 @@
     /** Records [report] and returns the answer to it. */
     fun exchange(report: NodeReport): IssuerReport {
         val now = timer.now()
+        takeOver(report, now)
+        if (aggregatedAt?.let { now - it >= AGGREGATION_PERIOD } != false) updateAggregate(now)
+        return answer(report, now)
+    }
+
+    private fun takeOver(
+        report: NodeReport,
+        now: Moment,
+    ) {
         received[report.node] = ReceivedReport(report, now)
         promptAnnouncements.add(report.prompts)
         streamAnnouncements.add(report.streams)
@@ -68,10 +80,16 @@
         }
         notices.onPeerLimits(report.limits.associate { it.run to it.toStatement(now) })
         notices.onPeerBrittleness(report.brittleness.associate { it.run to it.toStatement(now) })
-        if (aggregatedAt?.let { now - it >= AGGREGATION_PERIOD } != false) updateAggregate(now)
+    }
+
+    private fun answer(
+        report: NodeReport,
+        now: Moment,
+    ): IssuerReport {
         val known = report.known.takeIf { it.session == session } ?: IssuerKnowledge.NONE
         val share = shares.shareFor(report)
         val usableShare = maxOf(share ?: 0.0, report.repetitionShare)
+        val nodeChanges = if (listsNodes()) nodeList.since(known.nodesRevision, now) else null
         return IssuerReport(
             issuing = issuer.isActive,
             nodes = received.size,
@@ -87,9 +105,10 @@
                     residenceChanges.revision,
                     promptAnnouncements.totalAdded,
                     streamAnnouncements.totalAdded,
+                    nodeChanges?.revision ?: known.nodesRevision,
                 ),
             residenceWhole = known.session == null,
-            residence = residenceChanges.since(known.residenceRevision),
+            residence = encode(residenceChanges.since(known.residenceRevision)),
             arrivals = issuer.arrivals().map { (model, wait) -> model.value to wait.inWholeMilliseconds }.toMap(),
             instances = instancesFor(report),
             breaks = breaks.since(report.ends.breaks)?.let(RelayedRecords::of),
@@ -111,9 +130,18 @@
             informing = lease.isExclusive,
             reaching = if (report.cutOff.isEmpty()) emptyList() else ReachingNodes.of(report, reports()),
             instancesWantedFrom = instances.end.takeIf { isStoreSilent() },
+            nodeRuns = nodeChanges?.runs.orEmpty(),
+            nodeRunsWhole = nodeChanges?.whole ?: false,
         )
     }
 
+    private fun encode(residence: Map<UpstreamName, Map<ModelName, Set<ModelName>>?>) =
+        residence
+            .map { (engine, models) ->
+                engine.value to
+                    models?.map { (model, adapters) -> model.value to adapters.map { it.value } }?.toMap()
+            }.toMap()
+
     private fun reports(): List<NodeReport> = received.values.map { it.report }
 
     private fun instancesFor(report: NodeReport): RelayedRecords? =
@@ -142,9 +170,11 @@
         val current = lease.fence?.let { "$identity/$it" }
         if (current != session) {
             session = current
-            residenceChanges = ResidenceChanges()
+            residenceChanges = KeyedChanges()
+            nodeList.begin(now)
         }
         residenceChanges.update(issuer.residence())
+        nodeList.update(received.values.sortedBy { it.at }.map { it.report }, timeout)
     }
 
     private fun updateIssuerDemand(reports: Collection<NodeReport>) {
--- a/relay/src/main/kotlin/plantainturn/relay/request/CallerAnswer.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/CallerAnswer.kt
@@ -14,9 +14,10 @@
  * @param isEventStream whether the answer is a stream of events, of which only complete ones are sent
  */
 internal class CallerAnswer(
-    private val reply: CallerReply,
+    reply: CallerReply,
     private val isEventStream: Boolean,
 ) {
+    private val reply = HoldableReply(reply)
     private val splitter = EventSplitter(PooledByteBufAllocator.DEFAULT)
     private var kept: BufferedAnswer? = null
     private var ended = false
@@ -43,14 +44,20 @@
     val exceedsMaximum: Boolean
         get() = splitter.exceedsMaximum
 
-    /** The memory in bytes of an incomplete event. */
+    /** The memory in bytes of an incomplete event and of what is held back. */
     val heldBytes: Long
-        get() = splitter.heldBytes
+        get() = splitter.heldBytes + reply.heldBytes
 
     /** Whether the connection's write buffer has room. */
     val isWritable: Boolean
         get() = reply.isWritable
 
+    /** Holds the answer back, which may go on meanwhile, until [passOn]. */
+    fun hold(): Unit = reply.hold()
+
+    /** Sends what was held back. */
+    fun passOn(): Unit = reply.passOn()
+
     /** Returns whether the caller still waits for the answer. */
     fun isAwaited(): Boolean = reply.isAwaited()
 
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -40,7 +40,7 @@
     private val arrivedAt = request.source.receivedAt
     private val deadline = arrivedAt + minOf(request.callerTimeout ?: route.timeout, route.timeout)
     private val answer = CallerAnswer(reply, route.repetition.streams)
-    private val stream = request.resumedStream ?: request.identifier
+    private val binding = StreamBinding(context, request, route.repetition, service.name, answer)
     private val traits = RelayRequestTraits.of(request)
     private val placement = RelayPlacement(context, request, service, traits.request, account)
     private val admission = RequestAdmission(context, request, account, ::refuse)
@@ -75,7 +75,7 @@
 
     /** Whether only instances of one software version may go on with an answer that has begun. */
     val isBoundToVersion: Boolean
-        get() = answer.hasBegun && versionConstraint() != VersionConstraint.None
+        get() = answer.hasBegun && binding.constraint != VersionConstraint.None
 
     /** The memory in bytes of the incomplete event that the answer has so far. */
     val heldBytes: Long
@@ -202,7 +202,7 @@
             onBlocked()
             return
         }
-        val constraint = versionConstraint()
+        val constraint = binding.constraint
         if (constraint == VersionConstraint.Unknown) awaitOrigin() else place(constraint, left)
     }
 
@@ -263,41 +263,16 @@
         }
     }
 
-    /** A stream is continued, within its answer or by its caller, at the software version that began it only. */
-    private fun versionConstraint(): VersionConstraint =
-        when {
-            !route.repetition.streams -> VersionConstraint.None
-            answer.hasBegun -> context.streamVersions.constraintOf(stream, service.name)
-            request.resumeAfter != null ->
-                context.streamVersions.constraintOf(request.resumedStream, service.name)
-            else -> VersionConstraint.None
-        }
-
-    /** Asks for the origin of the stream for a short time; then the caller may come back when others know it. */
     private fun awaitOrigin() {
         if (awaitingIssuer) return
-        val resumed = request.resumedStream
-        if (answer.hasBegun || resumed == null || context.timer.now() - arrivedAt > RequestLimits.ORIGIN_TIMEOUT) {
-            giveUp(
-                ResultCode.NO_UPSTREAM,
-                ResultCode.OUTCOME_UNKNOWN,
-                "stream=$resumed version=unknown",
-                minOf(RequestLimits.ORIGIN_RETRY_AFTER, maximumRetryAfter()),
-            )
-            return
-        }
-        awaitingIssuer = true
-        context.streamVersions.find(resumed) {
-            val pause =
-                if (versionConstraint() == VersionConstraint.Unknown) {
-                    RequestLimits.ORIGIN_RETRY_INTERVAL
-                } else {
-                    Duration.ZERO
-                }
-            context.timer.schedule(pause) {
+        awaitingIssuer =
+            binding.search {
                 awaitingIssuer = false
                 dispatch()
             }
+        if (!awaitingIssuer) {
+            val retryAfter = minOf(RequestLimits.ORIGIN_RETRY_AFTER, maximumRetryAfter())
+            giveUp(ResultCode.NO_UPSTREAM, ResultCode.OUTCOME_UNKNOWN, "$binding", retryAfter)
         }
     }
 
@@ -307,7 +282,7 @@
     }
 
     private fun execute(step: PlacementStep.Decided) {
-        val refusal = DispatchRefusal.of(step, versionConstraint())
+        val refusal = DispatchRefusal.of(step, binding.constraint)
         val decision = step.decision
         if (decision is DispatchDecision.Send) {
             send(decision, step)
@@ -453,7 +428,7 @@
         silence: Duration,
     ) {
         val tried = avoided + watched.instance.name
-        if (!placement.hasOther(tried, versionConstraint()) || history.runs + 1 >= history.attempts) return
+        if (!placement.hasOther(tried, binding.constraint) || history.runs + 1 >= history.attempts) return
         // Only an engine that holds the model can go on with an answer that has begun; otherwise the silent one may.
         if (answer.hasBegun && !placement.isHeldElsewhere(tried)) {
             silenceWatch.checkAgain(watched)
@@ -567,7 +542,7 @@
     private fun canTryElsewhere(): Boolean =
         history.runs < history.attempts &&
             timeLeft() > RequestLimits.MINIMUM_USEFUL_TIME &&
-            (placement.hasOther(avoided, versionConstraint()) || context.links.reach.isCutOff(service.name))
+            (placement.hasOther(avoided, binding.constraint) || context.links.reach.isCutOff(service.name))
 
     /** Forwards [content] of a streamed answer; of an event stream only complete events are forwarded. */
     fun onStreamContent(
@@ -584,9 +559,11 @@
         if (whole == null) return
         if (!answer.hasBegun) {
             context.metrics.onFirstByte(context.timer.now() - arrivedAt)
+            from.origin?.let { origin ->
+                binding.onFirstEvent(origin, from.sentAt ?: arrivedAt) { onWritabilityChanged(answer.isWritable) }
+            }
             val length = HttpUtil.getContentLength(head, RequestLimits.UNKNOWN_LENGTH).takeIf { it >= 0 }
             answer.begin(head.status().code(), context.dialect.callerHeaders(head), length)
-            from.origin?.let { context.streamVersions.onFirstEvent(stream, it, from.sentAt ?: arrivedAt) }
             context.eventLog.record(
                 request.identifier,
                 "first-event",
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayMetrics.kt
@@ -10,6 +10,7 @@
 import plantainturn.connection.store.TopicName
 import plantainturn.process.ResultCode
 import plantainturn.relay.loop.LoopWork
+import plantainturn.request.relay.OriginTelling
 import plantainturn.request.relay.PaceEstimate
 import plantainturn.version.configuration.UpstreamName
 import plantainturn.version.route.ClientAccountName
@@ -92,6 +93,20 @@
             .help("Requests handed to other nodes while this one was cut off from their service, by outcome.")
             .labelNames("outcome")
             .register(registry)
+    private val originsTold =
+        Counter
+            .builder()
+            .name("plantainturn_relay_stream_origins_total")
+            .help("Streams whose callers got an event once another node was told the software version, by its answer.")
+            .labelNames("result")
+            .register(registry)
+    private val resumed =
+        Counter
+            .builder()
+            .name("plantainturn_relay_resumed_streams_total")
+            .help("Requests of callers that resume a stream: continued, or refused as no node knows its version.")
+            .labelNames("outcome")
+            .register(registry)
     private val loopDelay =
         Histogram
             .builder()
@@ -233,6 +248,14 @@
         forwards.labelValues(outcome).inc()
     }
 
+    internal fun onOriginTold(telling: OriginTelling) {
+        originsTold.labelValues(telling.name.lowercase()).inc()
+    }
+
+    internal fun onResumed(outcome: String) {
+        resumed.labelValues(outcome).inc()
+    }
+
     internal fun onOtherAnswer() {
         otherAnswers.inc()
     }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestLimits.kt
@@ -5,11 +5,14 @@
 
 /** Time limits, counts and HTTP statuses used while a request is relayed. */
 internal object RequestLimits {
-    /** Nodes tell each other the origins of streams within two exchanges of reports. */
+    /** Nodes of an older build tell each other the origins of streams within two exchanges of reports. */
     val ORIGIN_TIMEOUT = 700.milliseconds
     val ORIGIN_RETRY_INTERVAL = 100.milliseconds
 
-    /** When another issuer may have been told what a lost one knew. */
+    /** With a second search, an origin that was on its way during the first one is found. */
+    const val CERTAIN_ORIGIN_SEARCHES = 2
+
+    /** When a node that did not answer may do so again. */
     val ORIGIN_RETRY_AFTER = 1.seconds
 
     /** The status of a stream that ends without any event. */
--- a/relay/src/test/kotlin/plantainturn/relay/peer/ResidenceChangesTest.kt
+++ b/relay/src/test/kotlin/plantainturn/relay/peer/KeyedChangesTest.kt
@@ -5,8 +5,8 @@
 import plantainturn.version.configuration.UpstreamName
 import kotlin.test.assertEquals
 
-class ResidenceChangesTest {
-    private val changes = ResidenceChanges()
+class KeyedChangesTest {
+    private val changes = KeyedChanges<UpstreamName, Map<ModelName, Set<ModelName>>>()
     private val engines =
         List(74) { UpstreamName("e$it") }.associateWith {
             mapOf(
@@ -28,12 +28,13 @@
         val adapter = setOf(ModelName("a1"))
         changes.update(engines - UpstreamName("e1") + (UpstreamName("e2") to mapOf(ModelName("m") to adapter)))
 
-        assertEquals(mapOf("e1" to null, "e2" to mapOf("m" to listOf("a1"))), changes.since(known))
+        val expected = mapOf(UpstreamName("e1") to null, UpstreamName("e2") to mapOf(ModelName("m") to adapter))
+        assertEquals(expected, changes.since(known))
         assertEquals(emptyMap(), changes.since(changes.revision))
     }
 
     @Test
-    fun `an update with equal residence does not increase the revision`() {
+    fun `an update with equal entries does not increase the revision`() {
         changes.update(engines)
         val known = changes.revision
         changes.update(engines.toMap())
