Keep the nodes of a former issuer's list until its successor has heard of all

Cause: a new issuer lists the nodes that have reported to it. It waited 1.5 s for that, but nodes need longer to notice that the last one is gone and to find its successor, so they took over a list of one or two nodes: relay 6 asked one node for a stream that others kept (event=origin-asked), relay 1 knew none that could keep one (result=ALONE). A restarted node had no list until then.

Change: an issuer lists at once whom it knows, and nodes that only its predecessor has listed count as present for 10 s more. Nodes that are no longer listed are still asked for 15 s, since they may run and know. Eight nodes are asked instead of five, which is all of a small deployment.

Two new cases of OriginReplicationTest; the first fails if a new issuer's list replaces the old.

--- a/library/src/main/kotlin/plantainturn/request/relay/OriginKeepers.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/OriginKeepers.kt
@@ -21,8 +21,9 @@
     private val timer: TimerService,
     private val fallback: () -> List<String>,
 ) {
-    private val listed = HashMap<String, String>()
+    private val listed = HashMap<String, ListedNode>()
     private val avoidedUntil = HashMap<OriginKeeper, Moment>()
+    private var presentBefore: Set<OriginKeeper> = emptySet()
 
     /** Increases whenever other nodes may have to keep an origin than before. */
     public var revision: Long = 0
@@ -30,33 +31,43 @@
 
     /** The number of other nodes that may keep origins. */
     public val size: Int
-        get() = nodes().size
+        get() = present().size
 
     /**
      * Takes over which nodes there are.
      *
+     * A new issuer hears of the nodes one by one, so those that its predecessor listed count as present for a while.
+     *
      * @param changes the run of each node by its address, null for a removed node
-     * @param whole whether [changes] contains all nodes
+     * @param isFirst whether these are the first changes of an issuer
      */
     public fun onNodes(
         changes: Map<String, String?>,
-        whole: Boolean,
+        isFirst: Boolean,
     ) {
-        val before = listed.toMap()
-        if (whole) listed.clear()
-        for ((address, run) in changes) if (run == null) listed.remove(address) else listed[address] = run
-        if (listed != before) revision++
+        val now = timer.now()
+        if (isFirst) listed.values.forEach { it.leaveBy(now + CONFIRMATION_TIME) }
+        for ((address, run) in changes) {
+            if (run == null) {
+                listed[address]?.leaveBy(now)
+            } else if (address != own) {
+                listed[address] = ListedNode(run)
+            }
+        }
+        updateRevision()
     }
 
     /** Returns the nodes that should keep the origin of [stream]. */
     public fun keepersOf(stream: RequestIdentifier): List<OriginKeeper> {
-        val usable = nodes().filter { it !in avoidedUntil }.associateBy { it.address }
+        val usable = present().filter { it !in avoidedUntil }.associateBy { it.address }
         return RendezvousHash.nodesOf(stream.value, usable.keys.toList(), KEEPERS).map(usable::getValue)
     }
 
-    /** Returns the addresses of the nodes that may keep the origin of [stream]. */
-    public fun candidatesFor(stream: RequestIdentifier): List<String> =
-        RendezvousHash.nodesOf(stream.value, nodes().map { it.address }, CANDIDATES)
+    /** Returns the addresses of the nodes that may keep the origin of [stream], also of some that are not present. */
+    public fun candidatesFor(stream: RequestIdentifier): List<String> {
+        val known = if (listed.isEmpty()) fallback() else listed.keys.toList()
+        return RendezvousHash.nodesOf(stream.value, known, CANDIDATES)
+    }
 
     /** Chooses other nodes in place of [keeper] for [pause]. */
     public fun avoid(
@@ -66,18 +77,39 @@
         if (avoidedUntil.put(keeper, timer.now() + pause) == null) revision++
     }
 
-    /** Chooses nodes again whose pause is over. */
-    public fun endPauses() {
+    /** Takes account of pauses that end and nodes that are no longer present; to be called several times per second. */
+    public fun step() {
         val now = timer.now()
         if (avoidedUntil.values.removeIf { it <= now }) revision++
+        listed.values.removeIf { node -> node.leftAt?.let { now - it > REMEMBERED_TIME } ?: false }
+        updateRevision()
+    }
+
+    private fun updateRevision() {
+        val present = present().toSet()
+        if (present != presentBefore) revision++
+        presentBefore = present
+    }
+
+    private fun present(): List<OriginKeeper> {
+        if (listed.isEmpty()) return fallback().map { OriginKeeper(it, run = null) }
+        val now = timer.now()
+        return listed.entries
+            .filter { (_, node) -> node.leftAt?.let { now < it } ?: true }
+            .map { (address, node) -> OriginKeeper(address, node.run) }
     }
 
-    private fun nodes(): List<OriginKeeper> =
-        if (listed.isEmpty()) {
-            fallback().map { OriginKeeper(it, run = null) }
-        } else {
-            listed.filterKeys { it != own }.map { (address, run) -> OriginKeeper(address, run) }
+    private class ListedNode(
+        val run: String,
+    ) {
+        /** When it is or was no longer present, null if nothing is known of that. */
+        var leftAt: Moment? = null
+            private set
+
+        fun leaveBy(moment: Moment) {
+            leftAt = leftAt?.let { minOf(it, moment) } ?: moment
         }
+    }
 
     public companion object {
         /** The pause of a node that did not answer. */
@@ -86,10 +118,16 @@
         /** The pause of a node whose build keeps no origins. */
         public val OLDER_BUILD_PAUSE: Duration = 10.seconds
 
+        /** Longer than all nodes need to find a new issuer and report to it. */
+        private val CONFIRMATION_TIME = 10.seconds
+
+        /** A node that an issuer misses may still run, and keep what was told to it before. */
+        private val REMEMBERED_TIME = 15.seconds
+
         /** With the node that began the stream, any two nodes may end at once. */
         private const val KEEPERS = 2
 
-        /** Finds a keeper if the two nodes differ in three others, the one that began the stream included. */
-        private const val CANDIDATES = 5
+        /** All other nodes of a small deployment; else the lists of two nodes may differ in six nodes. */
+        private const val CANDIDATES = 8
     }
 }
--- a/library/src/main/kotlin/plantainturn/request/relay/OriginReplication.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/OriginReplication.kt
@@ -57,7 +57,7 @@
      * corrected.
      */
     public fun step() {
-        keepers.endPauses()
+        keepers.step()
         val services = mixedServices()
         val state = Triple(services, keepers.revision, origins.corrections)
         if (services.isEmpty() || state == replicatedState) return
--- a/library/src/test/kotlin/plantainturn/request/relay/OriginNetwork.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/OriginNetwork.kt
@@ -27,7 +27,7 @@
     enum class State { SOUND, DEAD, CUT_OFF, SLOW, OLDER_BUILD }
 
     init {
-        nodes.forEach { node -> node.keepers.onNodes(nodes.associate { it.address to it.run }, whole = true) }
+        nodes.forEach { node -> node.keepers.onNodes(nodes.associate { it.address to it.run }, isFirst = true) }
     }
 
     /** One node. Its messages take [LATENCY] each way; one that is cut off or slow answers nobody in time. */
--- a/library/src/test/kotlin/plantainturn/request/relay/OriginReplicationTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/OriginReplicationTest.kt
@@ -74,8 +74,8 @@
     @Test
     fun `a version is found though the nodes know different others`() {
         val network = OriginNetwork(NODES)
-        network.nodes[0].keepers.onNodes(mapOf("node-5" to null), whole = false)
-        network.nodes[1].keepers.onNodes(mapOf("node-4" to null, "node-0" to null), whole = false)
+        network.nodes[0].keepers.onNodes(mapOf("node-5" to null), isFirst = false)
+        network.nodes[1].keepers.onNodes(mapOf("node-4" to null, "node-0" to null), isFirst = false)
 
         repeat(STREAMS) {
             network.nodes[0].begin("s$it", "v1")
@@ -87,6 +87,34 @@
         repeat(STREAMS) { assertEquals(V1, network.nodes[1].find("s$it")) }
     }
 
+    @Test
+    fun `a new issuer that has heard of few nodes takes no keepers away`() {
+        val network = OriginNetwork(NODES)
+        network.nodes.forEach { it.keepers.onNodes(mapOf(it.address to it.run), isFirst = true) }
+
+        val shown = network.nodes[0].begin("s", "v1")
+        network.timer.advance(MOMENT * MOMENTS)
+        network.nodes[0].state = State.DEAD
+
+        assertEquals(OriginTelling.KEPT, shown())
+        for (node in network.nodes.drop(1)) assertEquals(V1, node.find("s"))
+        network.timer.advance(10.seconds)
+        assertEquals(0, network.nodes[1].keepers.size)
+    }
+
+    @Test
+    fun `a node that is no longer listed is still asked`() {
+        val network = OriginNetwork(LARGE)
+        network.nodes[0].begin("s", "v1")
+        network.timer.advance(MOMENT * MOMENTS)
+        network.nodes[0].state = State.DEAD
+        val keepers = network.nodes.drop(1).filter { it.origins.versionOf(RequestIdentifier("s")) != null }
+        val asking = network.nodes.drop(1).first { it !in keepers }
+        asking.keepers.onNodes(keepers.associate { it.address to null }, isFirst = false)
+
+        assertEquals(V1, asking.find("s"))
+    }
+
     @Test
     fun `other nodes keep what a keeper that ended or started again has lost`() {
         val network = OriginNetwork(NODES)
@@ -97,7 +125,7 @@
         assertEquals(2, keepers.size)
 
         val changes = mapOf(keepers[0].address to null, keepers[1].address to "another run")
-        network.nodes[0].keepers.onNodes(changes, whole = false)
+        network.nodes[0].keepers.onNodes(changes, isFirst = false)
         keepers[0].state = State.DEAD
         keepers[1].origins.onInstances(emptyList())
         val messages = network.nodes[0].messages
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -513,7 +513,7 @@
             work.measure(LoopTask.INSTANCES) { instanceFollower.offer(it.decode(), it.steadyFor) }
         }
         report.breaks?.let { work.measure(LoopTask.EVIDENCE) { crashEvidenceFollower.offer(it.decode()) } }
-        originKeepers.onNodes(report.nodeRuns, report.nodeRunsWhole)
+        if (report.issuing) originKeepers.onNodes(report.nodeRuns, report.nodeRunsFirst)
         configurationFollower.catchUp(report.ends.configuration)
         instanceFollower.catchUp(report.ends.instances)
         crashEvidenceFollower.catchUp(report.ends.breaks)
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerReport.kt
@@ -44,7 +44,7 @@
  * @property reaching addresses of some nodes that reach all services, if the node does not
  * @property nodeRuns which run of a node is at each address, as far as the node has not received it; null for a removed
  *   node; empty unless several software versions serve
- * @property nodeRunsWhole whether [nodeRuns] contains all nodes
+ * @property nodeRunsFirst whether the node has received no [nodeRuns] of this issuer
  * @property arrivals expected milliseconds until each model that is being loaded is resident
  */
 @Serializable
@@ -81,5 +81,5 @@
     val reaching: List<String> = emptyList(),
     val brittleness: List<RelayedLimit> = emptyList(),
     val nodeRuns: Map<String, String?> = emptyMap(),
-    val nodeRunsWhole: Boolean = false,
+    val nodeRunsFirst: Boolean = false,
 )
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -89,7 +89,7 @@
         val known = report.known.takeIf { it.session == session } ?: IssuerKnowledge.NONE
         val share = shares.shareFor(report)
         val usableShare = maxOf(share ?: 0.0, report.repetitionShare)
-        val nodeChanges = if (listsNodes()) nodeList.since(known.nodesRevision, now) else null
+        val nodeChanges = if (listsNodes()) nodeList.since(known.nodesRevision) else null
         return IssuerReport(
             issuing = issuer.isActive,
             nodes = received.size,
@@ -131,7 +131,7 @@
             reaching = if (report.cutOff.isEmpty()) emptyList() else ReachingNodes.of(report, reports()),
             instancesWantedFrom = instances.end.takeIf { isStoreSilent() },
             nodeRuns = nodeChanges?.runs.orEmpty(),
-            nodeRunsWhole = nodeChanges?.whole ?: false,
+            nodeRunsFirst = nodeChanges?.isFirst ?: false,
         )
     }
 
@@ -171,10 +171,10 @@
         if (current != session) {
             session = current
             residenceChanges = KeyedChanges()
-            nodeList.begin(now)
+            nodeList.begin()
         }
         residenceChanges.update(issuer.residence())
-        nodeList.update(received.values.sortedBy { it.at }.map { it.report }, timeout)
+        nodeList.update(received.values.sortedBy { it.at }.map { it.report })
     }
 
     private fun updateIssuerDemand(reports: Collection<NodeReport>) {
