Show in the dump how many origins of streams a node knows, and who keeps its own

A node that refuses resumed streams (3002, version=unknown) may know few nodes to ask, as a restarted one did in a soak; that was seen only from the peers that its log lines named. Keepers are looked at only while several versions serve.

--- a/library/src/main/kotlin/plantainturn/request/relay/OriginReplication.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/OriginReplication.kt
@@ -57,10 +57,11 @@
      * corrected.
      */
     public fun step() {
-        keepers.step()
         val services = mixedServices()
+        if (services.isEmpty()) return
+        keepers.step()
         val state = Triple(services, keepers.revision, origins.corrections)
-        if (services.isEmpty() || state == replicatedState) return
+        if (state == replicatedState) return
         replicatedState = state
         replicate(origins.ownSince(lifetime(), services))
     }
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayDump.kt
@@ -12,8 +12,10 @@
 import plantainturn.relay.request.InstanceNotices
 import plantainturn.request.quarantine.CrashAttribution
 import plantainturn.request.quota.AccountLevel
+import plantainturn.request.relay.OriginKeepers
 import plantainturn.request.relay.PaceEstimate
 import plantainturn.request.relay.PaceReason
+import plantainturn.request.relay.StreamOrigins
 import plantainturn.request.relay.WorkTotals
 import plantainturn.version.route.ClientAccountName
 import plantainturn.version.route.RoutingConfiguration
@@ -23,6 +25,8 @@
  * The state of a relay node, for operators.
  *
  * @property unansweredOrders orders to engines that were not answered and may still be executed
+ * @property streamOrigins the number of streams of which the node knows which software version began them
+ * @property originKeepers the number of other nodes that may keep origins of its streams
  * @property heldBytes memory of messages that are not complete
  * @property largestHolders the connections that hold most of it, with their bytes
  * @property longestLoopDelayMilliseconds how late the event loop has been at most since the start
@@ -43,6 +47,8 @@
     val waiting: Int,
     val blockedSeconds: Map<String, Long>,
     val unansweredOrders: List<RelayedOrder>,
+    val streamOrigins: Int,
+    val originKeepers: Int,
     val heldBytes: Long,
     val largestHolders: Map<String, Long>,
     val longestLoopDelayMilliseconds: Long,
@@ -136,6 +142,8 @@
             storeEra: StoreEra,
             unansweredOrders: List<RelayedOrder>,
             accounts: Map<String, AccountDump>,
+            streamOrigins: StreamOrigins,
+            originKeepers: OriginKeepers,
             heldBytes: HeldBytes,
             longestLoopDelay: Duration,
         ): RelayDump {
@@ -157,6 +165,8 @@
                     attribution.blocked.entries.associate { (trait, left) -> "$trait" to left.inWholeSeconds },
                 unansweredOrders = unansweredOrders,
                 accounts = accounts,
+                streamOrigins = streamOrigins.size,
+                originKeepers = originKeepers.size,
                 heldBytes = heldBytes.total,
                 longestLoopDelayMilliseconds = longestLoopDelay.inWholeMilliseconds,
                 largestHolders = heldBytes.largest(LARGEST_HOLDERS).associate { (holder, bytes) -> "$holder" to bytes },
--- a/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/node/RelayNode.kt
@@ -693,6 +693,8 @@
                 storeEra = maxOf(configurationFollower.end, instanceFollower.end).era,
                 unansweredOrders = unansweredOrders(),
                 accounts = RelayDump.accountsOf(quotaDesk.levels, quotaClient.admitted),
+                streamOrigins = streamOrigins,
+                originKeepers = originKeepers,
                 heldBytes = heldBytes,
                 longestLoopDelay = loopDelay.longest,
             ).toJson()
