List the nodes only while several software versions serve

The list was made ten times a second at the issuer in all deployments, though it is told only while versions are mixed; and the comment on OriginReplication.find said something else than it does.

--- a/library/src/main/kotlin/plantainturn/request/relay/OriginReplication.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/OriginReplication.kt
@@ -69,8 +69,8 @@
     /**
      * Asks other nodes for the origin of [stream].
      *
-     * Calls [done] when it is known here, or with false if nobody knew it. The argument `isCertain` of [done] tells
-     * whether each node that may keep it has answered or ended.
+     * Calls [done] once it is known here or all nodes that may keep it were asked in vain. The argument `isCertain`
+     * tells whether each of them has answered or ended.
      */
     public fun find(
         stream: RequestIdentifier,
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -174,7 +174,7 @@
             nodeList.begin()
         }
         residenceChanges.update(issuer.residence())
-        nodeList.update(received.values.sortedBy { it.at }.map { it.report })
+        if (listsNodes()) nodeList.update(received.values.sortedBy { it.at }.map { it.report })
     }
 
     private fun updateIssuerDemand(reports: Collection<NodeReport>) {
