--- a/library/src/main/kotlin/plantainturn/request/relay/ServiceReach.kt
+++ b/library/src/main/kotlin/plantainturn/request/relay/ServiceReach.kt
@@ -59,6 +59,23 @@
     /** Returns whether [instance] has failed since an instance was last heard. */
     public fun isFailing(instance: UpstreamName): Boolean = instance in failing
 
+    /**
+     * Returns whether a request had better go by way of another node, whatever is heard on connections that live on.
+     *
+     * Load pattern: new connections are refused while old ones, all in use, bring answers to other requests.
+     *
+     * @param unreachable the instances to which connections for this request failed
+     * @param instances the number of instances of the service
+     * @param hasOther whether a further instance could take the request
+     */
+    public fun isOutOfReach(
+        unreachable: Set<UpstreamName>,
+        instances: Int,
+        hasOther: Boolean,
+    ): Boolean =
+        state != ReachState.UNHEARD_BY_ALL &&
+            unreachable.size >= minOf(if (hasOther) MOST_TRIED else LEAST_FAILING, instances).coerceAtLeast(1)
+
     /**
      * Decides anew and returns the state.
      *
@@ -90,6 +107,9 @@
         /** One instance may fail by itself. */
         const val LEAST_FAILING = 2
 
+        /** Further instances are hardly reached either. */
+        const val MOST_TRIED = 4
+
         /** Sound instances answer some request of a service within this time, other than in a queue. */
         val SILENCE = 300.milliseconds
 
--- a/library/src/test/kotlin/plantainturn/request/relay/ServiceReachTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/ServiceReachTest.kt
@@ -87,6 +87,35 @@
         assertEquals(ReachState.PRESUMED_CUT_OFF, reach.update(now, instances = 1, heardElsewhereAt = null))
     }
 
+    /** Guards against refusals of requests for which no connection opens, while old ones bring answers to others. */
+    @Test
+    fun `a request whose own connections failed goes another way whatever is heard`() {
+        fail("a")
+        reach.onHeard()
+        fail("b")
+        reach.onHeard()
+
+        assertEquals(ReachState.REACHED, reach.state)
+        assertFalse(isOutOfReach("a", hasOther = false), "one instance may fail by itself")
+        assertTrue(isOutOfReach("a", "b", hasOther = false))
+        assertFalse(isOutOfReach("a", "b", hasOther = true), "a third one may be sound")
+        assertTrue(isOutOfReach("a", "b", "c", "d", hasOther = true))
+        assertTrue(reach.isOutOfReach(setOf(UpstreamName("a")), instances = 1, hasOther = false))
+        assertFalse(reach.isOutOfReach(emptySet(), instances = 0, hasOther = false))
+    }
+
+    /** Guards against requests that go round all nodes when all instances have failed. */
+    @Test
+    fun `no request goes another way while other nodes hear nothing either`() {
+        fail("a")
+        fail("b")
+        update()
+        now += 2.1.seconds
+        update()
+
+        assertFalse(isOutOfReach("a", "b", hasOther = false))
+    }
+
     /** Guards against new connections all the time: a sound server may be silent for a while. */
     @Test
     fun `paths are tried only after a request has had no answer of any instance for 300 ms`() {
@@ -102,6 +131,11 @@
 
     private fun fail(instance: String): Unit = reach.onFailure(UpstreamName(instance), now)
 
+    private fun isOutOfReach(
+        vararg unreachable: String,
+        hasOther: Boolean,
+    ): Boolean = reach.isOutOfReach(unreachable.map(::UpstreamName).toSet(), instances = 6, hasOther)
+
     private fun update(heardElsewhereAt: Moment? = null): ReachState =
         reach.update(now, instances = 4, heardElsewhereAt)
 }
--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayExchange.kt
@@ -42,7 +42,9 @@
     private val answer = CallerAnswer(reply, route.repetition.streams)
     private val binding = StreamBinding(context, request, route.repetition, service.name, answer)
     private val traits = RelayRequestTraits.of(request)
-    private val placement = RelayPlacement(context, request, service, traits.request, account)
+
+    /** Selects the instance for each send. */
+    val placement = RelayPlacement(context, request, service, traits.request, account)
     private val admission = RequestAdmission(context, request, account, ::refuse)
     private val avoided = LinkedHashSet<UpstreamName>()
     private val permitsDenied = HashSet<UpstreamName>()
@@ -197,7 +199,7 @@
             giveUp(ResultCode.DEADLINE_PASSED_IN_QUEUE, ResultCode.DEADLINE_PASSED, "no time is left")
             return
         }
-        if (context.links.reach.isCutOff(service.name) && detour.begin()) return
+        if (detour.isNeeded && detour.begin()) return
         if (context.crashes.isBlocked(traits)) {
             onBlocked()
             return
@@ -452,6 +454,7 @@
         history.arrivals -= 1
         context.links.permits.putBack(failed.instance)
         avoided += failed.instance.name
+        detour.onUnreachable(failed.instance.name)
         failedConnections += 1
         if (failedConnections > RequestLimits.MAXIMUM_ARRIVALS) {
             giveUp(
--- a/relay/src/main/kotlin/plantainturn/relay/request/RequestDetour.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestDetour.kt
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import plantainturn.connection.roster.SocketLocation
 import plantainturn.process.ResultCode
+import plantainturn.version.configuration.UpstreamName
 
 /**
  * The way of one request through other nodes, while this one is cut off from its service.
@@ -15,6 +16,7 @@
     private val exchange: RelayExchange,
 ) {
     private val refusingPeers = LinkedHashSet<SocketLocation>()
+    private val unreachable = LinkedHashSet<UpstreamName>()
     private var send: ForwardedSend? = null
 
     /** Whether another node has the request, or is to get it. */
@@ -25,10 +27,27 @@
     val isSent: Boolean
         get() = send?.sentAt != null
 
+    private val isCallers: Boolean
+        get() = exchange.account.terms == null
+
+    /** Whether this node has no path for the request, as far as known. */
+    val isNeeded: Boolean
+        get() {
+            val service = exchange.service.name
+            if (context.links.reach.isCutOff(service)) return true
+            if (!isCallers || unreachable.isEmpty()) return false
+            val hasOther = exchange.placement.isHeldElsewhere(unreachable)
+            return context.links.reach.isOutOfReach(service, unreachable, hasOther)
+        }
+
+    /** Records that no connection to [instance] could be opened for the request. */
+    fun onUnreachable(instance: UpstreamName) {
+        unreachable += instance
+    }
+
     /** Hands the request over, or gives it up if it can't be. Returns false if this node should try by itself. */
     fun begin(): Boolean {
         val forwarder = context.peers.forwarder
-        val isCallers = exchange.account.terms == null
         if (isCallers && (exchange.isBoundToVersion || !forwarder.hasPeers)) return false
         val peer = if (isCallers) forwarder.choose(refusingPeers) else null
         when {
@@ -61,7 +80,7 @@
             exchange.request.identifier,
             "forward",
             "route=${exchange.route.name} $begun reach=${context.links.reach.stateOf(exchange.service.name)} " +
-                "left=${exchange.timeLeft()} after=${exchange.resumeAfter}",
+                "unreachable=$unreachable left=${exchange.timeLeft()} after=${exchange.resumeAfter}",
         )
         val repeatable = exchange.route.repetition.repeatable
         begun.begin(
--- a/relay/src/main/kotlin/plantainturn/relay/request/UpstreamReach.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/UpstreamReach.kt
@@ -7,6 +7,7 @@
 import plantainturn.request.relay.ReachState
 import plantainturn.request.relay.ServiceReach
 import plantainturn.version.configuration.ServiceName
+import plantainturn.version.configuration.UpstreamName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -41,6 +42,13 @@
     /** Returns whether requests for [service] had better go by way of another node. */
     public fun isCutOff(service: ServiceName): Boolean = stateOf(service).isCutOff
 
+    /** Returns whether a request for [service] had better go that way as connections to [unreachable] failed for it. */
+    internal fun isOutOfReach(
+        service: ServiceName,
+        unreachable: Set<UpstreamName>,
+        hasOther: Boolean,
+    ): Boolean = trackedOf(service).reach.isOutOfReach(unreachable, instancesOf(service).size, hasOther)
+
     /** Returns when this node was last certainly cut off from [service], null if it never was. */
     internal fun lastCutOffAt(service: ServiceName): Moment? = tracked[service]?.cutOffAt
 
