Keep the two forms of the residence together, and the sample instance of stream origins once

PeerHub encoded what engines hold, and IssuerLink decoded it; both now stand in RelayedResidence. OriginNetwork and StreamOriginsTest had the same sample instance, service and lifetime. No behaviour changed.

--- a/library/src/test/kotlin/plantainturn/request/relay/OriginNetwork.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/OriginNetwork.kt
@@ -56,7 +56,7 @@
             stream: String,
             version: String,
         ): () -> OriginTelling? {
-            origins.onEvent(RequestIdentifier(stream), instance(version), sentAt = 0)
+            origins.onEvent(RequestIdentifier(stream), instance("e", version), sentAt = 0)
             var result: OriginTelling? = null
             replication.tell(RequestIdentifier(stream)) { if (state != State.DEAD) result = it }
             return { result }
@@ -121,11 +121,12 @@
 
         /** Returns an instance of the software [version]. */
         fun instance(
+            name: String,
             version: String,
             startedAt: Long = 1,
         ): UpstreamInstance =
             UpstreamInstance(
-                UpstreamName("e"),
+                UpstreamName(name),
                 SERVICE,
                 SocketLocation("127.0.0.1", 1),
                 FailureDomain("zone"),
--- a/library/src/test/kotlin/plantainturn/request/relay/OriginReplicationTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/OriginReplicationTest.kt
@@ -139,7 +139,7 @@
     fun `streams that began before a second version served are told once it does`() {
         val network = OriginNetwork(NODES)
         network.nodes[0].mixed = emptySet()
-        network.nodes[0].origins.onEvent(RequestIdentifier("s"), OriginNetwork.instance("v1"), sentAt = 0)
+        network.nodes[0].origins.onEvent(RequestIdentifier("s"), OriginNetwork.instance("e", "v1"), sentAt = 0)
         network.timer.advance(1.seconds)
         assertEquals(0, network.nodes[0].messages)
 
@@ -155,13 +155,13 @@
         val network = OriginNetwork(NODES)
         val stream = RequestIdentifier("s")
         val node = network.nodes[0]
-        node.origins.onInstances(listOf(OriginNetwork.instance("v1", startedAt = 1)))
-        node.origins.onEvent(stream, OriginNetwork.instance("v1", startedAt = 1), sentAt = 9_000)
+        node.origins.onInstances(listOf(OriginNetwork.instance("e", "v1", startedAt = 1)))
+        node.origins.onEvent(stream, OriginNetwork.instance("e", "v1", startedAt = 1), sentAt = 9_000)
         node.replication.tell(stream) { }
         network.timer.advance(1.seconds)
         val first = StreamOrigin(stream, V1)
 
-        node.origins.onInstances(listOf(OriginNetwork.instance("v2", startedAt = 8_000)))
+        node.origins.onInstances(listOf(OriginNetwork.instance("e", "v2", startedAt = 8_000)))
         network.timer.advance(1.seconds)
         network.nodes.drop(1).forEach { it.origins.learn(listOf(first)) }
         node.state = State.DEAD
--- a/library/src/test/kotlin/plantainturn/request/relay/StreamOriginsTest.kt
+++ b/library/src/test/kotlin/plantainturn/request/relay/StreamOriginsTest.kt
@@ -1,17 +1,14 @@
 package plantainturn.request.relay
 
-import kotlinx.collections.immutable.persistentMapOf
-import kotlinx.collections.immutable.persistentSetOf
 import org.junit.jupiter.api.Test
-import plantainturn.connection.roster.SocketLocation
 import plantainturn.connection.roster.SoftwareVersion
 import plantainturn.connection.roster.UpstreamInstance
 import plantainturn.connection.roster.VersionHistory
 import plantainturn.process.time.VirtualTimerService
 import plantainturn.request.RequestIdentifier
-import plantainturn.version.configuration.FailureDomain
-import plantainturn.version.configuration.ServiceName
-import plantainturn.version.configuration.UpstreamName
+import plantainturn.request.relay.OriginNetwork.Companion.LIFETIME
+import plantainturn.request.relay.OriginNetwork.Companion.SERVICE
+import plantainturn.request.relay.OriginNetwork.Companion.instance
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertNull
@@ -97,28 +94,8 @@
         sentAt: Long = 2_000,
     ) = origins.onEvent(RequestIdentifier(stream), instance, sentAt)
 
-    private fun instance(
-        name: String,
-        version: String,
-        startedAt: Long = 1,
-    ) = UpstreamInstance(
-        UpstreamName(name),
-        SERVICE,
-        SocketLocation("127.0.0.1", 1),
-        FailureDomain("zone"),
-        startedAt,
-        concurrency = 1,
-        leaving = false,
-        residents = persistentMapOf(),
-        hostCopies = persistentSetOf(),
-        diskCopies = persistentSetOf(),
-        softwareVersion = SoftwareVersion(version),
-    )
-
     private companion object {
-        val SERVICE = ServiceName("llm")
         val V1 = SoftwareVersion("v1")
         val V2 = SoftwareVersion("v2")
-        val LIFETIME = 15.seconds
     }
 }
--- a/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/IssuerLink.kt
@@ -1,8 +1,6 @@
 package plantainturn.relay.peer
 
 import io.netty.handler.codec.http.HttpMethod
-import kotlinx.collections.immutable.toPersistentMap
-import kotlinx.collections.immutable.toPersistentSet
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
 import plantainturn.connection.roster.SocketLocation
@@ -237,7 +235,7 @@
         links.prompts.merge(report.prompts)
         issuer.onReportedLoads(report.loadAges.map { now - it.milliseconds })
         if (report.issuing && from != SELF) learnOrders(report, from, now)
-        if (report.issuing) fleet.onResidence(decodeResidence(report.residence), report.residenceWhole)
+        if (report.issuing) fleet.onResidence(RelayedResidence.decode(report.residence), report.residenceWhole)
     }
 
     /** Takes over what a holder has read that must not issue orders yet, as its predecessor's may still take effect. */
@@ -273,16 +271,6 @@
         share.confirm(fraction, sentAt, now)
     }
 
-    private fun decodeResidence(encoded: Map<String, Map<String, List<String>>?>) =
-        encoded
-            .map { (engine, models) ->
-                val decoded =
-                    models?.map { (model, adapters) ->
-                        ModelName(model) to adapters.map(::ModelName).toPersistentSet()
-                    }
-                UpstreamName(engine) to decoded?.toMap()?.toPersistentMap()
-            }.toMap()
-
     /** [silentHolder] is the lease's record if it may name a holder that died, null if the holder answered. */
     private fun lookUpIssuer(silentHolder: StoreLease.HolderRecord?) {
         if (lookUps.takeDue(silentHolder.takeUnless { lease.isFree }, timer.now())) lease.readHolder()
--- a/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/peer/PeerHub.kt
@@ -108,7 +108,7 @@
                     nodeChanges?.revision ?: known.nodesRevision,
                 ),
             residenceWhole = known.session == null,
-            residence = encode(residenceChanges.since(known.residenceRevision)),
+            residence = RelayedResidence.encode(residenceChanges.since(known.residenceRevision)),
             arrivals = issuer.arrivals().map { (model, wait) -> model.value to wait.inWholeMilliseconds }.toMap(),
             instances = instancesFor(report),
             breaks = breaks.since(report.ends.breaks)?.let(RelayedRecords::of),
@@ -135,13 +135,6 @@
         )
     }
 
-    private fun encode(residence: Map<UpstreamName, Map<ModelName, Set<ModelName>>?>) =
-        residence
-            .map { (engine, models) ->
-                engine.value to
-                    models?.map { (model, adapters) -> model.value to adapters.map { it.value } }?.toMap()
-            }.toMap()
-
     private fun reports(): List<NodeReport> = received.values.map { it.report }
 
     private fun instancesFor(report: NodeReport): RelayedRecords? =
