Do not take a server for silent while its answer is not being read

While the caller's buffer was full, the node did not read from the server, and the watch for silent servers went on.

RelayAttempt.heardAt now is the present while the node doesn't read.

--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -52,9 +52,12 @@
     val isAnswering: Boolean
         get() = head != null
 
-    /** When the instance last sent something, or when the attempt began. */
-    var heardAt: Moment = begunAt
-        private set
+    private var lastHeardAt = begunAt
+    private var isReading = true
+
+    /** When the instance last sent something, or when the attempt began. It is not silent while this node doesn't read. */
+    val heardAt: Moment
+        get() = if (isReading) lastHeardAt else context.timer.now()
 
     /** Whether the answer is forwarded as it arrives. */
     var isStreaming: Boolean = false
@@ -101,6 +104,8 @@
     }
 
     override fun setReading(reading: Boolean) {
+        lastHeardAt = heardAt
+        isReading = reading
         connection?.setReading(reading)
     }
 
@@ -163,7 +168,7 @@
 
     override fun onHead(head: HttpResponse) {
         val now = context.timer.now()
-        heardAt = now
+        lastHeardAt = now
         sentAt?.let(stats::onAnswerBegun)
         onHeard(now)
         this.head = head
@@ -178,7 +183,7 @@
     override fun onContent(content: ByteBuf) {
         if (ended) return
         val now = context.timer.now()
-        heardAt = now
+        lastHeardAt = now
         onHeard(now)
         onFirstContent(now)
         if (isStreaming) {
