--- a/relay/src/main/kotlin/plantainturn/relay/http/CallerConnection.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/http/CallerConnection.kt
@@ -69,9 +69,9 @@
     var idleSince: Moment = server.timer.now()
         private set
 
-    /** Whether no request is in progress or arriving. */
+    /** Whether no request is in progress or arriving, and all answers were written. */
     val isIdle: Boolean
-        get() = reply == null && requestStartedAt == null && gate.isEmpty
+        get() = reply == null && requestStartedAt == null && gate.isEmpty && unsent() == 0L
 
     /** Whether all further bytes of the caller are dropped. */
     val isDiscarding: Boolean
@@ -196,7 +196,8 @@
                 logger.info("event=answer-not-taken {} unsentBytes={}", this, unsentBytes)
                 context.close()
             }
-            closing || reply != null -> Unit
+            closing -> closeIfIdle()
+            reply != null -> Unit
             since != null && head == null && now - since > server.limits.headerTimeout ->
                 reject(HttpResponseStatus.REQUEST_TIMEOUT, "request headers not received in time")
             since != null && head != null && now - headAt > server.limits.idleTimeout ->
@@ -217,10 +218,15 @@
         unsentBytes = left
     }
 
-    /** Closes the connection as soon as it has no request in progress. */
+    /** Closes the connection as soon as it has no request in progress and its caller has taken the answers. */
     fun closeWhenIdle() {
         closing = true
-        if (isIdle) context.close()
+        closeIfIdle()
+    }
+
+    /** A connection whose further bytes are dropped closes by itself, later than its last answer is written. */
+    private fun closeIfIdle() {
+        if (isIdle && !discarding) context.close()
     }
 
     private fun accept(message: Any) {
