--- a/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RelayAttempt.kt
@@ -55,7 +55,7 @@
     private var lastHeardAt = begunAt
     private var isReading = true
 
-    /** When the instance last sent something, or when the attempt began. It is not silent while this node doesn't read. */
+    /** When the instance last sent something, or the attempt began; the present while this node doesn't read. */
     val heardAt: Moment
         get() = if (isReading) lastHeardAt else context.timer.now()
 
