--- a/daemon/src/main/kotlin/plantainturn/daemon/command/RelayCommand.kt
+++ b/daemon/src/main/kotlin/plantainturn/daemon/command/RelayCommand.kt
@@ -5,10 +5,10 @@
 import org.apache.logging.log4j.LogManager
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
+import plantainturn.daemon.HangUpSignal
 import plantainturn.platform.UsersPlatform
 import plantainturn.relay.node.RelayNode
 import plantainturn.relay.node.RelaySettings
-import sun.misc.Signal
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
@@ -18,7 +18,7 @@
 
 /** Runs a relay node on the users' platform until it is told to stop. */
 @Command(
-    name = "relay",
+    name = RelayCommand.NAME,
     description = [
         "Runs a node that passes callers' requests on to the platform's services, until SIGTERM.",
         "Logs go to standard output. SIGHUP, or a change of the file, reads the settings again.",
@@ -59,7 +59,7 @@
             Runtime.getRuntime().removeShutdownHook(stop)
             return ExitStatus.FAILURE
         }
-        Signal.handle(Signal("HUP")) {
+        HangUpSignal.handle {
             logger.info("event=signal name=HUP")
             reload(node)
         }
@@ -114,9 +114,12 @@
         val faults: List<String>,
     )
 
-    private companion object {
+    companion object {
+        /** The name on the command line. */
+        const val NAME = "relay"
+
         /** Settings may change without a signal. */
-        const val RELOAD_CHECK_MILLISECONDS = 1_000L
-        val FORMAT = Json { ignoreUnknownKeys = false }
+        private const val RELOAD_CHECK_MILLISECONDS = 1_000L
+        private val FORMAT = Json { ignoreUnknownKeys = false }
     }
 }
