--- a/relay/src/main/kotlin/plantainturn/relay/request/RequestDetour.kt
+++ b/relay/src/main/kotlin/plantainturn/relay/request/RequestDetour.kt
@@ -7,7 +7,7 @@
 import plantainturn.version.configuration.UpstreamName
 
 /**
- * The way of one request through other nodes, while this one is cut off from its service.
+ * The way of one request through other nodes, while this one is cut off from its service or finds no connection for it.
  *
  * A request that was handed over once is not handed on, so that two nodes that are cut off don't pass it to and fro.
  */
